Lease memory at several engines for prompts larger than one

Change: parts may hold memory; a plan that no single engine can hold shares it over engines by short leases, all or none, renewed, released on every way out.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -21,6 +21,7 @@
 from rhubarblock.exchange import directory as directories
 from rhubarblock.exchange import follower as followers
 from rhubarblock.exchange import frontdoor
+from rhubarblock.exchange import leases
 from rhubarblock.exchange import news as news_lib
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
@@ -53,6 +54,7 @@
 _logger = logging.getLogger(__name__)
 
 StoreFactory = Callable[[aiohttp.ClientSession], stores.ObjectStore]
+LeaseFactory = Callable[[aiohttp.ClientSession], dialects.LeaseClient]
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -64,6 +66,7 @@
         settings: settings_lib.ExchangeSettings,
         dialect: dialects.Dialect,
         make_store: StoreFactory,
+        make_leases: LeaseFactory,
         attempt_header: str,
         rng: random.Random,
     ):
@@ -73,6 +76,7 @@
           settings: checked settings.
           dialect: spelling of the deployment.
           make_store: makes the client of the store on a session.
+          make_leases: makes the client of engines' memory on a session.
           attempt_header: name of the field that answers echo.
           rng: source of jitter and choices.
         """
@@ -86,6 +90,7 @@
         self.health = healths.Health()
         self._dialect = dialect
         self._make_store = make_store
+        self._make_leases = make_leases
         self._attempt_header = attempt_header
         self._rng = rng
 
@@ -122,6 +127,13 @@
             placer,
             transports.EndpointTransport(session, self._dialect),
             self.health,
+            await stack.enter_async_context(
+                leases.open_holder(
+                    self._make_leases(store_session),
+                    self.settings.bounds,
+                    self.timers,
+                )
+            ),
             self.timers,
             self.metrics,
         )
--- a/rhubarblock/exchange/dialect.py
+++ b/rhubarblock/exchange/dialect.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
+import enum
 
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import listed
@@ -105,6 +106,15 @@
     pace: float
 
 
+class LeaseAnswer(enum.Enum):
+    """What an engine said to an order about memory."""
+
+    DONE = "done"
+    REFUSED = "refused"
+    # No answer: it may have been carried out, or may be seconds later.
+    UNSURE = "unsure"
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class LeaseOrder:
     """Memory to set aside at an engine.
@@ -120,6 +130,22 @@
     hold_s: float
 
 
+class LeaseClient(abc.ABC):
+    """Orders about memory to engines."""
+
+    @abc.abstractmethod
+    async def reserve(
+        self, endpoint: listed.ListedEndpoint, order: LeaseOrder
+    ) -> LeaseAnswer:
+        """Sets memory aside, or renews what is set aside under the same id."""
+
+    @abc.abstractmethod
+    async def release(
+        self, endpoint: listed.ListedEndpoint, lease_id: str
+    ) -> LeaseAnswer:
+        """Gives memory back."""
+
+
 class Dialect(abc.ABC):
     """Spelling of one deployment."""
 
--- a/rhubarblock/exchange/news.py
+++ b/rhubarblock/exchange/news.py
@@ -88,7 +88,10 @@
         read_us = round(job.parts[0].read_s * 1e6)
         ids = [part.endpoint_id for part in job.parts]
         pause_ms = round(job.pause_s * 1e3)
-        self._send([_PLACED, job.job_id, ids, read_us, job.tokens, pause_ms])
+        tokens = [part.tokens for part in job.parts]
+        while tokens[-1:] == [0]:
+            tokens.pop()
+        self._send([_PLACED, job.job_id, ids, read_us, tokens, pause_ms])
 
     def tell_ended(self, job_id: str) -> None:
         """Tells peers that a job ended."""
@@ -108,8 +111,12 @@
     def _take(self, fields: list[Any], now_s: float) -> None:
         if fields[0] == _PLACED:
             _, job_id, ids, read_us, tokens, pause_ms = fields
-            parts = tuple(enginebook.Part(i, read_us / 1e6) for i in ids)
-            job = enginebook.Job(job_id, parts, tokens, pause_ms / 1e3)
+            held = tokens + [0] * (len(ids) - len(tokens))
+            parts = tuple(
+                enginebook.Part(name, read_us / 1e6, n)
+                for name, n in zip(ids, held, strict=True)
+            )
+            job = enginebook.Job(job_id, parts, pause_ms / 1e3)
             self._book.add(job, now_s)
         elif fields[0] == _ENDED:
             self._book.remove(fields[1])
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -8,6 +8,7 @@
 from rhubarblock.core import listed as lists
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import directory as directories
+from rhubarblock.exchange import leases
 from rhubarblock.exchange import news as news_lib
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import enginebook
@@ -25,12 +26,14 @@
     Attributes:
       endpoint: the endpoint that is asked.
       helpers: engines that read parts of the prompt.
+      held: memory that must be set aside before it is sent.
       expected_s: seconds until the first byte, as predicted.
       urgency: rank at an engine; None leaves the usual one.
     """
 
     endpoint: lists.ListedEndpoint
     helpers: tuple[dialects.Helper, ...] = ()
+    held: tuple[leases.Lease, ...] = ()
     expected_s: float = SERVICE_S
     urgency: int | None = None
 
@@ -163,11 +166,25 @@
         self._book.add(choice.job, now_s)
         self._news.tell_placed(choice.job)
         try:
-            yield Place(
-                choice.engines[0],
-                tuple(dialects.Helper(e.address) for e in choice.engines[1:]),
-                choice.expected_s,
-            )
+            yield _make_place(choice)
         finally:
             self._book.remove(choice.job.job_id)
             self._news.tell_ended(choice.job.job_id)
+
+
+def _make_place(choice: parting.Choice) -> Place:
+    """Returns the place of a choice, with the memory that helpers hold."""
+    helpers = []
+    held = []
+    job = choice.job
+    for number in range(1, len(job.parts)):
+        engine = choice.engines[number]
+        tokens = job.parts[number].tokens
+        lease_id = ""
+        if tokens:
+            lease_id = f"{job.job_id}.{number}"
+            held.append(leases.Lease(engine, lease_id, tokens))
+        helpers.append(dialects.Helper(engine.address, lease_id))
+    return Place(
+        choice.engines[0], tuple(helpers), tuple(held), choice.expected_s
+    )
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -14,6 +14,7 @@
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import eventcursor
+from rhubarblock.exchange import leases
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import sink as sinks
 from rhubarblock.exchange import transport as transports
@@ -51,6 +52,7 @@
     __slots__ = (
         "_budgets",
         "_health",
+        "_leases",
         "_metrics",
         "_placer",
         "_timers",
@@ -62,6 +64,7 @@
         placer: placers.Placer,
         transport: transports.EndpointTransport,
         health: healths.Health,
+        lease_holder: leases.LeaseHolder,
         timers: timer_service.Timers,
         metrics: metric_store.Metrics,
     ):
@@ -71,12 +74,14 @@
           placer: chooses endpoints.
           transport: sends to them.
           health: takes what attempts met.
+          lease_holder: holds memory at engines.
           timers: the clock.
           metrics: counters.
         """
         self._placer = placer
         self._transport = transport
         self._health = health
+        self._leases = lease_holder
         self._timers = timers
         self._metrics = metrics
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
@@ -119,7 +124,15 @@
                     raise self._give_up(history, "no endpoint has room")
                 endpoint_id = place.endpoint.endpoint_id
                 try:
-                    await self._attempt(exchange, sink, place, history, cursor)
+                    async with self._leases.hold(place.held):
+                        await self._attempt(
+                            exchange, sink, place, history, cursor
+                        )
+                except leases.LeaseError as error:
+                    refusals += 1
+                    self._note_refused(
+                        history, error.failure, error.endpoint_id
+                    )
                 except RefusedError as error:
                     refusals += 1
                     self._note_refused(history, error.failure, endpoint_id)
--- /dev/null
+++ b/rhubarblock/platform/orders.py
@@ -0,0 +1,67 @@
+"""Orders about memory to the platform's engines."""
+
+from typing import Any
+
+import aiohttp
+
+from rhubarblock.core import listed
+from rhubarblock.exchange import dialect as dialects
+from rhubarblock.platform import names
+from rhubarblock.store import sendonce
+
+# Seconds for which an order waits for its answer; it is a few milliseconds'
+# work, and what is late may come seconds later.
+ORDER_TIMEOUT_S = 0.4
+
+_Answer = dialects.LeaseAnswer
+
+
+class PlatformLeases(dialects.LeaseClient):
+    """Sets memory aside at engines."""
+
+    __slots__ = ("_session",)
+
+    def __init__(self, session: aiohttp.ClientSession):
+        """Creates a client; the caller closes the session."""
+        self._session = session
+
+    async def reserve(
+        self, endpoint: listed.ListedEndpoint, order: dialects.LeaseOrder
+    ) -> dialects.LeaseAnswer:
+        return await self._send(
+            endpoint,
+            {
+                "operation": "reserve",
+                "id": order.lease_id,
+                "tokenCount": order.tokens,
+                "holdMs": round(order.hold_s * 1e3),
+                "wait": False,
+            },
+        )
+
+    async def release(
+        self, endpoint: listed.ListedEndpoint, lease_id: str
+    ) -> dialects.LeaseAnswer:
+        return await self._send(
+            endpoint, {"operation": "release", "id": lease_id}
+        )
+
+    async def _send(
+        self, endpoint: listed.ListedEndpoint, body: dict[str, Any]
+    ) -> dialects.LeaseAnswer:
+        try:
+            async with self._session.post(
+                f"http://{endpoint.address}/order",
+                json=body,
+                headers={names.TARGET: endpoint.endpoint_id},
+                timeout=aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S),
+                middlewares=(sendonce.send_once,),
+            ) as response:
+                await response.read()
+                if response.status == 200:
+                    return _Answer.DONE
+                return _Answer.REFUSED
+        except aiohttp.ClientConnectorError:
+            return _Answer.REFUSED
+        except (aiohttp.ClientError, OSError):
+            return _Answer.UNSURE
--- a/rhubarblock/routing/enginebook.py
+++ b/rhubarblock/routing/enginebook.py
@@ -23,10 +23,13 @@
     Attributes:
       endpoint_id: the engine.
       read_s: seconds of reading.
+      tokens: memory that it holds until the prompt's end; 0 where another
+        engine keeps what was read.
     """
 
     endpoint_id: str
     read_s: float
+    tokens: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -36,14 +39,12 @@
     Attributes:
       job_id: unique over all instances.
       parts: where it is read; the first one also writes the answer.
-      tokens: memory that it takes at the first engine.
       pause_s: longest pause between its events that is on time, in seconds;
         0 where any is.
     """
 
     job_id: str
     parts: tuple[Part, ...]
-    tokens: int
     pause_s: float
 
     @property
@@ -59,18 +60,15 @@
       busy_until_s: when it has read what was given to it, in monotonic
         seconds.
       jobs: what it writes, or will write, by job id.
+      tokens: tokens of memory in use.
     """
 
-    __slots__ = ("busy_until_s", "jobs")
+    __slots__ = ("busy_until_s", "jobs", "tokens")
 
     def __init__(self) -> None:
         self.busy_until_s = 0.0
         self.jobs: dict[str, Job] = {}
-
-    @property
-    def tokens(self) -> int:
-        """Tokens of memory in use."""
-        return sum(job.tokens for job in self.jobs.values())
+        self.tokens = 0
 
     @property
     def tightest_pause_s(self) -> float:
@@ -114,6 +112,7 @@
         for part in job.parts:
             load = self.find(part.endpoint_id)
             load.busy_until_s = max(load.busy_until_s, now_s) + part.read_s
+            load.tokens += part.tokens
 
     def remove(self, job_id: str) -> None:
         """Takes in the end of a job."""
@@ -122,6 +121,8 @@
             return
         del self._ends[job_id]
         self.find(job.endpoint_id).jobs.pop(job_id, None)
+        for part in job.parts:
+            self.find(part.endpoint_id).tokens -= part.tokens
 
     def expire(self, now_s: float) -> None:
         """Forgets jobs whose end was never told."""
@@ -132,5 +133,6 @@
         """Forgets engines that are not there any more."""
         kept = set(endpoint_ids)
         for endpoint_id in [e for e in self._loads if e not in kept]:
-            if not self._loads[endpoint_id].jobs:
+            load = self._loads[endpoint_id]
+            if not load.jobs and not load.tokens:
                 del self._loads[endpoint_id]
--- a/rhubarblock/routing/parting.py
+++ b/rhubarblock/routing/parting.py
@@ -32,6 +32,9 @@
 # Part of an engine's memory that placed work may fill; the rest takes what
 # other instances place at the same moment.
 MEMORY_PART = 0.95
+# Most tokens of one prompt that an engine holds while others hold more of it:
+# less than half of its memory, so that two such prompts fit side by side.
+LEASE_TOKENS = 200_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -75,8 +78,10 @@
     wait_s: float
     stride_s: float
     tightest_s: float
-    # Whether another request can begin to write there.
-    is_open: bool
+    # Whether it has a place for another request that writes.
+    has_slot: bool
+    # Tokens of memory that are free.
+    room: int
 
     def is_harmed(self, read_s: float) -> bool:
         """Whether its writers would pause too long while it reads."""
@@ -88,6 +93,7 @@
 class _Plan:
     cost: float
     parts: list[_Candidate]
+    tokens: list[int]
     read_s: float
     expected_s: float
 
@@ -119,24 +125,21 @@
         Returns:
           The choice, or None if no engine has room for it.
         """
-        tokens = prompt.prompt_tokens + prompt.answer_tokens
         candidates = [
-            self._examine(endpoint, model, tokens, now_s)
-            for endpoint in engines
+            self._examine(endpoint, model, now_s) for endpoint in engines
         ]
-        if not any(candidate.is_open for candidate in candidates):
+        counts = _list_counts(prompt, model, len(candidates))
+        plans = [_plan(prompt, candidates, model, n) for n in counts]
+        possible = [plan for plan in plans if plan is not None]
+        if not possible:
             return None
-        plans = [
-            self._plan(prompt, candidates, model, count)
-            for count in _list_counts(prompt, model, len(candidates))
-        ]
-        best = min(plans, key=lambda plan: plan.cost)
+        best = min(possible, key=lambda plan: plan.cost)
         parts = tuple(
-            enginebook.Part(part.endpoint.endpoint_id, best.read_s)
-            for part in best.parts
+            enginebook.Part(part.endpoint.endpoint_id, best.read_s, tokens)
+            for part, tokens in zip(best.parts, best.tokens, strict=True)
         )
         return Choice(
-            enginebook.Job(prompt.job_id, parts, tokens, prompt.pause_s),
+            enginebook.Job(prompt.job_id, parts, prompt.pause_s),
             tuple(part.endpoint for part in best.parts),
             best.expected_s,
         )
@@ -145,43 +148,68 @@
         self,
         endpoint: lists.ListedEndpoint,
         model: routes.EngineModel,
-        tokens: int,
         now_s: float,
     ) -> _Candidate:
         load = self._book.find(endpoint.endpoint_id)
-        room = MEMORY_PART * model.memory_tokens - load.tokens
         return _Candidate(
             endpoint,
             load,
             load.predict_wait(now_s),
             load.predict_stride(model),
             load.tightest_pause_s,
-            len(load.jobs) < model.slots and tokens <= room,
+            len(load.jobs) < model.slots,
+            int(MEMORY_PART * model.memory_tokens) - load.tokens,
         )
 
-    def _plan(
-        self,
-        prompt: Prompt,
-        candidates: list[_Candidate],
-        model: routes.EngineModel,
-        count: int,
-    ) -> _Plan:
-        read_s = model.predict_read(prompt.prompt_tokens, count)
-        if count == 1:
-            ranked = sorted(candidates, key=lambda c: _rank_short(c, read_s))
-        else:
-            ranked = sorted(candidates, key=lambda c: _rank_long(c, read_s))
-        first = next(c for c in ranked if c.is_open)
-        others = [c for c in ranked if c is not first][: count - 1]
-        parts = [first, *others]
-        expected_s = first.stride_s + max(
-            part.wait_s + read_s + part.stride_s / 2 for part in parts
-        )
-        harmed = sum(len(p.load.jobs) for p in parts if p.is_harmed(read_s))
-        value = 1.0 + prompt.prompt_tokens / TOKENS_OF_VALUE
-        lateness = _weigh_delay(expected_s, prompt.objective_s)
-        cost = value * lateness + HARM_S * harmed + PART_S * count
-        return _Plan(cost, parts, read_s, expected_s)
+
+def _plan(
+    prompt: Prompt,
+    candidates: list[_Candidate],
+    model: routes.EngineModel,
+    count: int,
+) -> _Plan | None:
+    """Plans a number of parts; None if they can't hold the prompt."""
+    read_s = model.predict_read(prompt.prompt_tokens, count)
+    rank = _rank_short if count == 1 else _rank_long
+    ranked = sorted(candidates, key=lambda c: rank(c, read_s))
+    needed = prompt.prompt_tokens + prompt.answer_tokens
+    open_ones = [c for c in ranked if c.has_slot]
+    first = next((c for c in open_ones if c.room >= needed), None)
+    if first is None:
+        first = max(open_ones, key=lambda c: c.room, default=None)
+    if first is None:
+        return None
+    parts = [first, *[c for c in ranked if c is not first][: count - 1]]
+    tokens = _share_memory(parts, needed)
+    if tokens is None:
+        return None
+    expected_s = first.stride_s + max(
+        part.wait_s + read_s + part.stride_s / 2 for part in parts
+    )
+    harmed = sum(len(p.load.jobs) for p in parts if p.is_harmed(read_s))
+    value = 1.0 + prompt.prompt_tokens / TOKENS_OF_VALUE
+    lateness = _weigh_delay(expected_s, prompt.objective_s)
+    cost = value * lateness + HARM_S * harmed + PART_S * count
+    return _Plan(cost, parts, tokens, read_s, expected_s)
+
+
+def _share_memory(parts: list[_Candidate], needed: int) -> list[int] | None:
+    """Returns the tokens that each engine of a plan holds.
+
+    The first one holds all if it can; else each holds some, the roomiest ones
+    first, as every further holder is one more order.
+    """
+    if parts[0].room >= needed:
+        return [needed, *[0] * (len(parts) - 1)]
+    tokens = [0] * len(parts)
+    tokens[0] = min(parts[0].room, LEASE_TOKENS)
+    rest = needed - tokens[0]
+    by_room = sorted(range(1, len(parts)), key=lambda i: -parts[i].room)
+    for index in by_room:
+        taken = max(0, min(rest, parts[index].room, LEASE_TOKENS))
+        tokens[index] = taken
+        rest -= taken
+    return tokens if rest <= 0 and tokens[0] > 0 else None
 
 
 def _list_counts(
--- a/rhubarblock/scripts/edge.py
+++ b/rhubarblock/scripts/edge.py
@@ -19,6 +19,7 @@
 from rhubarblock.platform import dialect as dialects
 from rhubarblock.platform import names
 from rhubarblock.platform import objectstore
+from rhubarblock.platform import orders
 from rhubarblock.platform import settings as settings_loader
 from rhubarblock.settings import exchange as settings_lib
 
@@ -70,6 +71,7 @@
         settings,
         dialects.PlatformDialect(),
         make_store,
+        orders.PlatformLeases,
         names.ATTEMPT_ID,
         random.Random(),
     )
