Log why attempts end; say MAY_HAVE_RUN when time ends during one

Cause: when the time of a request ended within an attempt, the history had already forgotten that it was sent, so the failure claimed NOT_RUN. Change: only the outcome of an attempt clears the mark; one log line for each attempt that gave no answer, with what was expected of it.

--- a/rhubarblock/exchange/frontdoor.py
+++ b/rhubarblock/exchange/frontdoor.py
@@ -95,6 +95,9 @@
         _logger.info(
             "request failed",
             extra={
+                "request": self._dialect.read_caller(
+                    request.headers
+                ).request_id,
                 "path": request.rel_url.raw_path,
                 "code": failure.code.value,
                 "reason": failure.message,
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -130,17 +130,16 @@
                         )
                 except leases.LeaseError as error:
                     refusals += 1
-                    self._note_refused(
-                        history, error.failure, error.endpoint_id
-                    )
+                    self._note_refused(exchange, place, history, error.failure)
+                    history.failed_endpoints.add(error.endpoint_id)
                 except RefusedError as error:
                     refusals += 1
-                    self._note_refused(history, error.failure, endpoint_id)
+                    self._note_refused(exchange, place, history, error.failure)
                 except FailedAnswerError as error:
                     failed = error
-                    self._note_failed(history, error.failure, endpoint_id)
+                    self._note_failed(exchange, place, history, error.failure)
                 except transports.AttemptError as error:
-                    self._note_broken(history, error.failure, endpoint_id)
+                    self._note_broken(exchange, place, history, error.failure)
                 else:
                     self._health.note_success(endpoint_id)
                     self._budget(exchange).record_success()
@@ -211,8 +210,6 @@
                     )
         except TimeoutError:
             raise transports.make_error("the endpoint kept silent") from None
-        finally:
-            history.sent = False
 
     def _check_refusal(self, answer: transports.Answer) -> None:
         if answer.fields.refused:
@@ -293,37 +290,71 @@
 
     def _note_refused(
         self,
+        exchange: exchanges.Exchange,
+        place: placers.Place,
         history: retries.History,
         failure: failures.Failure,
-        endpoint_id: str,
     ) -> None:
+        endpoint_id = place.endpoint.endpoint_id
         self._metrics.count("exchange.refused")
+        self._log_attempt(exchange, place, failure, "refused")
         history.note_failure(failure, endpoint_id)
 
     def _note_failed(
         self,
+        exchange: exchanges.Exchange,
+        place: placers.Place,
         history: retries.History,
         failure: failures.Failure,
-        endpoint_id: str,
     ) -> None:
+        endpoint_id = place.endpoint.endpoint_id
         self._metrics.count("exchange.failed_answers")
+        self._log_attempt(exchange, place, failure, "failed")
         history.attempts += 1
         history.note_failure(failure, endpoint_id)
         self._health.note_error(endpoint_id)
 
     def _note_broken(
         self,
+        exchange: exchanges.Exchange,
+        place: placers.Place,
         history: retries.History,
         failure: failures.Failure,
-        endpoint_id: str,
     ) -> None:
+        endpoint_id = place.endpoint.endpoint_id
         self._metrics.count("exchange.broken")
+        self._log_attempt(exchange, place, failure, "broken")
         if failure.verdict is not verdicts.Verdict.NOT_RUN:
             history.attempts += 1
         history.note_failure(failure, endpoint_id)
         now_s = self._timers.read_monotonic()
         self._health.note_broken(endpoint_id, now_s)
 
+    def _log_attempt(
+        self,
+        exchange: exchanges.Exchange,
+        place: placers.Place,
+        failure: failures.Failure,
+        outcome: str,
+    ) -> None:
+        """Writes why an attempt did not give its answer."""
+        now_s = self._timers.read_monotonic()
+        _logger.info(
+            "attempt ended",
+            extra={
+                "request": exchange.request_id,
+                "route": exchange.route.name,
+                "endpoint": place.endpoint.endpoint_id,
+                "data_centre": place.endpoint.data_centre,
+                "parts": 1 + len(place.helpers),
+                "expected_s": round(place.expected_s, 3),
+                "since_arrival_s": round(now_s - exchange.arrived_s, 3),
+                "outcome": outcome,
+                "verdict": failure.verdict.value,
+                "reason": failure.message,
+            },
+        )
+
     def _budget(self, exchange: exchanges.Exchange) -> retrybudget.RetryBudget:
         name = exchange.service.name
         budget = self._budgets.get(name)
