Tell a silence that reading explains from a broken endpoint

Change: a watch asks the book of engines whether reading explains a silence; a short one is waited out, a long one moves the stream without suspicion. Suspects are tried by one request at a time, peers of a data centre share what they met, and a data centre whose endpoints fall silent together is left.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -87,7 +87,7 @@
         self.authority = authorities.Authority(settings.bounds.revoke_s)
         self.directory = directories.Directory(self.timers)
         self.book = enginebook.EngineBook()
-        self.health = healths.Health()
+        self.health = healths.Health(settings.data_centre)
         self._dialect = dialect
         self._make_store = make_store
         self._make_leases = make_leases
@@ -115,7 +115,12 @@
         )
         start_id = f"{self._rng.getrandbits(32):08x}"
         news = news_lib.News(
-            settings.instance_id, start_id, self.book, self.timers
+            settings.instance_id,
+            start_id,
+            settings.data_centre,
+            self.book,
+            self.health,
+            self.timers,
         )
         await stack.enter_async_context(
             news.open(settings.peers.host, settings.peers.port)
@@ -134,6 +139,7 @@
                     self.timers,
                 )
             ),
+            news,
             self.timers,
             self.metrics,
         )
@@ -146,7 +152,7 @@
             self.metrics,
             self._rng,
         )
-        await stack.enter_async_context(
+        self._callers = await stack.enter_async_context(
             _serve(door.handle, settings.callers, KEEPALIVE_S)
         )
         await stack.enter_async_context(
@@ -203,18 +209,24 @@
             await self.timers.sleep(CHECK_S)
 
     async def _drain(self) -> None:
-        """Lets requests end; new connections come until the balancer knows."""
+        """Lets requests end; new connections come until the balancer knows.
+
+        Then idle connections are closed too: a caller that kept one would
+        else send a request so late that it could not end within the grace.
+        """
         self._log_life(self.life.start_drain)
-        begun_s = self.timers.read_monotonic()
-        latest_s = begun_s + self.settings.bounds.grace_s - EXIT_S
-        while True:
-            now_s = self.timers.read_monotonic()
-            left = now_s >= begun_s + LEAVE_S and not self.life.in_flight
-            if left or now_s >= latest_s:
+        latest_s = (
+            self.timers.read_monotonic() + self.settings.bounds.grace_s - EXIT_S
+        )
+        await self.timers.sleep(LEAVE_S)
+        self._callers.refuse_new()
+        while self.life.in_flight:
+            if self.timers.read_monotonic() >= latest_s:
+                _logger.warning(
+                    "requests cut", extra={"count": self.life.in_flight}
+                )
                 break
             await self.timers.sleep(CHECK_S)
-        if self.life.in_flight:
-            _logger.warning("requests cut", extra={"n": self.life.in_flight})
         self._log_life(self.life.mark_stopped)
 
     async def _answer_readiness(
@@ -239,10 +251,25 @@
         )
 
 
+class _Listener:
+    """A listening HTTP server."""
+
+    __slots__ = ("_listener", "_server")
+
+    def __init__(self, server: web.Server, listener: asyncio.Server):
+        self._server = server
+        self._listener = listener
+
+    def refuse_new(self) -> None:
+        """Closes idle connections and takes no new ones."""
+        self._listener.close()
+        self._server.pre_shutdown()
+
+
 @contextlib.asynccontextmanager
 async def _serve(
     handler: Handler, address: settings_lib.SocketAddress, keepalive_s: float
-) -> AsyncIterator[None]:
+) -> AsyncIterator["_Listener"]:
     """Serves HTTP at an address while the context is open."""
     server = web.Server(
         handler,
@@ -255,7 +282,7 @@
         server, address.host, address.port, backlog=BACKLOG
     )
     try:
-        yield
+        yield _Listener(server, listener)
     finally:
         listener.close()
         await server.shutdown(EXIT_S / 2)
--- a/rhubarblock/exchange/news.py
+++ b/rhubarblock/exchange/news.py
@@ -15,6 +15,7 @@
 
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import enginebook
+from rhubarblock.routing import health as healths
 
 # Seconds after which an instance that has been silent is not told any more:
 # longer than any cut that is to heal without a new listing.
@@ -25,6 +26,7 @@
 _PLACED = "p"
 _ENDED = "e"
 _GREETING = "g"
+_BROKEN = "b"
 
 _logger = logging.getLogger(__name__)
 
@@ -36,7 +38,9 @@
         self,
         own_id: str,
         start_id: str,
+        data_centre: str,
         book: enginebook.EngineBook,
+        health: healths.Health,
         timers: timer_service.Timers,
     ):
         """Creates an end that is not open yet.
@@ -44,11 +48,15 @@
         Args:
           own_id: name of this instance.
           start_id: differs between the starts of an instance.
+          data_centre: data centre of this instance.
           book: takes what peers placed.
+          health: takes what peers of the same data centre met.
           timers: the clock.
         """
         self._prefix = f"{own_id}.{start_id}"
+        self._data_centre = data_centre
         self._book = book
+        self._health = health
         self._timers = timers
         self._peers: dict[tuple[str, int], float] = {}
         self._transport: asyncio.DatagramTransport | None = None
@@ -97,6 +105,10 @@
         """Tells peers that a job ended."""
         self._send([_ENDED, job_id])
 
+    def tell_broken(self, endpoint_id: str, data_centre: str) -> None:
+        """Tells peers of an endpoint that broke a connection or kept silent."""
+        self._send([_BROKEN, self._data_centre, endpoint_id, data_centre])
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         now_s = self._timers.read_monotonic()
         self._peers[addr] = now_s
@@ -120,6 +132,8 @@
             self._book.add(job, now_s)
         elif fields[0] == _ENDED:
             self._book.remove(fields[1])
+        elif fields[0] == _BROKEN and fields[1] == self._data_centre:
+            self._health.note_broken(fields[2], fields[3], now_s)
 
     def _send(self, fields: list[Any]) -> None:
         if self._transport is None:
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -17,6 +17,8 @@
 
 # Seconds that an answer of a plain service is expected to take at first.
 SERVICE_S = 0.1
+# Longest prompt in tokens with which an endpoint that failed is tried again.
+TRIAL_TOKENS = 8_000
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -26,6 +28,7 @@
     Attributes:
       endpoint: the endpoint that is asked.
       helpers: engines that read parts of the prompt.
+      helper_ids: ids of these engines.
       held: memory that must be set aside before it is sent.
       expected_s: seconds until the first byte, as predicted.
       urgency: rank at an engine; None leaves the usual one.
@@ -33,6 +36,7 @@
 
     endpoint: lists.ListedEndpoint
     helpers: tuple[dialects.Helper, ...] = ()
+    helper_ids: tuple[str, ...] = ()
     held: tuple[leases.Lease, ...] = ()
     expected_s: float = SERVICE_S
     urgency: int | None = None
@@ -103,10 +107,30 @@
             with self._hold_prompt(exchange, endpoints) as place:
                 yield place
 
+    def predict_free(self, place: Place, begun: bool) -> float:
+        """Returns when the engines of a place have read what they were given.
+
+        Args:
+          place: where an attempt went.
+          begun: whether its own reading is over, so that only the engine that
+            writes matters.
+
+        Returns:
+          Monotonic seconds, in the past for an endpoint that reads nothing.
+        """
+        ids = [place.endpoint.endpoint_id]
+        if not begun:
+            ids += place.helper_ids
+        return max(self._book.find(name).busy_until_s for name in ids)
+
     def _list_endpoints(
         self, exchange: exchanges.Exchange, avoid: set[str]
     ) -> list[lists.ListedEndpoint]:
-        """Returns the endpoints to choose from, sound ones if there are any."""
+        """Returns the endpoints to choose from, sound ones if there are any.
+
+        An endpoint that failed is offered to short work only, one request at a
+        time, so that a long prompt does not depend on its coming back.
+        """
         now_s = self._timers.read_monotonic()
         usable = [
             endpoint
@@ -116,8 +140,17 @@
         sound = [
             endpoint
             for endpoint in usable
-            if not self._health.is_suspect(endpoint.endpoint_id, now_s)
+            if not self._health.is_suspect(
+                endpoint.endpoint_id, endpoint.data_centre, now_s
+            )
         ]
+        proven = [
+            endpoint
+            for endpoint in sound
+            if not self._health.is_on_trial(endpoint.endpoint_id)
+        ]
+        if exchange.prompt_tokens > TRIAL_TOKENS and proven:
+            return proven
         return sound or usable
 
     @contextlib.contextmanager
@@ -133,6 +166,9 @@
             ),
         )
         self._numbers += 1
+        self._health.note_chosen(
+            chosen.endpoint_id, self._timers.read_monotonic()
+        )
         self._calls[chosen.endpoint_id] = (
             self._calls.get(chosen.endpoint_id, 0) + 1
         )
@@ -163,6 +199,8 @@
         if choice is None:
             yield None
             return
+        for engine in choice.engines:
+            self._health.note_chosen(engine.endpoint_id, now_s)
         self._book.add(choice.job, now_s)
         self._news.tell_placed(choice.job)
         try:
@@ -186,5 +224,9 @@
             held.append(leases.Lease(engine, lease_id, tokens))
         helpers.append(dialects.Helper(engine.address, lease_id))
     return Place(
-        choice.engines[0], tuple(helpers), tuple(held), choice.expected_s
+        choice.engines[0],
+        tuple(helpers),
+        tuple(engine.endpoint_id for engine in choice.engines[1:]),
+        tuple(held),
+        choice.expected_s,
     )
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -10,12 +10,15 @@
 
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import failure as failures
+from rhubarblock.core import listed as lists
 from rhubarblock.core import route as routes
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import eventcursor
 from rhubarblock.exchange import leases
+from rhubarblock.exchange import news as news_lib
 from rhubarblock.exchange import placer as placers
+from rhubarblock.exchange import silence
 from rhubarblock.exchange import sink as sinks
 from rhubarblock.exchange import transport as transports
 from rhubarblock.kernel import metrics as metric_store
@@ -42,6 +45,19 @@
 _logger = logging.getLogger(__name__)
 
 
+class BusyError(transports.AttemptError):
+    """An engine will be silent for long, reading for somebody."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            failures.Failure(
+                failures.FailureCode.ENDPOINT_FAILED,
+                "the engine reads for others for too long",
+                verdicts.Verdict.MAY_HAVE_RUN,
+            )
+        )
+
+
 class RefusedError(failures.FailureError):
     """An endpoint says that it did not run the exchange."""
 
@@ -54,6 +70,7 @@
         "_health",
         "_leases",
         "_metrics",
+        "_news",
         "_placer",
         "_timers",
         "_transport",
@@ -65,6 +82,7 @@
         transport: transports.EndpointTransport,
         health: healths.Health,
         lease_holder: leases.LeaseHolder,
+        news: news_lib.News,
         timers: timer_service.Timers,
         metrics: metric_store.Metrics,
     ):
@@ -75,6 +93,7 @@
           transport: sends to them.
           health: takes what attempts met.
           lease_holder: holds memory at engines.
+          news: tells peers of endpoints that broke.
           timers: the clock.
           metrics: counters.
         """
@@ -82,6 +101,7 @@
         self._transport = transport
         self._health = health
         self._leases = lease_holder
+        self._news = news
         self._timers = timers
         self._metrics = metrics
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
@@ -122,7 +142,6 @@
             with self._placer.hold(exchange, history.failed_endpoints) as place:
                 if place is None:
                     raise self._give_up(history, "no endpoint has room")
-                endpoint_id = place.endpoint.endpoint_id
                 try:
                     async with self._leases.hold(place.held):
                         await self._attempt(
@@ -139,9 +158,8 @@
                     failed = error
                     self._note_failed(exchange, place, history, error.failure)
                 except transports.AttemptError as error:
-                    self._note_broken(exchange, place, history, error.failure)
+                    self._note_broken(exchange, place, history, error)
                 else:
-                    self._health.note_success(endpoint_id)
                     self._budget(exchange).record_success()
                     return
             cursor.start_again()
@@ -199,26 +217,32 @@
         )
         patience = _Patience(exchange, place)
         history.sent = True
+        watch: silence.SilenceWatch | None = None
         try:
-            async with asyncio.timeout(patience.start_s) as limit:
-                async with self._transport.send(
-                    exchange, place.endpoint.address, order
-                ) as answer:
-                    self._check_refusal(answer)
-                    await self._pass_on(
-                        exchange, sink, answer, cursor, limit, patience
-                    )
+            async with asyncio.timeout(None) as limit:
+                with silence.watch_silence(
+                    limit,
+                    lambda: self._placer.predict_free(place, sink.begun),
+                    self._timers,
+                ) as watch:
+                    watch.expect(patience.start_s)
+                    async with self._transport.send(
+                        exchange, place.endpoint.address, order
+                    ) as answer:
+                        self._note_sound(place)
+                        _check_refusal(answer)
+                        await self._pass_on(
+                            exchange, sink, answer, cursor, watch, patience
+                        )
         except TimeoutError:
+            if watch is not None and watch.explained:
+                raise BusyError from None
             raise transports.make_error("the endpoint kept silent") from None
 
-    def _check_refusal(self, answer: transports.Answer) -> None:
-        if answer.fields.refused:
-            raise RefusedError(
-                failures.Failure(
-                    failures.FailureCode.NO_ENDPOINT,
-                    f"the endpoint refused it with {answer.status}",
-                )
-            )
+    def _note_sound(self, place: placers.Place) -> None:
+        self._health.note_success(
+            place.endpoint.endpoint_id, place.endpoint.data_centre
+        )
 
     async def _pass_on(
         self,
@@ -226,14 +250,14 @@
         sink: sinks.Sink,
         answer: transports.Answer,
         cursor: eventcursor.EventCursor,
-        limit: asyncio.Timeout,
+        watch: silence.SilenceWatch,
         patience: "_Patience",
     ) -> None:
         streamed = exchange.route.kind is routes.RouteKind.STREAMING
         if answer.status < 300 and not answer.fields.sealed:
             raise transports.make_error("the answer bears no signature")
         if streamed and answer.status == 200:
-            await self._pass_events(sink, answer, cursor, limit, patience)
+            await self._pass_events(sink, answer, cursor, watch, patience)
         else:
             await self._pass_whole(exchange, sink, answer)
 
@@ -242,14 +266,13 @@
         sink: sinks.Sink,
         answer: transports.Answer,
         cursor: eventcursor.EventCursor,
-        limit: asyncio.Timeout,
+        watch: silence.SilenceWatch,
         patience: "_Patience",
     ) -> None:
         """Passes whole events on as they come."""
         while data := await answer.read_some():
             events = cursor.take(data)
-            now_s = self._timers.read_monotonic()
-            limit.reschedule(now_s + patience.pause_s)
+            watch.expect(patience.pause_s)
             if not events:
                 continue
             if not sink.begun:
@@ -259,7 +282,7 @@
             raise transports.make_error("the stream ended within an event")
         if not sink.begun:
             await sink.begin(answer.status, answer.headers, None)
-        limit.reschedule(None)
+        watch.stop()
         await sink.finish()
 
     async def _pass_whole(
@@ -319,16 +342,26 @@
         exchange: exchanges.Exchange,
         place: placers.Place,
         history: retries.History,
-        failure: failures.Failure,
+        error: transports.AttemptError,
     ) -> None:
+        failure = error.failure
         endpoint_id = place.endpoint.endpoint_id
         self._metrics.count("exchange.broken")
         self._log_attempt(exchange, place, failure, "broken")
         if failure.verdict is not verdicts.Verdict.NOT_RUN:
             history.attempts += 1
         history.note_failure(failure, endpoint_id)
+        if not isinstance(error, BusyError):
+            self._note_suspect(place.endpoint)
+
+    def _note_suspect(self, endpoint: lists.ListedEndpoint) -> None:
+        """Leaves an endpoint alone and tells peers that use the same way."""
         now_s = self._timers.read_monotonic()
-        self._health.note_broken(endpoint_id, now_s)
+        is_news = self._health.note_broken(
+            endpoint.endpoint_id, endpoint.data_centre, now_s
+        )
+        if is_news:
+            self._news.tell_broken(endpoint.endpoint_id, endpoint.data_centre)
 
     def _log_attempt(
         self,
@@ -382,6 +415,17 @@
         )
 
 
+def _check_refusal(answer: transports.Answer) -> None:
+    """Raises what an endpoint's word that it did not run means."""
+    if answer.fields.refused:
+        raise RefusedError(
+            failures.Failure(
+                failures.FailureCode.NO_ENDPOINT,
+                f"the endpoint refused it with {answer.status}",
+            )
+        )
+
+
 async def _pass_held(
     sink: sinks.Sink, answer: transports.Answer, body: bytes
 ) -> None:
--- a/rhubarblock/routing/parting.py
+++ b/rhubarblock/routing/parting.py
@@ -25,10 +25,18 @@
 PACKED_WRITERS = 4
 # Tokens of a prompt that count as much as one short prompt.
 TOKENS_OF_VALUE = 12_000.0
-# Seconds of delay that one more writer with an overlong pause outweighs.
-HARM_S = 1.0
-# Seconds of delay that are worth one more engine reading a part.
-PART_S = 0.002
+# What one writer with an overlong pause costs, in short prompts.
+HARM = 0.75
+# What one more engine that reads a part costs, in short prompts.
+PART_COST = 0.002
+# Share of its objective up to which a prediction counts as safely on time.
+SAFE_SHARE = 0.5
+# Part of an answer's worth that is lost when it is late: callers of the
+# deployments known today value a late answer at a quarter.
+LATE_COST = 0.75
+# Objectives after which a caller gives up; the figure leaves some for errors
+# of the prediction, as callers wait for four.
+GIVE_UP_SHARE = 3.3
 # Part of an engine's memory that placed work may fill; the rest takes what
 # other instances place at the same moment.
 MEMORY_PART = 0.95
@@ -189,7 +197,7 @@
     harmed = sum(len(p.load.jobs) for p in parts if p.is_harmed(read_s))
     value = 1.0 + prompt.prompt_tokens / TOKENS_OF_VALUE
     lateness = _weigh_delay(expected_s, prompt.objective_s)
-    cost = value * lateness + HARM_S * harmed + PART_S * count
+    cost = value * lateness + HARM * harmed + PART_COST * count
     return _Plan(cost, parts, tokens, read_s, expected_s)
 
 
@@ -245,12 +253,18 @@
 
 
 def _weigh_delay(expected_s: float, objective_s: float) -> float:
-    """Returns what a delay costs, 1 where it makes an answer late.
+    """Returns what a delay costs, 1 where it makes an answer worthless.
 
-    Up to half of the objective a delay costs little, as it is still on time;
-    beyond, the prediction may be wrong by more than what is left.
+    Up to half of the objective a delay costs little, as the answer is still on
+    time; beyond, the prediction may be wrong by more than what is left. A late
+    answer is worth a part of one in time, however late, until its caller gives
+    up.
     """
     share = expected_s / objective_s
-    if share < 0.5:
+    if share < SAFE_SHARE:
         return 0.1 * share
-    return 0.05 + min(1.0, (share - 0.5) * 2.0) + 0.05 * share
+    cost = 0.1 * SAFE_SHARE + 0.01 * share
+    cost += LATE_COST * min(1.0, (share - SAFE_SHARE) / (1.0 - SAFE_SHARE))
+    if share > GIVE_UP_SHARE:
+        cost += 1.0 - LATE_COST
+    return cost
