--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -18,6 +18,7 @@
 from rhubarblock.exchange import leases
 from rhubarblock.exchange import news as news_lib
 from rhubarblock.exchange import placer as placers
+from rhubarblock.exchange import progress
 from rhubarblock.exchange import silence
 from rhubarblock.exchange import sink as sinks
 from rhubarblock.exchange import transport as transports
@@ -117,9 +118,10 @@
         """
         history = retries.History()
         cursor = eventcursor.EventCursor(exchange.last_event)
+        flow = _Flow(sink, cursor, progress.Progress(exchange.arrived_s))
         try:
             async with asyncio.timeout_at(exchange.deadline_s):
-                await self._try_until_whole(exchange, sink, history, cursor)
+                await self._try_until_whole(exchange, flow, history)
         except TimeoutError:
             raise failures.FailureError(
                 failures.Failure(
@@ -132,10 +134,10 @@
     async def _try_until_whole(
         self,
         exchange: exchanges.Exchange,
-        sink: sinks.Sink,
+        flow: "_Flow",
         history: retries.History,
-        cursor: eventcursor.EventCursor,
     ) -> None:
+        sink = flow.sink
         refusals = 0
         failed: FailedAnswerError | None = None
         while True:
@@ -144,9 +146,7 @@
                     raise self._give_up(history, "no endpoint has room")
                 try:
                     async with self._leases.hold(place.held):
-                        await self._attempt(
-                            exchange, sink, place, history, cursor
-                        )
+                        await self._attempt(exchange, flow, place, history)
                 except leases.LeaseError as error:
                     refusals += 1
                     self._note_refused(exchange, place, history, error.failure)
@@ -160,9 +160,9 @@
                 except transports.AttemptError as error:
                     self._note_broken(exchange, place, history, error)
                 else:
-                    self._budget(exchange).record_success()
+                    self._note_served(exchange, place, flow, history)
                     return
-            cursor.start_again()
+            flow.cursor.start_again()
             try:
                 self._check_again(exchange, sink, history, refusals)
             except failures.FailureError:
@@ -202,17 +202,16 @@
     async def _attempt(
         self,
         exchange: exchanges.Exchange,
-        sink: sinks.Sink,
+        flow: "_Flow",
         place: placers.Place,
         history: retries.History,
-        cursor: eventcursor.EventCursor,
     ) -> None:
         now_s = self._timers.read_monotonic()
         order = dialects.SendOrder(
             place.endpoint.endpoint_id,
             exchange.deadline_s - now_s,
             place.urgency,
-            cursor.last_event,
+            flow.cursor.last_event,
             place.helpers,
         )
         patience = _Patience(exchange, place)
@@ -222,7 +221,7 @@
             async with asyncio.timeout(None) as limit:
                 with silence.watch_silence(
                     limit,
-                    lambda: self._placer.predict_free(place, sink.begun),
+                    lambda: self._placer.predict_free(place, flow.sink.begun),
                     self._timers,
                 ) as watch:
                     watch.expect(patience.start_s)
@@ -232,7 +231,7 @@
                         self._note_sound(place)
                         _check_refusal(answer)
                         await self._pass_on(
-                            exchange, sink, answer, cursor, watch, patience
+                            exchange, flow, answer, watch, patience
                         )
         except TimeoutError:
             if watch is not None and watch.explained:
@@ -247,9 +246,8 @@
     async def _pass_on(
         self,
         exchange: exchanges.Exchange,
-        sink: sinks.Sink,
+        flow: "_Flow",
         answer: transports.Answer,
-        cursor: eventcursor.EventCursor,
         watch: silence.SilenceWatch,
         patience: "_Patience",
     ) -> None:
@@ -257,19 +255,19 @@
         if answer.status < 300 and not answer.fields.sealed:
             raise transports.make_error("the answer bears no signature")
         if streamed and answer.status == 200:
-            await self._pass_events(sink, answer, cursor, watch, patience)
+            await self._pass_events(flow, answer, watch, patience)
         else:
-            await self._pass_whole(exchange, sink, answer)
+            await self._pass_whole(exchange, flow, answer)
 
     async def _pass_events(
         self,
-        sink: sinks.Sink,
+        flow: "_Flow",
         answer: transports.Answer,
-        cursor: eventcursor.EventCursor,
         watch: silence.SilenceWatch,
         patience: "_Patience",
     ) -> None:
         """Passes whole events on as they come."""
+        sink, cursor = flow.sink, flow.cursor
         while data := await answer.read_some():
             events = cursor.take(data)
             watch.expect(patience.pause_s)
@@ -278,6 +276,7 @@
             if not sink.begun:
                 await sink.begin(answer.status, answer.headers, None)
             await sink.write(events)
+            flow.progress.note_piece(self._timers.read_monotonic())
         if cursor.has_rest:
             raise transports.make_error("the stream ended within an event")
         if not sink.begun:
@@ -288,10 +287,11 @@
     async def _pass_whole(
         self,
         exchange: exchanges.Exchange,
-        sink: sinks.Sink,
+        flow: "_Flow",
         answer: transports.Answer,
     ) -> None:
         """Holds a short answer back until it is whole, then passes it on."""
+        sink = flow.sink
         held: list[bytes] = []
         size = 0
         while data := await answer.read_some():
@@ -309,8 +309,39 @@
             raise FailedAnswerError(answer, body)
         if answer.status in _PROMISES and not exchange.route.repeatable:
             raise transports.make_error(f"it answered {answer.status}")
+        flow.progress.note_piece(self._timers.read_monotonic())
         await _pass_held(sink, answer, body)
 
+    def _note_served(
+        self,
+        exchange: exchanges.Exchange,
+        place: placers.Place,
+        flow: "_Flow",
+        history: retries.History,
+    ) -> None:
+        """Writes how an answer went; only late ones are worth a line."""
+        self._budget(exchange).record_success()
+        self._metrics.count("exchange.served")
+        if not flow.progress.is_late(exchange):
+            return
+        self._metrics.count("exchange.late")
+        now_s = self._timers.read_monotonic()
+        _logger.info(
+            "served late",
+            extra={
+                "request": exchange.request_id,
+                "route": exchange.route.name,
+                "endpoint": place.endpoint.endpoint_id,
+                "prompt_tokens": exchange.prompt_tokens,
+                "parts": 1 + len(place.helpers),
+                "expected_s": round(place.expected_s, 3),
+                "first_s": round(flow.progress.first_s or 0.0, 3),
+                "longest_pause_s": round(flow.progress.longest_pause_s, 3),
+                "total_s": round(now_s - exchange.arrived_s, 3),
+                "failed_attempts": history.attempts,
+            },
+        )
+
     def _note_refused(
         self,
         exchange: exchanges.Exchange,
@@ -458,6 +489,28 @@
         self.body = body
 
 
+class _Flow:
+    """The way of an answer to its caller.
+
+    Attributes:
+      sink: the caller's side.
+      cursor: place in a stream of events.
+      progress: when the pieces came.
+    """
+
+    __slots__ = ("cursor", "progress", "sink")
+
+    def __init__(
+        self,
+        sink: sinks.Sink,
+        cursor: eventcursor.EventCursor,
+        progress_: progress.Progress,
+    ):
+        self.sink = sink
+        self.cursor = cursor
+        self.progress = progress_
+
+
 class _Patience:
     """How long an endpoint may keep silent.
 
