Move short streams away when long reading is placed at their engine

Cause: a million-token prompt read in parts of a second or more made every writer at its engines pause for as long; they were late, or left by callers. Change: the book calls back when a job is placed; a short stream goes on at the engine that begins soonest, if another attempt is left and granted. Nothing is given up that could not go on elsewhere. Short prompts are parted less. The relay is parted by job: flow, attempts, outcomes, silence.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -16,6 +16,7 @@
 from aiohttp import web
 
 from rhubarblock.daemon import listing
+from rhubarblock.exchange import attempts
 from rhubarblock.exchange import authority as authorities
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import directory as directories
@@ -23,6 +24,7 @@
 from rhubarblock.exchange import frontdoor
 from rhubarblock.exchange import leases
 from rhubarblock.exchange import news as news_lib
+from rhubarblock.exchange import outcomes
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
 from rhubarblock.exchange import transport as transports
@@ -46,6 +48,9 @@
 CHECK_S = 0.1
 # Seconds for which an idle connection of a caller is kept.
 KEEPALIVE_S = 20.0
+# Part of the retries allowed to all instances that they share among them; the
+# rest is for those that count fewer peers than there are.
+RETRY_PART = 0.8
 # Connections that may wait to be accepted.
 BACKLOG = 1024
 # Milliseconds; how often peers are looked for until the store answered once.
@@ -128,21 +133,30 @@
         placer = placers.Placer(
             self.directory, self.book, self.health, news, self.timers
         )
-        relay = relays.ExchangeRelay(
+        lease_holder = await stack.enter_async_context(
+            leases.open_holder(
+                self._make_leases(store_session), settings.bounds, self.timers
+            )
+        )
+        runner = attempts.AttemptRunner(
             placer,
             transports.EndpointTransport(session, self._dialect),
             self.health,
-            await stack.enter_async_context(
-                leases.open_holder(
-                    self._make_leases(store_session),
-                    self.settings.bounds,
-                    self.timers,
-                )
-            ),
+            lease_holder,
+            self.timers,
+        )
+        outcome = outcomes.Outcomes(
+            self.health,
             news,
+            lambda: (
+                RETRY_PART
+                * settings.bounds.retry_slack
+                / news.count_instances()
+            ),
             self.timers,
             self.metrics,
         )
+        relay = relays.ExchangeRelay(placer, runner, outcome)
         door = frontdoor.FrontDoor(
             self.authority,
             self._dialect,
--- a/rhubarblock/exchange/news.py
+++ b/rhubarblock/exchange/news.py
@@ -87,6 +87,10 @@
         if (host, port) != self._own:
             self._peers.setdefault((host, port), self._timers.read_monotonic())
 
+    def count_instances(self) -> int:
+        """Returns how many instances there are, this one included."""
+        return len(self._peers) + 1
+
     async def greet(self) -> None:
         """Gives a sign of life."""
         self._send([_GREETING])
--- /dev/null
+++ b/rhubarblock/exchange/outcomes.py
@@ -0,0 +1,177 @@
+"""What the end of an attempt teaches: health, retry budget, counters, logs."""
+
+from collections.abc import Callable
+import logging
+
+from rhubarblock.core import exchange as exchanges
+from rhubarblock.core import failure as failures
+from rhubarblock.core import listed as lists
+from rhubarblock.core import verdict as verdicts
+from rhubarblock.exchange import attempts
+from rhubarblock.exchange import flow as flows
+from rhubarblock.exchange import news as news_lib
+from rhubarblock.exchange import placer as placers
+from rhubarblock.exchange import silence
+from rhubarblock.exchange import transport as transports
+from rhubarblock.kernel import metrics as metric_store
+from rhubarblock.kernel import timers as timer_service
+from rhubarblock.relay import retrybudget
+from rhubarblock.routing import health as healths
+
+_logger = logging.getLogger(__name__)
+
+
+class Outcomes:
+    """Learns from the attempts of one instance."""
+
+    __slots__ = (
+        "_budgets",
+        "_health",
+        "_metrics",
+        "_news",
+        "_read_floor",
+        "_timers",
+    )
+
+    def __init__(
+        self,
+        health: healths.Health,
+        news: news_lib.News,
+        read_floor: Callable[[], float],
+        timers: timer_service.Timers,
+        metrics: metric_store.Metrics,
+    ):
+        """Starts with nothing learned.
+
+        Args:
+          health: takes what attempts met.
+          news: tells peers of endpoints that broke.
+          read_floor: retries that this instance may make in a window whatever
+            its successes; its share of what all may.
+          timers: the clock.
+          metrics: counters.
+        """
+        self._health = health
+        self._news = news
+        self._read_floor = read_floor
+        self._timers = timers
+        self._metrics = metrics
+        self._budgets: dict[str, retrybudget.RetryBudget] = {}
+
+    def grant(self, exchange: exchanges.Exchange) -> bool:
+        """Takes another attempt from the budget of the exchange's service."""
+        granted = self._budget(exchange).try_spend()
+        name = "exchange.retries" if granted else "exchange.retries_denied"
+        self._metrics.count(name)
+        return granted
+
+    def note_served(self, flow: flows.Flow, place: placers.Place) -> None:
+        """Takes in a whole answer; only a late one is worth a line."""
+        exchange = flow.exchange
+        self._budget(exchange).record_success()
+        self._metrics.count("exchange.served")
+        if not flow.progress.is_late(exchange):
+            return
+        self._metrics.count("exchange.late")
+        now_s = self._timers.read_monotonic()
+        _logger.info(
+            "served late",
+            extra={
+                "request": exchange.request_id,
+                "route": exchange.route.name,
+                "endpoint": place.endpoint.endpoint_id,
+                "prompt_tokens": exchange.prompt_tokens,
+                "parts": 1 + len(place.helpers),
+                "expected_s": round(place.expected_s, 3),
+                "first_s": round(flow.progress.first_s or 0.0, 3),
+                "longest_pause_s": round(flow.progress.longest_pause_s, 3),
+                "total_s": round(now_s - exchange.arrived_s, 3),
+                "failed_attempts": flow.history.attempts,
+            },
+        )
+
+    def note_refused(
+        self,
+        flow: flows.Flow,
+        place: placers.Place,
+        failure: failures.Failure,
+    ) -> None:
+        """Takes in that an endpoint did not run an exchange."""
+        self._metrics.count("exchange.refused")
+        self._log(flow, place, failure, "refused")
+        flow.refusals += 1
+        flow.history.note_failure(failure, place.endpoint.endpoint_id)
+
+    def note_failed(
+        self,
+        flow: flows.Flow,
+        place: placers.Place,
+        error: transports.AttemptError,
+    ) -> None:
+        """Takes in an attempt that failed, or was given up."""
+        failure = error.failure
+        endpoint = place.endpoint
+        if failure.verdict is not verdicts.Verdict.NOT_RUN:
+            flow.history.attempts += 1
+        flow.history.note_failure(failure, endpoint.endpoint_id)
+        if isinstance(error, attempts.FailedAnswerError):
+            self._metrics.count("exchange.failed_answers")
+            self._log(flow, place, failure, "failed")
+            self._health.note_error(endpoint.endpoint_id)
+        elif _is_left_busy(error):
+            self._metrics.count("exchange.moved")
+            self._log(flow, place, failure, "moved")
+        else:
+            self._metrics.count("exchange.broken")
+            self._log(flow, place, failure, "broken")
+            self._suspect(endpoint)
+
+    def _suspect(self, endpoint: lists.ListedEndpoint) -> None:
+        """Leaves an endpoint alone and tells peers that use the same way."""
+        now_s = self._timers.read_monotonic()
+        is_news = self._health.note_broken(
+            endpoint.endpoint_id, endpoint.data_centre, now_s
+        )
+        if is_news:
+            self._news.tell_broken(endpoint.endpoint_id, endpoint.data_centre)
+
+    def _budget(self, exchange: exchanges.Exchange) -> retrybudget.RetryBudget:
+        name = exchange.service.name
+        budget = self._budgets.get(name)
+        if budget is None:
+            budget = retrybudget.RetryBudget(self._timers, self._read_floor)
+            self._budgets[name] = budget
+        return budget
+
+    def _log(
+        self,
+        flow: flows.Flow,
+        place: placers.Place,
+        failure: failures.Failure,
+        outcome: str,
+    ) -> None:
+        """Writes why an attempt did not give its answer."""
+        now_s = self._timers.read_monotonic()
+        exchange = flow.exchange
+        _logger.info(
+            "attempt ended",
+            extra={
+                "request": exchange.request_id,
+                "route": exchange.route.name,
+                "endpoint": place.endpoint.endpoint_id,
+                "data_centre": place.endpoint.data_centre,
+                "parts": 1 + len(place.helpers),
+                "expected_s": round(place.expected_s, 3),
+                "since_arrival_s": round(now_s - exchange.arrived_s, 3),
+                "outcome": outcome,
+                "verdict": failure.verdict.value,
+                "reason": failure.message,
+            },
+        )
+
+
+def _is_left_busy(error: transports.AttemptError) -> bool:
+    return (
+        isinstance(error, attempts.LeftError)
+        and error.reason is silence.Reason.BUSY
+    )
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -1,5 +1,6 @@
 """Chooses the endpoint of an exchange and tells the books of it."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
 import dataclasses
@@ -17,6 +18,12 @@
 
 # Seconds that an answer of a plain service is expected to take at first.
 SERVICE_S = 0.1
+# Longest prompt in tokens that is read again elsewhere to spare its caller a
+# pause: a tenth of a second of reading.
+MOVED_TOKENS = 16_000
+# Predicted pauses of an engine, in pauses that are on time, from which a short
+# stream leaves it. Moving itself costs most of one such pause.
+MOVED_PAUSES = 1.2
 # Longest prompt in tokens with which an endpoint that failed is tried again.
 TRIAL_TOKENS = 8_000
 
@@ -87,12 +94,14 @@
         self,
         exchange: exchanges.Exchange,
         avoid: set[str],
+        hurried: bool = False,
     ) -> Iterator[Place | None]:
         """Places an attempt and keeps it in the books while it lasts.
 
         Args:
           exchange: what is to be sent.
           avoid: endpoints that failed it.
+          hurried: whether the caller is within a stream already.
 
         Yields:
           Where it goes, or None if there is no room anywhere.
@@ -104,7 +113,7 @@
             with self._hold_call(endpoints) as place:
                 yield place
         else:
-            with self._hold_prompt(exchange, endpoints) as place:
+            with self._hold_prompt(exchange, endpoints, hurried) as place:
                 yield place
 
     def predict_free(self, place: Place, begun: bool) -> float:
@@ -123,6 +132,50 @@
             ids += place.helper_ids
         return max(self._book.find(name).busy_until_s for name in ids)
 
+    @contextlib.contextmanager
+    def watch_disturbance(
+        self,
+        exchange: exchanges.Exchange,
+        place: Place,
+        has_begun: Callable[[], bool],
+        leave: Callable[[], object],
+    ) -> Iterator[None]:
+        """Calls back when an engine gets reading that makes it pause too long.
+
+        A short prompt is read again elsewhere in a fraction of such a pause; a
+        long one stays.
+
+        Args:
+          exchange: what runs there.
+          place: where.
+          has_begun: says whether its own reading is over.
+          leave: is called when it had better go on elsewhere.
+
+        Yields:
+          Nothing; it is called while the context is open.
+        """
+        model = exchange.service.engine
+        pause_s = exchange.route.pause_s
+        if model is None or not pause_s:
+            yield
+            return
+        if exchange.prompt_tokens > MOVED_TOKENS:
+            yield
+            return
+        engine_id = place.endpoint.endpoint_id
+
+        def check() -> None:
+            load = self._book.find(engine_id)
+            free_s = self.predict_free(place, has_begun())
+            wait_s = free_s - self._timers.read_monotonic()
+            if wait_s + load.predict_stride(model) > MOVED_PAUSES * pause_s:
+                leave()
+
+        with contextlib.ExitStack() as stack:
+            for name in (engine_id, *place.helper_ids):
+                stack.enter_context(self._book.watch(name, check))
+            yield
+
     def _list_endpoints(
         self, exchange: exchanges.Exchange, avoid: set[str]
     ) -> list[lists.ListedEndpoint]:
@@ -182,6 +235,7 @@
         self,
         exchange: exchanges.Exchange,
         endpoints: list[lists.ListedEndpoint],
+        hurried: bool,
     ) -> Iterator[Place | None]:
         model = exchange.service.engine
         assert model is not None
@@ -194,6 +248,7 @@
             exchange.answer_tokens,
             exchange.route.pause_s,
             exchange.route.objective_s,
+            hurried,
         )
         choice = self._parter.choose(prompt, endpoints, model, now_s)
         if choice is None:
--- a/rhubarblock/relay/retrybudget.py
+++ b/rhubarblock/relay/retrybudget.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Callable
 import dataclasses
 
 from rhubarblock.kernel import timers as timer_service
@@ -32,14 +33,20 @@
 class RetryBudget:
     """Counts successes and retries in a sliding window."""
 
-    __slots__ = ("_retries", "_slots", "_successes", "_timers")
+    __slots__ = ("_read_floor", "_retries", "_slots", "_successes", "_timers")
 
-    def __init__(self, timers: timer_service.Timers):
+    def __init__(
+        self,
+        timers: timer_service.Timers,
+        read_floor: Callable[[], float] = lambda: RETRY_FLOOR,
+    ):
         """Creates a budget without any success yet.
 
         Args:
           timers: the timer service.
+          read_floor: retries allowed in the window whatever the successes.
         """
+        self._read_floor = read_floor
         self._timers = timers
         self._slots: collections.deque[_Slot] = collections.deque()
         # Sums over the slots.
@@ -54,10 +61,11 @@
     def try_spend(self) -> bool:
         """Takes one retry from the budget if there is one."""
         slot = self._find_slot()
-        allowed = RETRY_FLOOR + RETRY_RATIO * self._successes
+        floor = self._read_floor()
+        allowed = floor + RETRY_RATIO * self._successes
         if self._retries + 1 > allowed:
             return False
-        if slot.retries + 1 > max(RETRY_FLOOR, BURST_PART * allowed):
+        if slot.retries + 1 > max(floor, BURST_PART * allowed):
             return False
         slot.retries += 1
         self._retries += 1
--- a/rhubarblock/routing/enginebook.py
+++ b/rhubarblock/routing/enginebook.py
@@ -6,7 +6,10 @@
 and predicts from it how long an engine's next pass lasts.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 
 from rhubarblock.core import route as routes
@@ -88,12 +91,13 @@
 class EngineBook:
     """Loads of all engines."""
 
-    __slots__ = ("_ends", "_jobs", "_loads")
+    __slots__ = ("_ends", "_jobs", "_loads", "_watchers")
 
     def __init__(self) -> None:
         self._loads: dict[str, EngineLoad] = {}
         self._jobs: dict[str, Job] = {}
         self._ends: dict[str, float] = {}
+        self._watchers: dict[str, list[Callable[[], None]]] = {}
 
     def find(self, endpoint_id: str) -> EngineLoad:
         """Returns the load of an engine; an unknown one has none."""
@@ -113,6 +117,31 @@
             load = self.find(part.endpoint_id)
             load.busy_until_s = max(load.busy_until_s, now_s) + part.read_s
             load.tokens += part.tokens
+        for part in job.parts:
+            for callback in list(self._watchers.get(part.endpoint_id, ())):
+                callback()
+
+    @contextlib.contextmanager
+    def watch(
+        self, endpoint_id: str, callback: Callable[[], None]
+    ) -> Iterator[None]:
+        """Calls back after each further job placed at an engine.
+
+        Args:
+          endpoint_id: the engine.
+          callback: must not place anything itself.
+
+        Yields:
+          Nothing; it is called while the context is open.
+        """
+        callbacks = self._watchers.setdefault(endpoint_id, [])
+        callbacks.append(callback)
+        try:
+            yield
+        finally:
+            callbacks.remove(callback)
+            if not callbacks:
+                self._watchers.pop(endpoint_id, None)
 
     def remove(self, job_id: str) -> None:
         """Takes in the end of a job."""
--- a/rhubarblock/routing/parting.py
+++ b/rhubarblock/routing/parting.py
@@ -14,9 +14,9 @@
 
 # Most engines that read one prompt: the one that is asked and 16 helpers.
 MAX_PARTS = 17
-# Reading below this many seconds is not parted further: it is a fraction of
-# the shortest pass, which each part may have to wait for.
-SMALL_READ_S = 0.02
+# Parts are not made shorter than this many seconds: about the shortest pass,
+# which each further engine may have to end before it reads its part.
+SMALL_READ_S = 0.06
 # Part of a writer's longest pause that a predicted pass may fill; the rest is
 # for what other instances place at the same moment.
 PAUSE_PART = 0.8
@@ -30,7 +30,7 @@
 # What one writer with an overlong pause costs, in short prompts.
 HARM = 0.75
 # What one more engine that reads a part costs, in short prompts.
-PART_COST = 0.002
+PART_COST = 0.005
 # Share of its objective up to which a prediction counts as safely on time.
 SAFE_SHARE = 0.75
 # Part of an answer's worth that is lost when it is late: callers of the
@@ -57,6 +57,8 @@
       answer_tokens: most tokens of its answer.
       pause_s: longest pause that is on time, in seconds; 0 where any is.
       objective_s: time to the first event that is on time, in seconds.
+      hurried: whether its caller is within a stream already, so that each
+        hundredth of a second counts.
     """
 
     job_id: str
@@ -64,6 +66,7 @@
     answer_tokens: int
     pause_s: float
     objective_s: float
+    hurried: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -181,6 +184,8 @@
     """Plans a number of parts; None if they can't hold the prompt."""
     read_s = model.predict_read(prompt.prompt_tokens, count)
     rank = _rank_short if count == 1 else _rank_long
+    if prompt.hurried:
+        rank = _rank_hurried
     ranked = sorted(candidates, key=lambda c: rank(c, read_s))
     needed = prompt.prompt_tokens + prompt.answer_tokens
     open_ones = [c for c in ranked if c.has_slot]
@@ -244,6 +249,15 @@
     )
 
 
+def _rank_hurried(candidate: _Candidate, read_s: float) -> tuple[object, ...]:
+    """Prefers engines that begin soonest and write most quickly."""
+    return (
+        candidate.is_harmed(read_s),
+        candidate.wait_s + candidate.stride_s,
+        candidate.endpoint.endpoint_id,
+    )
+
+
 def _rank_long(candidate: _Candidate, read_s: float) -> tuple[object, ...]:
     """Prefers engines at which nobody writes and nothing waits."""
     return (
