Close idle connections of a leaving instance, and read no request unserved

Closing by requests in progress lost one whose handler had not begun. Change: a connection owes an answer from the first byte of a request; a leaving instance closes those that owe none and lets the others end.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -11,6 +11,7 @@
 import contextlib
 import logging
 import random
+from typing import Any
 
 import aiohttp
 from aiohttp import web
@@ -265,38 +266,93 @@
         )
 
 
+class _Connection(web.RequestHandler):
+    """A caller's connection that knows whether it owes an answer."""
+
+    __slots__ = ("_registry", "owes_answer")
+
+    def __init__(
+        self, server: web.Server, registry: set["_Connection"], **options: Any
+    ):
+        super().__init__(server, **options)
+        self._registry = registry
+        self.owes_answer = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._registry.add(self)
+        super().connection_made(transport)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self._registry.discard(self)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        # From the first byte, as the request may be whole before its handler
+        # has begun to run.
+        self.owes_answer = True
+        super().data_received(data)
+
+
 class _Listener:
-    """A listening HTTP server."""
+    """A listening HTTP server that knows which connections are in use."""
+
+    __slots__ = ("_connections", "_handler", "_keepalive_s", "listener")
 
-    __slots__ = ("_listener", "_server")
+    def __init__(self, handler: Handler, keepalive_s: float):
+        self._handler = handler
+        self._keepalive_s = keepalive_s
+        self._connections: set[_Connection] = set()
+        self.listener: asyncio.Server
 
-    def __init__(self, server: web.Server, listener: asyncio.Server):
-        self._server = server
-        self._listener = listener
+    def connect(self, server: web.Server) -> _Connection:
+        """Makes the protocol of a new connection."""
+        return _Connection(
+            server,
+            self._connections,
+            loop=asyncio.get_running_loop(),
+            keepalive_timeout=self._keepalive_s,
+            access_log=None,
+        )
 
     def refuse_new(self) -> None:
-        """Closes idle connections and takes no new ones."""
-        self._listener.close()
-        self._server.pre_shutdown()
+        """Closes idle connections now and the others after their answers.
+
+        The library's own ways would leave idle connections open, unread or
+        not, until the process ends.
+        """
+        self.listener.close()
+        for connection in list(self._connections):
+            if connection.owes_answer:
+                connection.close()
+            else:
+                connection.force_close()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Runs the handler of a request."""
+        try:
+            return await self._handler(request)
+        finally:
+            connection = request.protocol
+            if isinstance(connection, _Connection):
+                connection.owes_answer = False
 
 
 @contextlib.asynccontextmanager
 async def _serve(
     handler: Handler, address: settings_lib.SocketAddress, keepalive_s: float
-) -> AsyncIterator["_Listener"]:
+) -> AsyncIterator[_Listener]:
     """Serves HTTP at an address while the context is open."""
-    server = web.Server(
-        handler,
-        handler_cancellation=True,
-        keepalive_timeout=keepalive_s,
-        access_log=None,
-    )
+    served = _Listener(handler, keepalive_s)
+    server = web.Server(served.handle, handler_cancellation=True)
     loop = asyncio.get_running_loop()
-    listener = await loop.create_server(
-        server, address.host, address.port, backlog=BACKLOG
+    served.listener = await loop.create_server(
+        lambda: served.connect(server),
+        address.host,
+        address.port,
+        backlog=BACKLOG,
     )
     try:
-        yield _Listener(server, listener)
+        yield served
     finally:
-        listener.close()
+        served.listener.close()
         await server.shutdown(EXIT_S / 2)
--- /dev/null
+++ b/rhubarblock/daemon/exchangeinstance_test.py
@@ -0,0 +1,187 @@
+"""A whole instance over real sockets, with a store in memory."""
+
+import asyncio
+import contextlib
+import json
+import random
+import socket
+
+import aiohttp
+
+from rhubarblock.core import route as routes
+from rhubarblock.daemon import exchangeinstance
+from rhubarblock.exchange import fakeparts_test as fakes
+from rhubarblock.platform import dialect as dialects
+from rhubarblock.platform import names
+from rhubarblock.settings import exchange as settings_lib
+from rhubarblock.store import store as stores
+
+HEADERS = {
+    "Host": "desk.example",
+    names.ATTEMPT_ID: "q1",
+    names.CREDENTIAL: "secret",
+}
+
+
+class FakeDialect(dialects.PlatformDialect):
+    """Decodes what the store of these tests holds."""
+
+    def decode_table(self, value):
+        del value
+        return routes.RoutingTable(
+            1,
+            (fakes.make_route(routes.RouteKind.NON_IDEMPOTENT, timeout_s=5.0),),
+            {"desk": fakes.SERVICE},
+            {"secret": routes.Workspace("members", None)},
+            routes.CallerBounds(),
+        )
+
+
+class FakeStore(stores.ObjectStore):
+    def __init__(self, endpoint):
+        entry = {
+            "service": "desk",
+            "address": endpoint.address,
+            "state": "ready",
+        }
+        self.objects = {"config/main": {}, "servers/e1": entry}
+
+    async def read(self, name):
+        if name not in self.objects:
+            raise stores.StoreError(stores.StoreErrorKind.NOT_FOUND)
+        value = json.dumps(self.objects[name]).encode()
+        return stores.StoredObject(name, 1, value)
+
+    async def list_objects(self, prefix):
+        found = [n for n in self.objects if n.startswith(prefix)]
+        return stores.Page(tuple([await self.read(n) for n in found]), 1)
+
+    async def write(self, name, value, expected_version):
+        self.objects[name] = json.loads(value)
+        return stores.StoredObject(name, 1, value)
+
+    async def delete(self, name, expected_version):
+        del self.objects[name]
+
+    async def watch(self, prefix, after):
+        await asyncio.Event().wait()
+        yield
+
+
+def find_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return settings_lib.SocketAddress("127.0.0.1", probe.getsockname()[1])
+
+
+def make_settings():
+    return settings_lib.ExchangeSettings(
+        instance_id="i1",
+        data_centre="osu-hall",
+        callers=find_port(),
+        readiness=find_port(),
+        peers=find_port(),
+        metrics=find_port(),
+        store=find_port(),
+        bounds=fakes.BOUNDS,
+        max_files=1000,
+    )
+
+
+@contextlib.asynccontextmanager
+async def open_instance(endpoint):
+    settings = make_settings()
+    instance = exchangeinstance.ExchangeInstance(
+        settings,
+        FakeDialect(),
+        lambda session: FakeStore(endpoint),
+        lambda session: fakes.NoLeases(),
+        names.ATTEMPT_ID,
+        random.Random(1),
+    )
+    stop = asyncio.Event()
+    running = asyncio.ensure_future(instance.run(stop))
+    async with aiohttp.ClientSession() as session:
+        while await ask_ready(session, settings) != 200:
+            await asyncio.sleep(0.01)
+        try:
+            yield settings, session, stop, running
+        finally:
+            stop.set()
+            await running
+
+
+async def ask_ready(session, settings):
+    try:
+        async with session.get(f"http://{settings.readiness}/ready") as answer:
+            return answer.status
+    except aiohttp.ClientConnectorError:
+        return None
+
+
+def test_planned_stop_ends_what_runs_and_closes_what_idles(monkeypatch):
+    monkeypatch.setattr(exchangeinstance, "LEAVE_S", 0.2)
+    release = asyncio.Event()
+
+    async def wait(head, writer):
+        await release.wait()
+        await fakes.whole(b"late")(head, writer)
+
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(fakes.whole(b"first"), wait)
+        async with (
+            endpoint.open(),
+            open_instance(endpoint) as (settings, session, stop, running),
+        ):
+            url = f"http://{settings.callers}/a/x"
+            async with session.post(url, headers=HEADERS) as answer:
+                first = await answer.read()
+            idle = await asyncio.open_connection(
+                settings.callers.host, settings.callers.port
+            )
+            in_flight = asyncio.ensure_future(
+                session.post(url, headers=HEADERS)
+            )
+            while len(endpoint.heads) < 2:
+                await asyncio.sleep(0.01)
+            stop.set()
+            while await ask_ready(session, settings) == 200:
+                await asyncio.sleep(0.01)
+            # A connection without a request is closed, not left unread.
+            closed = await idle[0].read()
+            idle[1].close()
+            release.set()
+            answer = await in_flight
+            last = await answer.read()
+            await running
+            return first, closed, last
+
+    assert asyncio.run(main()) == (b"first", b"", b"late")
+
+
+def test_instance_enters_the_list_of_instances():
+    async def main():
+        endpoint = fakes.ScriptedEndpoint()
+        store = None
+
+        async with endpoint.open():
+            store = FakeStore(endpoint)
+            settings = make_settings()
+            instance = exchangeinstance.ExchangeInstance(
+                settings,
+                FakeDialect(),
+                lambda session: store,
+                lambda session: fakes.NoLeases(),
+                names.ATTEMPT_ID,
+                random.Random(1),
+            )
+            stop = asyncio.Event()
+            running = asyncio.ensure_future(instance.run(stop))
+            while "instances/i1" not in store.objects:
+                await asyncio.sleep(0.01)
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+            return store.objects["instances/i1"]["address"], settings
+
+    address, settings = asyncio.run(main())
+    assert address == str(settings.peers)
