Give no work to endpoints that a new listing lacks while most are there

Change: missing entries are used only where most of a service lack, as after an outage of the store.

--- a/rhubarblock/exchange/directory.py
+++ b/rhubarblock/exchange/directory.py
@@ -93,12 +93,21 @@
         return endpoint.listed if endpoint else None
 
     def list_usable(self, service: str) -> list[lists.ListedEndpoint]:
-        """Returns the endpoints of a service that take new work."""
-        return [
-            endpoint.listed
+        """Returns the endpoints of a service that take new work.
+
+        Entries that a new listing lacks are left out while most are there:
+        they ended, as far as anyone knows. Where most lack, the entries lapsed
+        because the store was away, and the endpoints are used until they had
+        the time to come back.
+        """
+        usable = [
+            endpoint
             for endpoint in self._endpoints.values()
             if endpoint.listed.service == service and not endpoint.draining
         ]
+        present = [e for e in usable if e.missing_since_s is None]
+        chosen = present if 2 * len(present) >= len(usable) else usable
+        return [endpoint.listed for endpoint in chosen]
 
     def _log(
         self, entry: lists.ListedEndpoint, before: str, draining: bool
--- a/rhubarblock/exchange/directory_test.py
+++ b/rhubarblock/exchange/directory_test.py
@@ -36,29 +36,38 @@
     assert usable(directory) == ["b"]
 
 
-def test_entry_that_lapsed_with_the_store_may_come_back():
+def test_entries_that_lapsed_with_the_store_may_come_back():
     timers = Timers()
     directory = directories.Directory(timers)
     directory.replace([A, B])
-    directory.replace([B])
+    directory.replace([])
     assert usable(directory) == ["a", "b"]
     timers.now_s = 1.9
     directory.update(A)
     timers.now_s = 5.0
     directory.expire()
-    assert usable(directory) == ["a", "b"]
+    assert usable(directory) == ["a"]
 
 
-def test_entry_that_stays_missing_is_gone_after_two_seconds():
+def test_entry_that_a_listing_lacks_gets_no_work_while_most_are_there():
+    # An instance that was cut off lists anew when endpoints left meanwhile.
+    directory = directories.Directory(Timers())
+    directory.replace([A, B])
+    directory.replace([B])
+    assert usable(directory) == ["b"]
+
+
+def test_entries_that_stay_missing_are_gone_after_two_seconds():
     timers = Timers()
     directory = directories.Directory(timers)
     directory.replace([A, B])
-    directory.replace([B])
+    directory.replace([])
     timers.now_s = 1.0
-    directory.replace([B])
+    directory.replace([])
+    assert usable(directory) == ["a", "b"]
     timers.now_s = 2.0
     directory.expire()
-    assert usable(directory) == ["b"]
+    assert usable(directory) == []
 
 
 def test_address_used_again_by_another_service_is_another_endpoint():
--- a/rhubarblock/exchange/follower.py
+++ b/rhubarblock/exchange/follower.py
@@ -113,7 +113,9 @@
                 backoff.reset()
                 await self._watch(page.version)
             except stores.StoreError as error:
-                _logger.debug("the watch of endpoints ended: %s", error)
+                _logger.info(
+                    "endpoints are listed anew", extra={"reason": str(error)}
+                )
                 await self._timers.sleep(backoff.take_delay())
 
     def _take_listing(self, page: stores.Page) -> None:
