Let one instance of a data centre read the store for the others

Change: the first live instance of a data centre reads; the others ask it and get what is new with its age as a duration, counted from the moment of asking. Who finds the state too old reads the store; who can't reach the store asks any peer, so an instance that is turned away goes on serving. Tests: ages, freezes, restarts, lost peers, old state.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -28,6 +28,8 @@
 from rhubarblock.exchange import outcomes
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
+from rhubarblock.exchange import statebook
+from rhubarblock.exchange import statefeed
 from rhubarblock.exchange import transport as transports
 from rhubarblock.fleet import member as members
 from rhubarblock.kernel import life as lives
@@ -54,8 +56,12 @@
 RETRY_PART = 0.8
 # Connections that may wait to be accepted.
 BACKLOG = 1024
-# Milliseconds; how often peers are looked for until the store answered once.
+# Seconds between two tries to find peers until the store answered once.
 RETRY_S = 1.0
+# Seconds for which a start waits for the list of its peers, and then for their
+# answers to its greeting.
+FIND_S = 0.5
+GREETING_S = 0.05
 
 _logger = logging.getLogger(__name__)
 
@@ -92,6 +98,9 @@
         self.timers = timer_service.LoopTimers()
         self.authority = authorities.Authority(settings.bounds.revoke_s)
         self.directory = directories.Directory(self.timers)
+        self.state = statebook.StateBook(
+            dialect, self.authority, self.directory, self.timers
+        )
         self.book = enginebook.EngineBook()
         self.health = healths.Health(settings.data_centre)
         self._dialect = dialect
@@ -178,18 +187,46 @@
         await stack.enter_async_context(
             _serve(self._answer_readiness, settings.readiness, KEEPALIVE_S)
         )
-        self._follower = await stack.enter_async_context(
-            followers.StoreFollower(
-                store,
-                self._dialect,
-                self.authority,
-                self.directory,
-                self.timers,
-                self._rng,
-            ).run()
+        await stack.enter_async_context(
+            _serve(
+                statefeed.StateServer(
+                    self.state, self.authority, news.source
+                ).handle,
+                settings.peers,
+                KEEPALIVE_S,
+            )
+        )
+        follower = followers.StoreFollower(
+            store,
+            self._dialect,
+            self.state,
+            self.authority,
+            statefeed.StateClient(
+                store_session, self.state, self.authority, self.timers
+            ),
+            news,
+            self.timers,
+            self._rng,
         )
-        finder = asyncio.create_task(self._find_peers(store, news))
-        stack.callback(finder.cancel)
+        following = asyncio.create_task(self._follow(store, news, follower))
+        stack.callback(following.cancel)
+
+    async def _follow(
+        self,
+        store: stores.ObjectStore,
+        news: news_lib.News,
+        follower: followers.StoreFollower,
+    ) -> None:
+        """Finds peers, for a moment at most, then follows the state."""
+        finding = asyncio.create_task(self._find_peers(store, news))
+        try:
+            await asyncio.wait({finding}, timeout=FIND_S)
+            # Answers to the first greeting say who reads the store.
+            await self.timers.sleep(GREETING_S)
+            async with follower.run():
+                await asyncio.Event().wait()
+        finally:
+            finding.cancel()
 
     async def _find_peers(
         self, store: stores.ObjectStore, news: news_lib.News
@@ -207,7 +244,7 @@
         )
         while True:
             try:
-                await own.write()
+                await own.claim()
                 page = await store.list_objects(instances.OBJECT_PREFIX)
             except stores.StoreError as error:
                 _logger.debug("peers can't be listed: %s", error)
@@ -223,7 +260,7 @@
     async def _become_ready(self, stop: asyncio.Event) -> None:
         """Waits until there is something to serve with."""
         while not stop.is_set():
-            if self.authority.find_valid() and self._follower.listed.is_set():
+            if self.authority.find_valid() and self.state.listed.is_set():
                 self._log_life(self.life.mark_ready)
                 return
             await self.timers.sleep(CHECK_S)
--- a/rhubarblock/daemon/listing.py
+++ b/rhubarblock/daemon/listing.py
@@ -37,9 +37,17 @@
     async def write(self) -> None:
         """Writes the line unless it stands there already."""
         with contextlib.suppress(stores.StoreError):
-            version = await self._find_version()
-            if version is not None:
-                await self._store.write(self._name, self._value, version)
+            await self.claim()
+
+    async def claim(self) -> None:
+        """Writes the line unless it stands there already.
+
+        Raises:
+          store.StoreError: the store gave no answer, or refused.
+        """
+        version = await self._find_version()
+        if version is not None:
+            await self._store.write(self._name, self._value, version)
 
     async def remove(self) -> None:
         """Takes the line out, if it is still the one of this start."""
--- a/rhubarblock/exchange/follower.py
+++ b/rhubarblock/exchange/follower.py
@@ -1,4 +1,10 @@
-"""Follows the store: the configuration and the list of endpoints."""
+"""Follows the state of the store, directly or through a peer.
+
+One instance of each data centre reads the store; the others ask it, so that
+calls to the store don't grow with the instances. Whoever finds the state too
+old reads the store itself, and whoever can't reach the store asks any peer: an
+instance that the store turns away goes on serving as long as a peer is not.
+"""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -8,7 +14,9 @@
 
 from rhubarblock.exchange import authority as authorities
 from rhubarblock.exchange import dialect as dialects
-from rhubarblock.exchange import directory as directories
+from rhubarblock.exchange import news as news_lib
+from rhubarblock.exchange import statebook
+from rhubarblock.exchange import statefeed
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.store import backoff as backoffs
 from rhubarblock.store import store as stores
@@ -16,6 +24,11 @@
 # Seconds between two reads of the configuration. A change is in force after
 # one of them, and the lease outlasts four that fail.
 READ_INTERVAL_S = 1.0
+# Age of the state, in seconds, from which an instance does not rely on the
+# peer that it asks: two reads failed there.
+OLD_S = 2.5
+# Seconds between two looks at whether this instance is to read the store.
+ROLE_INTERVAL_S = 1.0
 # How waits after failed calls grow.
 BACKOFF = backoffs.BackoffSettings(first_s=0.1, max_s=1.0)
 
@@ -23,25 +36,29 @@
 
 
 class StoreFollower:
-    """Keeps authority and directory up to date from the store."""
+    """Keeps the state of one instance up to date."""
 
     __slots__ = (
         "_authority",
+        "_book",
+        "_client",
         "_dialect",
-        "_directory",
+        "_news",
         "_reachable",
+        "_reads_store",
         "_rng",
         "_store",
         "_timers",
-        "listed",
     )
 
     def __init__(
         self,
         store: stores.ObjectStore,
         dialect: dialects.Dialect,
+        book: statebook.StateBook,
         authority: authorities.Authority,
-        directory: directories.Directory,
+        client: statefeed.StateClient,
+        news: news_lib.News,
         timers: timer_service.Timers,
         rng: random.Random,
     ):
@@ -49,20 +66,24 @@
 
         Args:
           store: the object API.
-          dialect: decodes what the store holds.
-          authority: takes configurations.
-          directory: takes endpoints.
+          dialect: names of the objects.
+          book: takes the state.
+          authority: age of the state.
+          client: asks peers.
+          news: knows peers.
           timers: clock and sleeps.
           rng: spreads waits.
         """
         self._store = store
         self._dialect = dialect
+        self._book = book
         self._authority = authority
-        self._directory = directory
+        self._client = client
+        self._news = news
         self._timers = timers
         self._rng = rng
         self._reachable = True
-        self.listed = asyncio.Event()
+        self._reads_store = False
 
     @contextlib.asynccontextmanager
     async def run(self) -> AsyncIterator["StoreFollower"]:
@@ -81,73 +102,97 @@
     async def _follow_configuration(self) -> None:
         backoff = backoffs.Backoff(self._rng, BACKOFF)
         while True:
-            try:
-                await self._read_configuration()
-            except (stores.StoreError, ValueError) as error:
-                self._note_lost(error)
-                await self._timers.sleep(backoff.take_delay())
+            reader = self._news.find_reader()
+            if reader is not None and await self._ask(reader):
+                self._set_role(False)
                 continue
-            self._note_reached()
-            backoff.reset()
-            await self._timers.sleep(READ_INTERVAL_S)
+            # The store's answer is for all of this data centre, so this one
+            # reads it, or there is nobody better to ask.
+            self._set_role(True)
+            if await self._read_store():
+                backoff.reset()
+                await self._timers.sleep(READ_INTERVAL_S)
+                continue
+            await self._ask_anybody()
+            await self._timers.sleep(backoff.take_delay())
 
-    async def _read_configuration(self) -> None:
-        asked_s = self._authority.read_clock()
-        stored = await self._store.read(self._dialect.configuration_name)
-        table = self._dialect.decode_table(stored.value)
-        before = self._authority.version
-        if self._authority.install(table, asked_s):
+    async def _ask(self, address: str) -> bool:
+        """Asks a peer; says whether its state is young enough to rely on."""
+        try:
+            await self._client.ask(address)
+        except statefeed.FeedError as error:
             _logger.info(
-                "configuration in force",
-                extra={"version": table.version, "before": before},
+                "a peer gave no state",
+                extra={"peer": address, "reason": str(error)},
             )
+            self._news.distrust(address)
+            return False
+        return self._authority.age_s < OLD_S
+
+    async def _ask_anybody(self) -> None:
+        """Asks peers, near ones first, until one has younger state."""
+        before_s = self._authority.age_s
+        for address in self._news.list_peers():
+            with contextlib.suppress(statefeed.FeedError):
+                await self._client.ask(address, 0.0)
+                if self._authority.age_s < min(before_s, OLD_S):
+                    return
+
+    async def _read_store(self) -> bool:
+        asked_s = self._authority.read_clock()
+        try:
+            stored = await self._store.read(self._dialect.configuration_name)
+            self._book.take_configuration(stored.value, asked_s)
+        except (stores.StoreError, ValueError) as error:
+            if self._reachable:
+                self._reachable = False
+                _logger.warning("store lost", extra={"reason": str(error)})
+            return False
+        if not self._reachable:
+            self._reachable = True
+            _logger.warning("store regained")
+        return True
+
+    def _set_role(self, reads_store: bool) -> None:
+        if reads_store == self._reads_store:
+            return
+        self._reads_store = reads_store
+        # What was read from the store is not in the log of any peer.
+        self._client.forget()
+        _logger.info("role changed", extra={"reads_store": reads_store})
 
     async def _follow_endpoints(self) -> None:
         backoff = backoffs.Backoff(self._rng, BACKOFF)
         while True:
+            if not self._reads_store:
+                await self._timers.sleep(0.05)
+                continue
             try:
                 page = await self._store.list_objects(
                     self._dialect.endpoint_prefix
                 )
-                self._take_listing(page)
+                self._book.take_listing(page.objects)
                 backoff.reset()
-                await self._watch(page.version)
+                await self._watch_while_reading(page.version)
             except stores.StoreError as error:
                 _logger.info(
                     "endpoints are listed anew", extra={"reason": str(error)}
                 )
                 await self._timers.sleep(backoff.take_delay())
 
-    def _take_listing(self, page: stores.Page) -> None:
-        listing = []
-        for stored in page.objects:
-            try:
-                listing.append(self._dialect.decode_endpoint(stored))
-            except ValueError as error:
-                _logger.warning("an entry can't be read: %s", error)
-        self._directory.replace(listing)
-        self._timers.call_later(
-            directories.RETURN_S + 0.1, self._directory.expire
-        )
-        self.listed.set()
+    async def _watch_while_reading(self, after: int) -> None:
+        """Watches the list until this instance no longer reads the store."""
+        watch = asyncio.create_task(self._watch(after))
+        try:
+            while self._reads_store and not watch.done():
+                await asyncio.wait({watch}, timeout=ROLE_INTERVAL_S)
+            if watch.done():
+                watch.result()
+        finally:
+            watch.cancel()
+            await asyncio.gather(watch, return_exceptions=True)
 
     async def _watch(self, after: int) -> None:
         changes = self._store.watch(self._dialect.endpoint_prefix, after)
         async for stored in changes:
-            if stored.deleted:
-                self._directory.remove(stored.name.partition("/")[2])
-                continue
-            try:
-                self._directory.update(self._dialect.decode_endpoint(stored))
-            except ValueError as error:
-                _logger.warning("an entry can't be read: %s", error)
-
-    def _note_lost(self, error: Exception) -> None:
-        if self._reachable:
-            self._reachable = False
-            _logger.warning("store lost", extra={"reason": str(error)})
-
-    def _note_reached(self) -> None:
-        if not self._reachable:
-            self._reachable = True
-            _logger.warning("store regained")
+            self._book.take_change(stored)
--- /dev/null
+++ b/rhubarblock/exchange/follower_test.py
@@ -0,0 +1,192 @@
+"""Who reads the store, and what happens when it can't be reached."""
+
+import asyncio
+import json
+import random
+
+from rhubarblock.exchange import follower as followers
+from rhubarblock.exchange import statefeed
+from rhubarblock.exchange import statefeed_test as fakes
+from rhubarblock.kernel import virtualloop
+from rhubarblock.store import store as stores
+
+
+class Clock:
+    """The lease's clock is that of the loop."""
+
+    @property
+    def now_s(self):
+        return asyncio.get_running_loop().time()
+
+
+class Store(stores.ObjectStore):
+    def __init__(self):
+        self.fails = False
+        self.reads = 0
+        self.lists = 0
+        self.version = 1
+        self.events = asyncio.Queue()
+
+    async def read(self, name):
+        self.reads += 1
+        if self.fails:
+            raise stores.StoreError(stores.StoreErrorKind.UNAVAILABLE)
+        value = json.dumps({"version": self.version, "keys": ["k"]}).encode()
+        return stores.StoredObject(name, 1, value)
+
+    async def list_objects(self, prefix):
+        self.lists += 1
+        if self.fails:
+            raise stores.StoreError(stores.StoreErrorKind.UNAVAILABLE)
+        return stores.Page((fakes.entry("a"), fakes.entry("b")), 1)
+
+    async def write(self, name, value, expected_version):
+        raise AssertionError("nothing is written here")
+
+    async def delete(self, name, expected_version):
+        raise AssertionError("nothing is deleted here")
+
+    async def watch(self, prefix, after):
+        while True:
+            event = await self.events.get()
+            if event is None:
+                raise stores.StoreError(stores.StoreErrorKind.CONFLICT)
+            yield event
+
+
+class Client:
+    """Peers whose state is always a certain age, or who give none."""
+
+    def __init__(self, side, age_s):
+        self.side = side
+        self.age_s = age_s
+        self.asked = []
+
+    async def ask(self, address, wait_s=0.7):
+        self.asked.append(address)
+        asked_s = self.side.authority.read_clock()
+        await asyncio.sleep(wait_s)
+        if self.age_s is None:
+            raise statefeed.FeedError("none")
+        self.side.book.take_listing([fakes.entry("a")])
+        value = fakes.table(1, "k")
+        self.side.book.take_configuration(value, asked_s - self.age_s)
+
+    def forget(self):
+        pass
+
+
+class News:
+    def __init__(self, reader, *peers):
+        self.reader = reader
+        self.peers = peers
+
+    def find_reader(self):
+        return self.reader
+
+    def list_peers(self):
+        return list(self.peers)
+
+    def distrust(self, address):
+        self.reader = None
+
+
+def run(step, reader=None, peers=(), age_s=0.5):
+    async def main():
+        side = fakes.Side("i1", Clock())
+        store = Store()
+        client = Client(side, age_s)
+        follower = followers.StoreFollower(
+            store,
+            fakes.Dialect(),
+            side.book,
+            side.authority,
+            client,
+            News(reader, *peers),
+            side.timers,
+            random.Random(1),
+        )
+        async with follower.run():
+            return await step(side, store, client)
+
+    return virtualloop.run(main())
+
+
+def test_first_instance_of_a_data_centre_reads_the_store():
+    async def step(side, store, client):
+        await asyncio.sleep(10.5)
+        return store.reads, store.lists, client.asked, side.usable()
+
+    assert run(step) == (11, 1, [], ["a", "b"])
+
+
+def test_others_ask_it_and_make_no_calls():
+    async def step(side, store, client):
+        await asyncio.sleep(10.0)
+        valid = side.authority.find_valid() is not None
+        return store.reads, store.lists, valid, side.usable()
+
+    assert run(step, "10.0.0.1:1") == (0, 0, True, ["a"])
+
+
+def test_state_that_is_too_old_is_read_from_the_store():
+    async def step(side, store, client):
+        await asyncio.sleep(10.0)
+        return store.reads >= 3, side.authority.age_s < 2.0
+
+    assert run(step, "10.0.0.1:1", age_s=3.0) == (True, True)
+
+
+def test_instance_whose_reader_is_gone_reads_the_store_itself():
+    async def step(side, store, client):
+        await asyncio.sleep(3.0)
+        return len(client.asked), store.reads > 1, side.usable()
+
+    assert run(step, "10.0.0.1:1", age_s=None) == (1, True, ["a", "b"])
+
+
+def test_instance_that_the_store_turns_away_asks_peers():
+    async def step(side, store, client):
+        store.fails = True
+        await asyncio.sleep(30.0)
+        return side.authority.find_valid() is not None, side.usable()
+
+    assert run(step, peers=("10.0.0.2:1", "10.0.0.3:1")) == (True, ["a"])
+
+
+def test_instance_that_is_cut_off_from_all_loses_its_lease():
+    async def step(side, store, client):
+        await asyncio.sleep(5.0)
+        store.fails = True
+        await asyncio.sleep(6.0)
+        lost = side.authority.find_valid()
+        store.fails = False
+        await asyncio.sleep(1.5)
+        return lost, side.authority.find_valid() is not None
+
+    peers = ("10.0.0.2:1",)
+    assert run(step, peers=peers, age_s=None) == (None, True)
+
+
+def test_history_that_is_gone_brings_a_new_listing():
+    async def step(side, store, client):
+        await asyncio.sleep(1.0)
+        store.events.put_nowait(fakes.entry("b", b"", deleted=True))
+        await asyncio.sleep(0.5)
+        between = side.usable()
+        store.events.put_nowait(None)
+        await asyncio.sleep(1.0)
+        return between, store.lists, side.usable()
+
+    assert run(step) == (["a"], 2, ["a", "b"])
+
+
+def test_older_version_of_the_store_is_not_believed():
+    async def step(side, store, client):
+        store.version = 5
+        await asyncio.sleep(1.5)
+        store.version = 4
+        await asyncio.sleep(6.0)
+        return side.authority.version, side.authority.find_valid()
+
+    assert run(step) == (5, None)
--- a/rhubarblock/exchange/news.py
+++ b/rhubarblock/exchange/news.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import dataclasses
 import json
 import logging
 from typing import Any
@@ -20,6 +21,13 @@
 # Seconds after which an instance that has been silent is not told any more:
 # longer than any cut that is to heal without a new listing.
 SILENT_S = 60.0
+# Seconds after its last sign from which a peer counts as alive no more: two
+# signs and some delay.
+ALIVE_S = 4.5
+# Seconds for which a peer is not asked again that gave no state.
+DISTRUST_S = 3.0
+# Most peers that are asked for state while the store can't be reached.
+MOST_ASKED = 4
 # Seconds between two signs of life of an instance that has nothing to tell.
 GREETING_S = 2.0
 
@@ -31,6 +39,23 @@
 _logger = logging.getLogger(__name__)
 
 
+@dataclasses.dataclass(slots=True)
+class _Peer:
+    """Another instance.
+
+    Attributes:
+      heard_s: when it last spoke, in monotonic seconds.
+      instance_id: its name; empty before it told.
+      data_centre: where it runs; empty before it told.
+      distrusted_until_s: until when its state is not relied on.
+    """
+
+    heard_s: float
+    instance_id: str = ""
+    data_centre: str = ""
+    distrusted_until_s: float = 0.0
+
+
 class News(asyncio.DatagramProtocol):
     """Tells peers of placed work and hears of theirs."""
 
@@ -53,15 +78,21 @@
           health: takes what peers of the same data centre met.
           timers: the clock.
         """
+        self._own_id = own_id
         self._prefix = f"{own_id}.{start_id}"
         self._data_centre = data_centre
         self._book = book
         self._health = health
         self._timers = timers
-        self._peers: dict[tuple[str, int], float] = {}
+        self._peers: dict[tuple[str, int], _Peer] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._own: tuple[str, int] = ("", 0)
 
+    @property
+    def source(self) -> str:
+        """Names this start of this instance."""
+        return self._prefix
+
     def make_job_id(self, number: int) -> str:
         """Returns the id of a new job, unique over all instances."""
         return f"{self._prefix}.{number}"
@@ -85,15 +116,56 @@
     def add_peer(self, host: str, port: int) -> None:
         """Takes in an instance that the store lists."""
         if (host, port) != self._own:
-            self._peers.setdefault((host, port), self._timers.read_monotonic())
+            now_s = self._timers.read_monotonic()
+            self._peers.setdefault((host, port), _Peer(now_s))
 
     def count_instances(self) -> int:
         """Returns how many instances there are, this one included."""
         return len(self._peers) + 1
 
+    def find_reader(self) -> str | None:
+        """Returns the address of the peer that reads the store for this one.
+
+        It is the first by name of those in this data centre that are alive;
+        None says that this instance is the first itself.
+        """
+        now_s = self._timers.read_monotonic()
+        best: tuple[str, tuple[str, int]] | None = None
+        for address, peer in self._peers.items():
+            if peer.data_centre != self._data_centre:
+                continue
+            if (
+                now_s - peer.heard_s > ALIVE_S
+                or now_s < peer.distrusted_until_s
+            ):
+                continue
+            if best is None or peer.instance_id < best[0]:
+                best = (peer.instance_id, address)
+        if best is None or best[0] > self._own_id:
+            return None
+        return "{}:{}".format(*best[1])
+
+    def distrust(self, address: str) -> None:
+        """Does not rely on a peer's state for a while."""
+        host, _, port = address.rpartition(":")
+        peer = self._peers.get((host, int(port)))
+        if peer is not None:
+            now_s = self._timers.read_monotonic()
+            peer.distrusted_until_s = now_s + DISTRUST_S
+
+    def list_peers(self) -> list[str]:
+        """Returns addresses of live peers, those of this data centre first."""
+        now_s = self._timers.read_monotonic()
+        alive = [
+            (peer.data_centre != self._data_centre, "{}:{}".format(*address))
+            for address, peer in self._peers.items()
+            if now_s - peer.heard_s <= ALIVE_S
+        ]
+        return [address for _, address in sorted(alive)][:MOST_ASKED]
+
     async def greet(self) -> None:
         """Gives a sign of life."""
-        self._send([_GREETING])
+        self._send([_GREETING, self._own_id, self._data_centre])
 
     def tell_placed(self, job: enginebook.Job) -> None:
         """Tells peers of a job that was placed."""
@@ -115,16 +187,20 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         now_s = self._timers.read_monotonic()
-        self._peers[addr] = now_s
+        peer = self._peers.get(addr)
+        if peer is None:
+            peer = self._peers[addr] = _Peer(now_s)
+            self._tell([_GREETING, self._own_id, self._data_centre], addr)
+        peer.heard_s = now_s
         try:
-            self._take(json.loads(data), now_s)
+            self._take(json.loads(data), peer, now_s)
         except (ValueError, TypeError, IndexError) as error:
             _logger.debug("a datagram of %s can't be read: %s", addr, error)
 
     def error_received(self, exc: Exception) -> None:
         _logger.debug("a datagram could not be sent: %s", exc)
 
-    def _take(self, fields: list[Any], now_s: float) -> None:
+    def _take(self, fields: list[Any], peer: _Peer, now_s: float) -> None:
         if fields[0] == _PLACED:
             _, job_id, ids, read_us, tokens, pause_ms = fields
             held = tokens + [0] * (len(ids) - len(tokens))
@@ -136,6 +212,8 @@
             self._book.add(job, now_s)
         elif fields[0] == _ENDED:
             self._book.remove(fields[1])
+        elif fields[0] == _GREETING:
+            _, peer.instance_id, peer.data_centre = fields
         elif fields[0] == _BROKEN and fields[1] == self._data_centre:
             self._health.note_broken(fields[2], fields[3], now_s)
 
@@ -144,8 +222,12 @@
             return
         data = json.dumps(fields, separators=(",", ":")).encode()
         oldest_s = self._timers.read_monotonic() - SILENT_S
-        for peer, heard_s in list(self._peers.items()):
-            if heard_s < oldest_s:
-                del self._peers[peer]
+        for address, peer in list(self._peers.items()):
+            if peer.heard_s < oldest_s:
+                del self._peers[address]
                 continue
-            self._transport.sendto(data, peer)
+            self._transport.sendto(data, address)
+
+    def _tell(self, fields: list[Any], address: tuple[str, int]) -> None:
+        if self._transport is not None:
+            self._transport.sendto(json.dumps(fields).encode(), address)
--- /dev/null
+++ b/rhubarblock/exchange/statebook.py
@@ -0,0 +1,203 @@
+"""What the store last said: the configuration and the list of endpoints.
+
+It is kept as the store gave it, so that an instance which reads the store can
+pass it on to its peers unchanged, and as a log of changes, so that most of the
+time it passes on only what is new.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
+import contextlib
+import dataclasses
+import logging
+
+from rhubarblock.core import listed as lists
+from rhubarblock.exchange import authority as authorities
+from rhubarblock.exchange import dialect as dialects
+from rhubarblock.exchange import directory as directories
+from rhubarblock.kernel import timers as timer_service
+from rhubarblock.store import store as stores
+
+# Changes of the list that are kept for peers; one that is further behind gets
+# the whole list. A rolling replacement changes some entries a second.
+KEPT_CHANGES = 256
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ListNews:
+    """What is new in the list of endpoints.
+
+    Attributes:
+      number: number of the latest change.
+      whole: whether ``objects`` is the whole list.
+      objects: entries, deleted ones too unless it is the whole list.
+    """
+
+    number: int
+    whole: bool
+    objects: tuple[stores.StoredObject, ...]
+
+
+class StateBook:
+    """The latest state, and the parts that it is put into force in.
+
+    Attributes:
+      listed: set once there was a list of endpoints.
+    """
+
+    __slots__ = (
+        "_authority",
+        "_changed",
+        "_changes",
+        "_dialect",
+        "_directory",
+        "_entries",
+        "_first",
+        "_number",
+        "_timers",
+        "_value",
+        "listed",
+    )
+
+    def __init__(
+        self,
+        dialect: dialects.Dialect,
+        authority: authorities.Authority,
+        directory: directories.Directory,
+        timers: timer_service.Timers,
+    ):
+        """Starts without any state.
+
+        Args:
+          dialect: decodes what the store holds.
+          authority: takes configurations.
+          directory: takes endpoints.
+          timers: callbacks.
+        """
+        self._dialect = dialect
+        self._authority = authority
+        self._directory = directory
+        self._timers = timers
+        self._value = b""
+        self._entries: dict[str, stores.StoredObject] = {}
+        self._changes: list[stores.StoredObject] = []
+        self._number = 0
+        # Number of the oldest change that is kept.
+        self._first = 1
+        self._changed = asyncio.Event()
+        self.listed = asyncio.Event()
+
+    @property
+    def value(self) -> bytes:
+        """The configuration as the store gave it; empty without one."""
+        return self._value
+
+    @property
+    def number(self) -> int:
+        """Number of the latest change of the list."""
+        return self._number
+
+    def take_configuration(self, value: bytes, asked_s: float) -> None:
+        """Takes in a configuration.
+
+        Args:
+          value: as the store gave it.
+          asked_s: the lease's clock before the read was sent.
+
+        Raises:
+          ValueError: it can't be read.
+        """
+        if value == self._value:
+            self._authority.confirm(self._authority.version, asked_s)
+            return
+        table = self._dialect.decode_table(value)
+        before = self._authority.version
+        if table.version < before:
+            _logger.warning(
+                "an older configuration was read",
+                extra={"version": table.version, "in_force": before},
+            )
+            return
+        self._value = value
+        if self._authority.install(table, asked_s):
+            _logger.info(
+                "configuration in force",
+                extra={"version": table.version, "before": before},
+            )
+        self._wake()
+
+    def take_listing(self, objects: Iterable[stores.StoredObject]) -> None:
+        """Takes in a whole list of endpoints."""
+        listing = {stored.name: stored for stored in objects}
+        for name in [n for n in self._entries if n not in listing]:
+            gone = self._entries.pop(name)
+            self._note(dataclasses.replace(gone, value=b"", deleted=True))
+        for stored in listing.values():
+            if self._entries.get(stored.name) != stored:
+                self._entries[stored.name] = stored
+                self._note(stored)
+        self._directory.replace(self._decode(listing.values()))
+        self._timers.call_later(
+            directories.RETURN_S + 0.1, self._directory.expire
+        )
+        self.listed.set()
+        self._wake()
+
+    def take_change(self, stored: stores.StoredObject) -> None:
+        """Takes in one change of the list."""
+        self._note(stored)
+        if stored.deleted:
+            self._entries.pop(stored.name, None)
+            self._directory.remove(stored.name.partition("/")[2])
+        else:
+            self._entries[stored.name] = stored
+            for entry in self._decode([stored]):
+                self._directory.update(entry)
+        self._wake()
+
+    def list_news(self, after: int) -> ListNews:
+        """Returns what is new in the list after a change.
+
+        Args:
+          after: number of the latest change that is known, 0 for none.
+        """
+        if self._first <= after + 1 <= self._number + 1 and after > 0:
+            changes = self._changes[after + 1 - self._first :]
+            return ListNews(self._number, False, tuple(changes))
+        return ListNews(self._number, True, tuple(self._entries.values()))
+
+    async def wait_news(
+        self, is_news: Callable[[], bool], timeout_s: float
+    ) -> None:
+        """Waits until something is news, for a time at most."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while not is_news():
+                    self._changed.clear()
+                    await self._changed.wait()
+
+    def _note(self, stored: stores.StoredObject) -> None:
+        self._number += 1
+        self._changes.append(stored)
+        if len(self._changes) > KEPT_CHANGES:
+            del self._changes[0]
+            self._first += 1
+
+    def _decode(
+        self, objects: Iterable[stores.StoredObject]
+    ) -> list[lists.ListedEndpoint]:
+        entries = []
+        for stored in objects:
+            try:
+                entries.append(self._dialect.decode_endpoint(stored))
+            except ValueError as error:
+                _logger.warning("an entry can't be read: %s", error)
+        return entries
+
+    def _wake(self) -> None:
+        # Waiters look again; those that come later wait for the next change.
+        self._changed.set()
+        self._changed = asyncio.Event()
--- /dev/null
+++ b/rhubarblock/exchange/statefeed.py
@@ -0,0 +1,217 @@
+"""Passes the state of the store on from one instance to another.
+
+An instance that reads the store answers its peers with what is new to them
+and with the age of its last confirmation. The age travels as a duration and
+the asking instance counts it from the moment at which it asked, so neither the
+way nor a freeze on either side can make the state seem younger than it is.
+"""
+
+import base64
+import dataclasses
+import json
+import logging
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from rhubarblock.exchange import authority as authorities
+from rhubarblock.exchange import statebook
+from rhubarblock.kernel import timers as timer_service
+from rhubarblock.store import sendonce
+from rhubarblock.store import store as stores
+
+PATH = "/state"
+# Seconds for which an answer waits for news: the lease gets older by as much.
+WAIT_S = 0.7
+# Seconds that an answer may take beyond that wait.
+ANSWER_S = 0.5
+CONNECT_S = 0.25
+
+_logger = logging.getLogger(__name__)
+
+
+class FeedError(Exception):
+    """A peer gave no state."""
+
+
+@dataclasses.dataclass(slots=True)
+class Mark:
+    """How far an instance has followed a peer.
+
+    Attributes:
+      source: names one start of the peer.
+      number: number of the latest change of its list that is known.
+    """
+
+    source: str = ""
+    number: int = 0
+
+
+class StateServer:
+    """Answers peers."""
+
+    __slots__ = ("_authority", "_book", "_source")
+
+    def __init__(
+        self,
+        book: statebook.StateBook,
+        authority: authorities.Authority,
+        source: str,
+    ):
+        """Creates a server.
+
+        Args:
+          book: the state.
+          authority: the age of the configuration.
+          source: names this start of this instance.
+        """
+        self._book = book
+        self._authority = authority
+        self._source = source
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answers one question, when there is news or the wait is over."""
+        query = request.query
+        try:
+            version = int(query.get("version", "0"))
+            number = int(query.get("number", "0"))
+            wait_s = min(WAIT_S, int(query.get("wait_ms", "0")) / 1e3)
+        except ValueError:
+            return web.Response(status=400)
+        if query.get("source") != self._source:
+            number = 0
+        await self._book.wait_news(
+            lambda: self._is_news(version, number), wait_s
+        )
+        if not self._has_state():
+            return web.Response(status=503)
+        return web.Response(
+            text=json.dumps(self._describe(version, number)),
+            content_type="application/json",
+        )
+
+    def _has_state(self) -> bool:
+        return self._authority.table is not None and self._book.listed.is_set()
+
+    def _is_news(self, version: int, number: int) -> bool:
+        if not self._has_state():
+            return False
+        if self._authority.version > version:
+            return True
+        return number == 0 or self._book.number > number
+
+    def _describe(self, version: int, number: int) -> dict[str, Any]:
+        news = self._book.list_news(number)
+        is_new = self._authority.version > version
+        return {
+            "source": self._source,
+            "age_s": self._authority.age_s,
+            "version": self._authority.version,
+            "configuration": self._book.value.decode() if is_new else None,
+            "number": news.number,
+            "whole": news.whole,
+            "objects": [_encode(stored) for stored in news.objects],
+        }
+
+
+class StateClient:
+    """Asks peers."""
+
+    __slots__ = ("_authority", "_book", "_marks", "_session", "_timers")
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        book: statebook.StateBook,
+        authority: authorities.Authority,
+        timers: timer_service.Timers,
+    ):
+        """Creates a client; the caller closes the session.
+
+        Args:
+          session: HTTP session to use.
+          book: takes the state.
+          authority: clock and version of the configuration.
+          timers: the clock.
+        """
+        self._session = session
+        self._book = book
+        self._authority = authority
+        self._timers = timers
+        self._marks: dict[str, Mark] = {}
+
+    async def ask(self, address: str, wait_s: float = WAIT_S) -> None:
+        """Takes in what is new at a peer.
+
+        Args:
+          address: ``host:port`` of the peer.
+          wait_s: seconds that the peer may wait for news.
+
+        Raises:
+          FeedError: it gave no state.
+        """
+        mark = self._marks.setdefault(address, Mark())
+        asked_s = self._authority.read_clock()
+        fields = await self._fetch(address, mark, wait_s)
+        try:
+            self._take(fields, mark, asked_s - float(fields["age_s"]))
+        except (KeyError, TypeError, ValueError) as error:
+            raise FeedError(f"the state can't be read: {error}") from error
+
+    def forget(self) -> None:
+        """Asks for whole lists from now on, as another source was used."""
+        self._marks.clear()
+
+    async def _fetch(
+        self, address: str, mark: Mark, wait_s: float
+    ) -> dict[str, Any]:
+        query = {
+            "version": str(self._authority.version),
+            "source": mark.source,
+            "number": str(mark.number),
+            "wait_ms": str(round(wait_s * 1e3)),
+        }
+        timeout = aiohttp.ClientTimeout(
+            total=wait_s + ANSWER_S, sock_connect=CONNECT_S
+        )
+        try:
+            async with self._session.get(
+                f"http://{address}{PATH}",
+                params=query,
+                timeout=timeout,
+                middlewares=(sendonce.send_once,),
+            ) as response:
+                if response.status != 200:
+                    raise FeedError(f"the peer answered {response.status}")
+                fields: dict[str, Any] = json.loads(await response.read())
+                return fields
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise FeedError(str(error) or type(error).__name__) from error
+
+    def _take(
+        self, fields: dict[str, Any], mark: Mark, confirmed_s: float
+    ) -> None:
+        objects = [_decode(entry) for entry in fields["objects"]]
+        if fields["whole"]:
+            self._book.take_listing(objects)
+        else:
+            for stored in objects:
+                self._book.take_change(stored)
+        mark.source = fields["source"]
+        mark.number = fields["number"]
+        if fields["configuration"] is not None:
+            value = fields["configuration"].encode()
+            self._book.take_configuration(value, confirmed_s)
+        else:
+            self._authority.confirm(fields["version"], confirmed_s)
+
+
+def _encode(stored: stores.StoredObject) -> list[Any]:
+    value = base64.b64encode(stored.value).decode()
+    return [stored.name, stored.version, value, stored.deleted]
+
+
+def _decode(fields: list[Any]) -> stores.StoredObject:
+    name, version, value, deleted = fields
+    return stores.StoredObject(name, version, base64.b64decode(value), deleted)
--- /dev/null
+++ b/rhubarblock/exchange/statefeed_test.py
@@ -0,0 +1,231 @@
+"""State that goes from one instance to another, over real sockets."""
+
+import asyncio
+import contextlib
+import json
+
+import aiohttp
+from aiohttp import web
+import pytest
+
+from rhubarblock.core import listed
+from rhubarblock.core import route as routes
+from rhubarblock.exchange import authority as authorities
+from rhubarblock.exchange import directory as directories
+from rhubarblock.exchange import statebook
+from rhubarblock.exchange import statefeed
+from rhubarblock.kernel import timers as timer_service
+from rhubarblock.platform import dialect as dialects
+from rhubarblock.store import store as stores
+
+
+class Dialect(dialects.PlatformDialect):
+    """A table is its version and its keys; an entry is its state."""
+
+    def decode_table(self, value):
+        fields = json.loads(value)
+        keys = {k: routes.Workspace("w", None) for k in fields["keys"]}
+        return routes.RoutingTable(
+            fields["version"], (), {}, keys, routes.CallerBounds()
+        )
+
+    def decode_endpoint(self, stored):
+        name = stored.name.partition("/")[2]
+        is_draining = stored.value == b"draining"
+        return listed.ListedEndpoint(name, "a:1", "osu", "pool", 8, is_draining)
+
+
+class Side:
+    """One instance's state, on a lease clock of its own."""
+
+    def __init__(self, name, clock):
+        self.clock = clock
+        self.authority = authorities.Authority(5.0, lambda: clock.now_s)
+        timers = timer_service.LoopTimers()
+        self.directory = directories.Directory(timers)
+        self.book = statebook.StateBook(
+            Dialect(), self.authority, self.directory, timers
+        )
+        self.server = statefeed.StateServer(self.book, self.authority, name)
+        self.timers = timers
+
+    def usable(self):
+        found = self.directory.list_usable("pool")
+        return sorted(e.endpoint_id for e in found)
+
+
+class Clock:
+    now_s = 100.0
+
+
+def table(version, *keys):
+    return json.dumps({"version": version, "keys": keys}).encode()
+
+
+def entry(name, value=b"ready", deleted=False):
+    return stores.StoredObject(f"servers/{name}", 1, value, deleted)
+
+
+@contextlib.asynccontextmanager
+async def open_pair():
+    clock = Clock()
+    reader, asker = Side("r.1", clock), Side("a.1", clock)
+    asked = []
+
+    async def handle(request):
+        asked.append(dict(request.query))
+        return await reader.server.handle(request)
+
+    server = web.Server(handle)
+    loop = asyncio.get_running_loop()
+    listener = await loop.create_server(server, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    async with aiohttp.ClientSession() as session:
+        client = statefeed.StateClient(
+            session, asker.book, asker.authority, asker.timers
+        )
+        yield reader, asker, client, f"127.0.0.1:{port}", asked
+    listener.close()
+    await server.shutdown(0.1)
+
+
+def run(step):
+    async def main():
+        async with open_pair() as pair:
+            return await step(*pair)
+
+    return asyncio.run(main())
+
+
+def test_state_comes_whole_and_then_by_its_changes():
+    async def step(reader, asker, client, address, asked):
+        reader.book.take_configuration(table(3, "k"), 100.0)
+        reader.book.take_listing([entry("a"), entry("b")])
+        await client.ask(address, 0.0)
+        first = asker.usable()
+        reader.book.take_change(entry("b", b"draining"))
+        reader.book.take_change(entry("c"))
+        await client.ask(address, 0.0)
+        second = asker.usable()
+        reader.book.take_change(entry("a", b"", deleted=True))
+        await client.ask(address, 0.0)
+        return asker.authority.version, first, second, asker.usable(), asked
+
+    version, first, second, third, asked = run(step)
+    assert version == 3
+    assert (first, second, third) == (["a", "b"], ["a", "c"], ["c"])
+    assert [q["number"] for q in asked] == ["0", "2", "4"]
+
+
+def test_age_counts_from_the_asking():
+    async def step(reader, asker, client, address, asked):
+        reader.book.take_configuration(table(3, "k"), 98.0)
+        reader.book.take_listing([entry("a")])
+        await client.ask(address, 0.0)
+        return asker.authority.age_s
+
+    assert run(step) == 2.0
+
+
+def test_confirmation_without_news_extends_the_lease():
+    async def step(reader, asker, client, address, asked):
+        reader.book.take_configuration(table(3, "k"), 100.0)
+        reader.book.take_listing([entry("a")])
+        await client.ask(address, 0.0)
+        reader.clock.now_s = 104.0
+        reader.book.take_configuration(table(3, "k"), 103.5)
+        await client.ask(address, 0.0)
+        return asker.authority.age_s
+
+    assert run(step) == 0.5
+
+
+def test_frozen_answer_does_not_make_the_state_younger():
+    # The asker stands still while the answer is on its way.
+    async def step(reader, asker, client, address, asked):
+        reader.book.take_configuration(table(3, "k"), 100.0)
+        reader.book.take_listing([entry("a")])
+        class Frozen(statefeed.StateClient):
+            async def _fetch(self, *arguments):
+                fields = await super()._fetch(*arguments)
+                reader.clock.now_s += 7.0
+                return fields
+
+        frozen = Frozen(
+            client._session, asker.book, asker.authority, asker.timers
+        )
+        await frozen.ask(address, 0.0)
+        return asker.authority.find_valid()
+
+    assert run(step) is None
+
+
+def test_change_wakes_a_question_that_waits():
+    async def step(reader, asker, client, address, asked):
+        reader.book.take_configuration(table(3, "k"), 100.0)
+        reader.book.take_listing([entry("a")])
+        await client.ask(address, 0.0)
+        waiting = asyncio.ensure_future(client.ask(address, 0.7))
+        while len(asked) < 2:
+            await asyncio.sleep(0.001)
+        reader.book.take_configuration(table(4), 100.0)
+        await waiting
+        return asker.authority.version
+
+    assert run(step) == 4
+
+
+def test_older_state_of_a_peer_does_not_revert():
+    async def step(reader, asker, client, address, asked):
+        reader.book.take_configuration(table(3, "k"), 100.0)
+        reader.book.take_listing([entry("a")])
+        asker.book.take_configuration(table(4), 95.5)
+        await client.ask(address, 0.0)
+        return asker.authority.version, asker.authority.age_s
+
+    assert run(step) == (4, 4.5)
+
+
+def test_restarted_peer_gives_its_whole_list():
+    async def step(reader, asker, client, address, asked):
+        reader.book.take_configuration(table(3), 100.0)
+        reader.book.take_listing([entry("a"), entry("b")])
+        await client.ask(address, 0.0)
+        again = Side("r.2", reader.clock)
+        again.book.take_configuration(table(3), 100.0)
+        again.book.take_listing([entry("c"), entry("b"), entry("d")])
+        reader.server = again.server
+        await client.ask(address, 0.0)
+        return asker.usable()
+
+    assert run(step) == ["b", "c", "d"]
+
+
+def test_peer_without_state_gives_none():
+    async def step(reader, asker, client, address, asked):
+        with pytest.raises(statefeed.FeedError):
+            await client.ask(address, 0.0)
+        return asker.authority.table
+
+    assert run(step) is None
+
+
+def test_peer_that_is_gone_gives_none():
+    async def step(reader, asker, client, address, asked):
+        with pytest.raises(statefeed.FeedError):
+            await client.ask("127.0.0.1:1", 0.0)
+
+    run(step)
+
+
+def test_change_that_is_no_longer_kept_brings_the_whole_list():
+    async def main():
+        side = Side("r.1", Clock())
+        for number in range(statebook.KEPT_CHANGES + 5):
+            side.book.take_change(entry(f"e{number}"))
+        old = side.book.list_news(4)
+        recent = side.book.list_news(statebook.KEPT_CHANGES)
+        return old.whole, len(old.objects), recent.whole, len(recent.objects)
+
+    kept = statebook.KEPT_CHANGES
+    assert asyncio.run(main()) == (True, kept + 5, False, 5)
