Refuse requests that crashed endpoints, at every instance

Cause: a request that crashes each endpoint may come again at any instance; nothing kept it from a third and fourth. Second crash, then refused for its time, with a time to come back; what was under way ends as MAY_HAVE_RUN, never as not run.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -19,6 +19,7 @@
 from rhubarblock.daemon import listing
 from rhubarblock.exchange import attempts
 from rhubarblock.exchange import authority as authorities
+from rhubarblock.exchange import crashes
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import directory as directories
 from rhubarblock.exchange import follower as followers
@@ -171,7 +172,9 @@
             self.timers,
             self.metrics,
         )
-        relay = relays.ExchangeRelay(placer, runner, outcome)
+        relay = relays.ExchangeRelay(
+            placer, runner, outcome, crashes.CrashWatch(news, self.timers)
+        )
         door = frontdoor.FrontDoor(
             self.authority,
             self._dialect,
--- /dev/null
+++ b/rhubarblock/exchange/crashes_test.py
@@ -0,0 +1,119 @@
+"""A request that crashes endpoints, over several instances."""
+
+import asyncio
+
+import pytest
+
+from rhubarblock.core import failure as failures
+from rhubarblock.exchange import crashes
+from rhubarblock.exchange import fakeparts_test as fakes
+from rhubarblock.kernel import timers as timer_service
+from rhubarblock.kernel import virtualloop
+
+
+class News:
+    """Tells all watches at once."""
+
+    def __init__(self, group):
+        self.on_crash = None
+        self.group = group
+        group.append(self)
+
+    def tell_crash(self, endpoint_id, ages):
+        for other in self.group:
+            if other is not self:
+                other.on_crash(endpoint_id, ages)
+
+
+async def crash(address):
+    return True
+
+
+async def stay_up(address):
+    return False
+
+
+def make_watches(count, trial=crash):
+    timers = timer_service.LoopTimers(0.0)
+    group = []
+    return [
+        crashes.CrashWatch(News(group), timers, trial) for _ in range(count)
+    ]
+
+
+async def run_and_break(watch, exchange, number):
+    endpoint = fakes.make_endpoint(number)
+    with watch.note_running(exchange, endpoint):
+        await asyncio.sleep(0.1)
+        watch.note_broken(endpoint)
+    await asyncio.sleep(0.1)
+
+
+def test_second_crash_is_the_last_one_anywhere():
+    async def main():
+        first, second, third = make_watches(3)
+        poison = fakes.make_exchange(digest="p" * 32)
+        await run_and_break(first, poison, 1)
+        second.check(poison)
+        await asyncio.sleep(3.0)
+        await run_and_break(second, poison, 2)
+        with pytest.raises(failures.FailureError) as raised:
+            third.check(poison)
+        return raised.value.failure
+
+    failure = virtualloop.run(main())
+    assert failure.http_status == 503
+    assert failure.retry_after_s == 60.0
+
+
+def test_innocent_request_beside_it_goes_on():
+    async def main():
+        first, second = make_watches(2)
+        poison = fakes.make_exchange(digest="p" * 32)
+        innocent = fakes.make_exchange(digest="i" * 32)
+        endpoint = fakes.make_endpoint(1)
+        with first.note_running(innocent, endpoint):
+            await run_and_break(first, poison, 1)
+        await asyncio.sleep(3.0)
+        await run_and_break(second, poison, 2)
+        first.check(innocent)
+        with pytest.raises(failures.FailureError):
+            first.check(poison)
+
+    virtualloop.run(main())
+
+
+def test_request_that_ends_well_is_cleared():
+    async def main():
+        (watch,) = make_watches(1)
+        exchange = fakes.make_exchange(digest="i" * 32)
+        await run_and_break(watch, exchange, 1)
+        watch.note_served(exchange)
+        await asyncio.sleep(3.0)
+        await run_and_break(watch, exchange, 2)
+        watch.check(exchange)
+
+    virtualloop.run(main())
+
+
+def test_endpoint_that_only_lost_an_answer_did_not_crash():
+    async def main():
+        (watch,) = make_watches(1, stay_up)
+        exchange = fakes.make_exchange(digest="i" * 32)
+        for number in range(1, 5):
+            await run_and_break(watch, exchange, number)
+            await asyncio.sleep(3.0)
+        watch.check(exchange)
+
+    virtualloop.run(main())
+
+
+def test_only_a_refused_connection_is_a_crash():
+    async def main():
+        endpoint = fakes.ScriptedEndpoint()
+        async with endpoint.open():
+            up = await crashes.has_crashed(endpoint.address)
+        await asyncio.sleep(0.01)
+        return up, await crashes.has_crashed(endpoint.address)
+
+    assert asyncio.run(main()) == (False, True)
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -11,6 +11,7 @@
 from rhubarblock.core import route as routes
 from rhubarblock.exchange import attempts
 from rhubarblock.exchange import authority as authorities
+from rhubarblock.exchange import crashes
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import directory as directories
 from rhubarblock.exchange import frontdoor
@@ -251,6 +252,7 @@
             outcomes.Outcomes(
                 self.health, self.news, lambda: 10, self.timers, self.metrics
             ),
+            crashes.CrashWatch(self.news, self.timers),
         )
 
     def add_endpoints(self, *endpoints, service="desk"):
--- a/rhubarblock/exchange/follower.py
+++ b/rhubarblock/exchange/follower.py
@@ -29,6 +29,11 @@
 OLD_S = 2.5
 # Seconds between two looks at whether this instance is to read the store.
 ROLE_INTERVAL_S = 1.0
+# Seconds by which instances that have a reader wait longer after a failed read
+# of their own: in an outage most calls would be theirs, and all are charged.
+OTHERS_WAIT_S = 1.0
+# Seconds between two looks at whether there is something to list.
+LOOK_S = 0.05
 # How waits after failed calls grow.
 BACKOFF = backoffs.BackoffSettings(first_s=0.1, max_s=1.0)
 
@@ -114,7 +119,8 @@
                 await self._timers.sleep(READ_INTERVAL_S)
                 continue
             await self._ask_anybody()
-            await self._timers.sleep(backoff.take_delay())
+            others = 0.0 if reader is None else OTHERS_WAIT_S
+            await self._timers.sleep(others + backoff.take_delay())
 
     async def _ask(self, address: str) -> bool:
         """Asks a peer; says whether its state is young enough to rely on."""
@@ -164,8 +170,9 @@
     async def _follow_endpoints(self) -> None:
         backoff = backoffs.Backoff(self._rng, BACKOFF)
         while True:
-            if not self._reads_store:
-                await self._timers.sleep(0.05)
+            if not self._reads_store or not self._reachable:
+                # A store that gave no configuration gives no list either.
+                await self._timers.sleep(LOOK_S)
                 continue
             try:
                 page = await self._store.list_objects(
--- a/rhubarblock/exchange/news.py
+++ b/rhubarblock/exchange/news.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import json
@@ -26,6 +27,9 @@
 ALIVE_S = 4.5
 # Seconds for which a peer is not asked again that gave no state.
 DISTRUST_S = 3.0
+# Seconds after which a crash is told once more; told twice within two seconds
+# it counts once.
+TELL_AGAIN_S = 0.4
 # Most peers that are asked for state while the store can't be reached.
 MOST_ASKED = 4
 # Seconds between two signs of life of an instance that has nothing to tell.
@@ -35,6 +39,7 @@
 _ENDED = "e"
 _GREETING = "g"
 _BROKEN = "b"
+_CRASH = "c"
 
 _logger = logging.getLogger(__name__)
 
@@ -87,6 +92,9 @@
         self._peers: dict[tuple[str, int], _Peer] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._own: tuple[str, int] = ("", 0)
+        self.on_crash: Callable[[str, dict[str, float]], None] = (
+            lambda endpoint_id, ages: None
+        )
 
     @property
     def source(self) -> str:
@@ -185,6 +193,14 @@
         """Tells peers of an endpoint that broke a connection or kept silent."""
         self._send([_BROKEN, self._data_centre, endpoint_id, data_centre])
 
+    def tell_crash(self, endpoint_id: str, ages: dict[str, float]) -> None:
+        """Tells peers under which requests, by age, an endpoint crashed."""
+        rounded = {digest: round(age_s, 2) for digest, age_s in ages.items()}
+        fields = [_CRASH, endpoint_id, rounded]
+        # A datagram may be lost, and this one must not be.
+        self._send(fields)
+        self._timers.call_later(TELL_AGAIN_S, lambda: self._send(fields))
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         now_s = self._timers.read_monotonic()
         peer = self._peers.get(addr)
@@ -214,6 +230,8 @@
             self._book.remove(fields[1])
         elif fields[0] == _GREETING:
             _, peer.instance_id, peer.data_centre = fields
+        elif fields[0] == _CRASH:
+            self.on_crash(fields[1], fields[2])
         elif fields[0] == _BROKEN and fields[1] == self._data_centre:
             self._health.note_broken(fields[2], fields[3], now_s)
 
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import failure as failures
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.exchange import attempts
+from rhubarblock.exchange import crashes
 from rhubarblock.exchange import flow as flows
 from rhubarblock.exchange import leases
 from rhubarblock.exchange import outcomes
@@ -25,13 +27,14 @@
 class ExchangeRelay:
     """Serves exchanges at one instance."""
 
-    __slots__ = ("_outcomes", "_placer", "_runner")
+    __slots__ = ("_crashes", "_outcomes", "_placer", "_runner")
 
     def __init__(
         self,
         placer: placers.Placer,
         runner: attempts.AttemptRunner,
         outcomes_: outcomes.Outcomes,
+        crash_watch: crashes.CrashWatch,
     ):
         """Creates a relay.
 
@@ -39,10 +42,12 @@
           placer: chooses endpoints.
           runner: runs attempts.
           outcomes_: learns from how they end, and grants further ones.
+          crash_watch: refuses what crashes endpoints.
         """
         self._placer = placer
         self._runner = runner
         self._outcomes = outcomes_
+        self._crashes = crash_watch
 
     async def serve(
         self, exchange: exchanges.Exchange, sink: sinks.Sink
@@ -53,6 +58,7 @@
           failures.FailureError: it failed; the sink may hold the begin of an
             answer.
         """
+        self._crashes.check(exchange)
         flow = flows.Flow(exchange, sink)
         try:
             async with asyncio.timeout_at(exchange.deadline_s):
@@ -95,7 +101,7 @@
                 )
 
             try:
-                await self._runner.run(flow, place, may_leave)
+                await self._run_noted(flow, place, may_leave)
             except (attempts.RefusedError, leases.LeaseError) as error:
                 self._outcomes.note_refused(flow, place, error.failure)
                 if isinstance(error, leases.LeaseError):
@@ -105,14 +111,35 @@
                 self._outcomes.note_failed(flow, place, error)
                 return error
             self._outcomes.note_served(flow, place)
+            self._crashes.note_served(flow.exchange)
             return None
 
+    async def _run_noted(
+        self,
+        flow: flows.Flow,
+        place: placers.Place,
+        may_leave: Callable[[], bool],
+    ) -> None:
+        """Runs an attempt, and looks for a crash when its connection breaks."""
+        with self._crashes.note_running(flow.exchange, place.endpoint):
+            try:
+                await self._runner.run(flow, place, may_leave)
+            except (attempts.LeftError, attempts.FailedAnswerError):
+                raise
+            except transports.AttemptError as error:
+                if error.failure.verdict is not verdicts.Verdict.NOT_RUN:
+                    self._crashes.note_broken(place.endpoint)
+                raise
+
     def _may_go_on(
         self, flow: flows.Flow, error: failures.FailureError
     ) -> bool:
         """Decides whether another attempt is made."""
         if not flow.may_try_again():
             return False
+        # Others may have found meanwhile what this one does to endpoints.
+        if self._crashes.is_quarantined(flow.exchange):
+            return False
         if isinstance(error, attempts.LeftError):
             # It was given up only because the next one was granted.
             return True
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -243,3 +243,33 @@
             return sum(len(e.heads) for e in endpoints)
 
     assert asyncio.run(main()) == 1
+
+
+def test_exchange_in_quarantine_is_refused_without_a_call():
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(fakes.whole())
+        async with fakes.open_parts(endpoint) as parts:
+            exchange = fakes.make_exchange(digest="p" * 32)
+            for number in (1, 2):
+                parts.news.on_crash(f"gone{number}", {"p" * 32: 0.1})
+                await asyncio.sleep(0.0)
+                parts.relay._crashes._timers = _Later(parts.timers, 3.0)
+            with pytest.raises(failures.FailureError) as raised:
+                await parts.relay.serve(exchange, fakes.MemorySink())
+            return raised.value.failure, endpoint.heads
+
+    failure, heads = asyncio.run(main())
+    assert failure.verdict is verdicts.Verdict.NOT_RUN
+    assert failure.retry_after_s == 60.0
+    assert heads == []
+
+
+class _Later:
+    """A clock that is some seconds ahead of another one."""
+
+    def __init__(self, timers, ahead_s):
+        self._timers = timers
+        self._ahead_s = ahead_s
+
+    def read_monotonic(self):
+        return self._timers.read_monotonic() + self._ahead_s
--- a/rhubarblock/exchange/statefeed_test.py
+++ b/rhubarblock/exchange/statefeed_test.py
@@ -145,6 +145,7 @@
     async def step(reader, asker, client, address, asked):
         reader.book.take_configuration(table(3, "k"), 100.0)
         reader.book.take_listing([entry("a")])
+
         class Frozen(statefeed.StateClient):
             async def _fetch(self, *arguments):
                 fields = await super()._fetch(*arguments)
