--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -33,6 +33,7 @@
 from rhubarblock.exchange import statefeed
 from rhubarblock.exchange import transport as transports
 from rhubarblock.fleet import member as members
+from rhubarblock.kernel import exposition
 from rhubarblock.kernel import life as lives
 from rhubarblock.kernel import logs
 from rhubarblock.kernel import metrics as metric_store
@@ -199,6 +200,9 @@
                 KEEPALIVE_S,
             )
         )
+        await stack.enter_async_context(
+            _serve(self._answer_metrics, settings.metrics, KEEPALIVE_S)
+        )
         follower = followers.StoreFollower(
             store,
             self._dialect,
@@ -299,6 +303,18 @@
         )
         return web.Response(status=200 if ready else 503)
 
+    async def _answer_metrics(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        del request
+        self.metrics.gauge("exchange.in_flight", self.life.in_flight)
+        self.metrics.gauge("configuration.version", self.authority.version)
+        self.metrics.gauge("configuration.age_s", self.authority.age_s)
+        return web.Response(
+            body=exposition.render(self.metrics),
+            headers={"Content-Type": exposition.CONTENT_TYPE},
+        )
+
     def _log_life(self, step: Callable[[], None]) -> None:
         before = self.life.state.value
         step()
--- a/rhubarblock/exchange/attempts.py
+++ b/rhubarblock/exchange/attempts.py
@@ -33,7 +33,20 @@
 
 
 class RefusedError(failures.FailureError):
-    """An endpoint says that it did not run the exchange."""
+    """An endpoint says that it did not run the exchange.
+
+    Attributes:
+      at_fault: address of the endpoint that made it refuse, or empty.
+    """
+
+    def __init__(self, status: int, at_fault: str):
+        super().__init__(
+            failures.Failure(
+                failures.FailureCode.NO_ENDPOINT,
+                f"the endpoint refused it with {status}",
+            )
+        )
+        self.at_fault = at_fault
 
 
 class LeftError(transports.AttemptError):
@@ -251,12 +264,7 @@
 def _check_refusal(answer: transports.Answer) -> None:
     """Raises what an endpoint's word that it did not run means."""
     if answer.fields.refused:
-        raise RefusedError(
-            failures.Failure(
-                failures.FailureCode.NO_ENDPOINT,
-                f"the endpoint refused it with {answer.status}",
-            )
-        )
+        raise RefusedError(answer.status, answer.fields.at_fault)
 
 
 def _predict_patience(route: routes.Route, place: placers.Place) -> float:
--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -18,6 +18,9 @@
 from rhubarblock.relay import retrybudget
 from rhubarblock.routing import health as healths
 
+# Upper bounds of the bands of prompt lengths, in tokens.
+BANDS = ((16_000, "short"), (120_000, "middle"), (450_000, "long"))
+
 _logger = logging.getLogger(__name__)
 
 
@@ -70,6 +73,8 @@
         exchange = flow.exchange
         self._budget(exchange).record_success()
         self._metrics.count("exchange.served")
+        first_s = flow.progress.first_s or 0.0
+        self._metrics.observe("exchange.first", _name_kind(exchange), first_s)
         if not flow.progress.is_late(exchange):
             return
         self._metrics.count("exchange.late")
@@ -102,6 +107,21 @@
         flow.refusals += 1
         flow.history.note_failure(failure, place.endpoint.endpoint_id)
 
+    def blame_helper(self, place: placers.Place, at_fault: str) -> set[str]:
+        """Takes in which helper made an engine refuse an exchange.
+
+        Args:
+          place: where the exchange went.
+          at_fault: address that the refusal names, or empty.
+
+        Returns:
+          Ids of the helpers that are to be avoided.
+        """
+        blamed = [e for e in place.helper_engines if e.address == at_fault]
+        for endpoint in blamed:
+            self._suspect(endpoint)
+        return {endpoint.endpoint_id for endpoint in blamed}
+
     def note_failed(
         self,
         flow: flows.Flow,
@@ -170,6 +190,18 @@
         )
 
 
+def _name_kind(exchange: exchanges.Exchange) -> str:
+    """Returns the kind of an exchange, with a band of its prompt's length."""
+    kind = exchange.route.kind.value
+    if not exchange.prompt_tokens:
+        return kind
+    band = next(
+        (name for tokens, name in BANDS if exchange.prompt_tokens <= tokens),
+        "longest",
+    )
+    return f"{kind}.{band}"
+
+
 def _is_left_busy(error: transports.AttemptError) -> bool:
     return (
         isinstance(error, attempts.LeftError)
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -38,7 +38,7 @@
     Attributes:
       endpoint: the endpoint that is asked.
       helpers: engines that read parts of the prompt.
-      helper_ids: ids of these engines.
+      helper_engines: these engines, in the same order.
       held: memory that must be set aside before it is sent.
       expected_s: seconds until the first byte, as predicted.
       urgency: rank at an engine; None leaves the usual one.
@@ -46,7 +46,7 @@
 
     endpoint: lists.ListedEndpoint
     helpers: tuple[dialects.Helper, ...] = ()
-    helper_ids: tuple[str, ...] = ()
+    helper_engines: tuple[lists.ListedEndpoint, ...] = ()
     held: tuple[leases.Lease, ...] = ()
     expected_s: float = SERVICE_S
     urgency: int | None = None
@@ -136,7 +136,7 @@
         """
         ids = [place.endpoint.endpoint_id]
         if not begun:
-            ids += place.helper_ids
+            ids += [engine.endpoint_id for engine in place.helper_engines]
         return max(self._book.find(name).busy_until_s for name in ids)
 
     @contextlib.contextmanager
@@ -179,8 +179,9 @@
                 leave()
 
         with contextlib.ExitStack() as stack:
-            for name in (engine_id, *place.helper_ids):
-                stack.enter_context(self._book.watch(name, check))
+            for engine in (place.endpoint, *place.helper_engines):
+                watch = self._book.watch(engine.endpoint_id, check)
+                stack.enter_context(watch)
             yield
 
     def _list_endpoints(
@@ -288,7 +289,7 @@
     return Place(
         choice.engines[0],
         tuple(helpers),
-        tuple(engine.endpoint_id for engine in choice.engines[1:]),
+        choice.engines[1:],
         tuple(held),
         choice.expected_s,
     )
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -106,6 +106,8 @@
                 self._outcomes.note_refused(flow, place, error.failure)
                 if isinstance(error, leases.LeaseError):
                     avoid.add(error.endpoint_id)
+                else:
+                    avoid |= self._outcomes.blame_helper(place, error.at_fault)
                 return error
             except transports.AttemptError as error:
                 self._outcomes.note_failed(flow, place, error)
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -273,3 +273,31 @@
 
     def read_monotonic(self):
         return self._timers.read_monotonic() + self._ahead_s
+
+
+def test_helper_that_made_an_engine_refuse_is_left_alone():
+    async def refuse(head, writer):
+        helper = next(x for x in head.split("\r\n") if names.HELPERS in x)
+        address = helper.split(": ")[1].split(",")[0]
+        await fakes.whole(
+            b"",
+            "503 Service Unavailable",
+            f"{names.NOT_EXECUTED}: 1\r\n{names.AT_SERVER}: {address}\r\n",
+        )(head, writer)
+
+    async def main():
+        endpoints = [
+            fakes.ScriptedEndpoint(refuse, fakes.events(1)) for _ in range(4)
+        ]
+        async with fakes.open_parts(*endpoints, service="pool") as parts:
+            exchange = fakes.make_exchange(
+                STREAM, fakes.ENGINES, prompt_tokens=60_000, answer_tokens=800
+            )
+            exchange.deadline_s += 5.0
+            try:
+                await parts.relay.serve(exchange, fakes.MemorySink())
+            except failures.FailureError:
+                pass
+            return [n for n in range(1, 5) if parts.health.is_on_trial(f"e{n}")]
+
+    assert asyncio.run(main())
--- a/rhubarblock/kernel/metrics.py
+++ b/rhubarblock/kernel/metrics.py
@@ -5,9 +5,11 @@
 cost more than the relay of the event itself.
 """
 
+import bisect
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import itertools
 
 import statsd
 
@@ -42,25 +44,70 @@
         return self.total_s / self.count if self.count else 0.0
 
 
+# Upper bounds of the buckets of a histogram, in seconds: from a pass of an
+# engine to the longest time that a caller waits.
+BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 5.0, 10.0, 15.0)
+
+
+class Histogram:
+    """Durations of one name and kind, by buckets.
+
+    Attributes:
+      total_s: their sum in seconds.
+    """
+
+    __slots__ = ("_counts", "total_s")
+
+    def __init__(self) -> None:
+        self._counts = [0] * (len(BUCKETS_S) + 1)
+        self.total_s = 0.0
+
+    def add(self, seconds: float) -> None:
+        """Adds one duration."""
+        self._counts[bisect.bisect_left(BUCKETS_S, seconds)] += 1
+        self.total_s += seconds
+
+    def list_buckets(self) -> list[tuple[str, int]]:
+        """Returns upper bounds and the durations up to each, all at last."""
+        bounds = [*map(str, BUCKETS_S), "+Inf"]
+        return list(
+            zip(bounds, itertools.accumulate(self._counts), strict=True)
+        )
+
+
 class Metrics:
-    """What one instance counts about itself."""
+    """What one instance counts about itself.
 
-    __slots__ = ("_counts", "_flushed", "_gauges", "_timings", "_recent")
+    Attributes:
+      counts: totals since the start, by name.
+      gauges: values that go up and down, by name.
+      histograms: durations by name and kind.
+    """
+
+    __slots__ = (
+        "_flushed",
+        "_recent",
+        "_timings",
+        "counts",
+        "gauges",
+        "histograms",
+    )
 
     def __init__(self) -> None:
-        self._counts: dict[str, int] = {}
+        self.counts: dict[str, int] = {}
         self._flushed: dict[str, int] = {}
-        self._gauges: dict[str, float] = {}
+        self.gauges: dict[str, float] = {}
         self._timings: dict[str, Timing] = {}
         self._recent: dict[str, Timing] = {}
+        self.histograms: dict[str, dict[str, Histogram]] = {}
 
     def count(self, name: str, n: int = 1) -> None:
         """Adds to a counter."""
-        self._counts[name] = self._counts.get(name, 0) + n
+        self.counts[name] = self.counts.get(name, 0) + n
 
     def gauge(self, name: str, value: float) -> None:
         """Sets a value that goes up and down."""
-        self._gauges[name] = value
+        self.gauges[name] = value
 
     def record_time(self, name: str, seconds: float) -> None:
         """Adds a duration in seconds to a timing."""
@@ -70,13 +117,21 @@
                 timing = timings[name] = Timing()
             timing.add(seconds)
 
+    def observe(self, name: str, kind: str, seconds: float) -> None:
+        """Adds a duration in seconds to the histogram of a kind."""
+        by_kind = self.histograms.setdefault(name, {})
+        histogram = by_kind.get(kind)
+        if histogram is None:
+            histogram = by_kind[kind] = Histogram()
+        histogram.add(seconds)
+
     def snapshot(self) -> dict[str, float]:
         """Returns every value since the start, by name.
 
         A timing ``x`` appears as ``x.count``, ``x.mean_s`` and ``x.max_s``.
         """
-        values: dict[str, float] = dict(self._counts)
-        values.update(self._gauges)
+        values: dict[str, float] = dict(self.counts)
+        values.update(self.gauges)
         for name, timing in self._timings.items():
             values[f"{name}.count"] = timing.count
             values[f"{name}.mean_s"] = timing.mean_s
@@ -90,12 +145,12 @@
           client: statsd client; a lost datagram loses one interval.
         """
         with client.pipeline() as pipe:
-            for name, total in self._counts.items():
+            for name, total in self.counts.items():
                 increase = total - self._flushed.get(name, 0)
                 if increase:
                     pipe.incr(name, increase)
                     self._flushed[name] = total
-            for name, value in self._gauges.items():
+            for name, value in self.gauges.items():
                 pipe.gauge(name, value)
             for name, timing in self._recent.items():
                 pipe.incr(f"{name}.count", timing.count)
--- /dev/null
+++ b/rhubarblock/scripts/explain_test.py
@@ -0,0 +1,56 @@
+from click.testing import CliRunner
+
+from rhubarblock.scripts import explain
+
+LOG = """\
+day quiet-1 is played
+   9.100 edge-1 {"time": "x", "message": "state changed", \
+"subject": "endpoint e1", "after": "draining"}
+   9.200 edge-1 {"time": "x", "message": "state changed", \
+"subject": "endpoint e7", "after": "draining"}
+  10.500 edge-1 {"time": "x", "message": "attempt ended", "request": "q1", \
+"endpoint": "e1", "outcome": "broken", "reason": "the endpoint kept silent"}
+  10.400 edge-2 {"time": "x", "message": "attempt ended", "request": "q2", \
+"endpoint": "e1", "reason": "other"}
+  10.900 edge-1 {"time": "x", "message": "request failed", "request": "q1", \
+"code": "endpoint_failed", "reason": "the answer was cut"}
+"""
+
+
+def run(request_id, tmp_path, text=LOG):
+    path = tmp_path / "all.log"
+    path.write_text(text)
+    return CliRunner().invoke(explain.explain_command, [request_id, str(path)])
+
+
+def test_story_is_in_order_and_ends_with_the_cause(tmp_path):
+    result = run("q1", tmp_path)
+    assert result.exit_code == 0
+    assert result.output.splitlines() == [
+        "     9.100 edge-1               state changed: "
+        "subject=endpoint e1 after=draining",
+        "    10.500 edge-1               attempt ended: request=q1 endpoint=e1 "
+        "outcome=broken reason=the endpoint kept silent",
+        "    10.900 edge-1               request failed: request=q1 "
+        "code=endpoint_failed reason=the answer was cut",
+        "cause: the endpoint kept silent; then the answer was cut",
+    ]
+
+
+def test_request_that_no_line_names(tmp_path):
+    result = run("q9", tmp_path)
+    assert result.exit_code == 1
+    assert "no line names request q9" in result.output
+
+
+def test_plain_lines_take_the_instance_from_their_file(tmp_path):
+    text = (
+        '{"time": "2026-01-01 09:00:01,500", "message": "served late", '
+        '"request": "q3", "first_s": 0.5, "expected_s": 0.1, '
+        '"longest_pause_s": 0.2}\n'
+    )
+    result = run("q3", tmp_path, text)
+    assert result.output.splitlines()[-1] == (
+        "cause: first after 0.5 s (0.1 s were predicted), longest pause 0.2 s"
+    )
+    assert " all " in result.output
--- a/rhubarblock/scripts/main.py
+++ b/rhubarblock/scripts/main.py
@@ -10,6 +10,8 @@
 from rhubarblock.scripts import compare
 from rhubarblock.scripts import demo
 from rhubarblock.scripts import drain
+from rhubarblock.scripts import edge
+from rhubarblock.scripts import explain
 from rhubarblock.scripts import measure
 from rhubarblock.scripts import report
 from rhubarblock.scripts import serve
@@ -31,6 +33,8 @@
     compare.compare_command,
     demo.demo_command,
     drain.drain_command,
+    edge.edge_command,
+    explain.explain_command,
     measure.measure_group,
     report.report_command,
     serve.serve_command,
