--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -180,6 +180,7 @@
             self.authority,
             self._dialect,
             relay,
+            self.state.listed,
             self.life,
             self.timers,
             self.metrics,
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -226,6 +226,8 @@
         self.health = healths.Health("osu-hall")
         self.metrics = metric_store.Metrics()
         self.life = lives.InstanceLife()
+        self.listed = asyncio.Event()
+        self.listed.set()
         self.authority = authorities.Authority(BOUNDS.revoke_s)
         self.news = news_lib.News(
             "i1", "s1", "osu-hall", self.book, self.health, self.timers
@@ -266,6 +268,7 @@
             self.authority,
             self.dialect,
             self.relay,
+            self.listed,
             self.life,
             self.timers,
             self.metrics,
--- a/rhubarblock/exchange/frontdoor.py
+++ b/rhubarblock/exchange/frontdoor.py
@@ -36,6 +36,7 @@
         "_authority",
         "_dialect",
         "_life",
+        "_listed",
         "_metrics",
         "_relay",
         "_rng",
@@ -47,6 +48,7 @@
         authority: authorities.Authority,
         dialect: dialects.Dialect,
         relay: relays.ExchangeRelay,
+        listed: asyncio.Event,
         life: lives.InstanceLife,
         timers: timer_service.Timers,
         metrics: metric_store.Metrics,
@@ -58,6 +60,7 @@
           authority: the configuration in force.
           dialect: spelling of heads.
           relay: serves exchanges.
+          listed: set once endpoints are known.
           life: counts requests in flight.
           timers: the clock.
           metrics: counters.
@@ -66,6 +69,7 @@
         self._authority = authority
         self._dialect = dialect
         self._relay = relay
+        self._listed = listed
         self._life = life
         self._timers = timers
         self._metrics = metrics
@@ -132,6 +136,11 @@
             request, table.bounds if table else routes.CallerBounds()
         )
         table = await self._authority.wait_valid(LEASE_WAIT_S)
+        if not self._listed.is_set():
+            # The list comes right after the configuration at a start.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LEASE_WAIT_S):
+                    await self._listed.wait()
         if table is None:
             raise failures.FailureError(
                 failures.Failure(
--- a/rhubarblock/exchange/frontdoor_test.py
+++ b/rhubarblock/exchange/frontdoor_test.py
@@ -177,3 +177,21 @@
                     await asyncio.sleep(0.01)
 
     asyncio.run(main())
+
+
+def test_request_at_a_start_waits_for_the_list_of_endpoints():
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(fakes.whole())
+        async with open_door(endpoint) as (parts, session, url):
+            parts.listed.clear()
+            parts.directory.remove("e1")
+            asked = asyncio.ensure_future(
+                session.post(url + "/a/x", headers=make_headers())
+            )
+            while not parts.life.in_flight:
+                await asyncio.sleep(0.001)
+            parts.add_endpoints(endpoint)
+            parts.listed.set()
+            return (await asked).status
+
+    assert asyncio.run(main()) == 200
