--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test check format lock proto
+.PHONY: demo test check format lock proto soak
 
 $(STAMP): requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -18,6 +18,11 @@
 test: $(STAMP)
 	$(BIN)/python -m pytest
 
+# Real processes under random faults: `make soak SEEDS=1..50`.
+SEEDS ?= 1..5
+soak: $(STAMP)
+	$(BIN)/python -m tools.soak.run --seeds $(SEEDS)
+
 check: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers: checks of the tree, and the soak."""
--- /dev/null
+++ b/tools/soak/callers.py
@@ -0,0 +1,95 @@
+"""Callers that check each answer against what they asked."""
+
+import asyncio
+import random
+
+import aiohttp
+
+from rhubarblock.platform import names
+from tools.soak import engines
+from tools.soak import evidence as evidences
+from tools.soak import fleet
+
+# Seconds that a caller waits.
+WAIT_S = 6.0
+# Seconds between two requests of a caller.
+PAUSE_S = 0.15
+
+PATHS = {"stream": "/s/x", "once": "/once/x", "again": "/again/x"}
+
+
+class SoakCaller:
+    """Sends requests of all kinds to instances at random."""
+
+    def __init__(
+        self,
+        name: str,
+        instances: list[fleet.SoakInstance],
+        keys: list[str],
+        evidence: evidences.Evidence,
+        rng: random.Random,
+    ):
+        self._name = name
+        self._instances = instances
+        self._keys = keys
+        self._evidence = evidence
+        self._rng = rng
+        self._count = 0
+
+    async def live(self, stop: asyncio.Event) -> None:
+        """Sends until it is told to stop; connections are kept."""
+        async with aiohttp.ClientSession() as session:
+            while not stop.is_set():
+                await self._ask(session)
+                await asyncio.sleep(PAUSE_S * (0.5 + self._rng.random()))
+
+    async def _ask(self, session: aiohttp.ClientSession) -> None:
+        self._count += 1
+        kind = self._rng.choice(list(PATHS))
+        sent = evidences.Sent(
+            f"{self._name}-{self._count}",
+            kind,
+            self._rng.choice(self._keys),
+            evidences.read_clock(),
+        )
+        self._evidence.sent[sent.request_id] = sent
+        instance = self._rng.choice(self._instances)
+        try:
+            async with session.post(
+                f"http://{instance.ip}:{instance.front}{PATHS[kind]}",
+                headers=self._make_headers(sent),
+                data=b"body",
+                timeout=aiohttp.ClientTimeout(total=WAIT_S),
+            ) as answer:
+                body = await answer.read()
+                sent.status = answer.status
+                sent.whole = self._is_own(sent, answer, body)
+        except (aiohttp.ClientError, OSError):
+            # No answer, or one that broke off and did not look whole.
+            sent.status = 0
+
+    def _make_headers(self, sent: evidences.Sent) -> dict[str, str]:
+        headers = {
+            "Host": "soak.example",
+            names.ATTEMPT_ID: sent.request_id,
+            names.CREDENTIAL: sent.key,
+            names.REMAINING: str(round(WAIT_S * 1e3)),
+        }
+        if sent.kind == "stream":
+            tokens = self._rng.choice((2_000, 40_000, 700_000))
+            headers[names.TOKEN_COUNT] = f"{tokens},100"
+        return headers
+
+    def _is_own(
+        self, sent: evidences.Sent, answer: aiohttp.ClientResponse, body: bytes
+    ) -> bool:
+        if answer.headers.get(names.ATTEMPT_ID) != sent.request_id:
+            return False
+        if names.SEAL not in answer.headers:
+            return False
+        if sent.kind != "stream":
+            return body == f"answer to {sent.request_id}".encode()
+        return body == b"".join(
+            f"id: {n}\ndata: {sent.request_id} {n}\n\n".encode()
+            for n in range(1, engines.EVENTS + 1)
+        )
--- /dev/null
+++ b/tools/soak/engines.py
@@ -0,0 +1,149 @@
+"""Endpoints that stream events or answer calls, crash, hang and refuse."""
+
+import asyncio
+import contextlib
+import json
+import random
+
+from aiohttp import web
+
+from rhubarblock.platform import names
+from tools.soak import evidence as evidences
+from tools.soak import store as stores
+
+# Seconds between two events of a stream.
+EVENT_S = 0.02
+# Events of a stream.
+EVENTS = 30
+# Seconds of a call.
+CALL_S = 0.03
+# Seconds between a notice and the end of a leaving endpoint.
+DRAIN_S = 2.5
+
+
+class SoakEndpoint:
+    """One endpoint over all its starts."""
+
+    def __init__(
+        self,
+        service: str,
+        data_centre: str,
+        store: stores.SoakStore,
+        evidence: evidences.Evidence,
+        revoke_s: float,
+        rng: random.Random,
+    ):
+        self.service = service
+        self.mode = ""
+        self._data_centre = data_centre
+        self._store = store
+        self._evidence = evidence
+        self._revoke_s = revoke_s
+        self._rng = rng
+        self._leases: dict[str, float] = {}
+
+    async def live(self, stop: asyncio.Event) -> None:
+        """Starts again and again until it is told to stop."""
+        while not stop.is_set():
+            self.id = f"i-{self._rng.getrandbits(32):08x}"
+            self._ended = asyncio.Event()
+            async with stores.serve(self._handle) as (_, port):
+                self._port = port
+                self._list("ready")
+                await _wait_any(self._ended, stop)
+                if self.mode == "drain":
+                    self._list("draining")
+                    await asyncio.sleep(DRAIN_S)
+                self._store.remove(f"servers/{self.id}")
+            self.mode = ""
+            await asyncio.sleep(0.5)
+
+    def end(self, mode: str) -> None:
+        """Ends this start, by a crash or after a drain."""
+        self.mode = mode
+        self._ended.set()
+
+    def _list(self, state: str) -> None:
+        self._store.put(
+            f"servers/{self.id}",
+            {
+                "service": self.service,
+                "address": f"127.0.0.1:{self._port}",
+                "zone": self._data_centre,
+                "slots": 8,
+                "state": state,
+            },
+        )
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == "/order":
+            return self._order(json.loads(await request.text()))
+        request_id = request.headers.get(names.ATTEMPT_ID, "")
+        answer = {names.ATTEMPT_ID: request_id}
+        if request.headers.get(names.TARGET) != self.id:
+            return web.Response(status=421, headers=answer)
+        if self.mode == "shed":
+            answer[names.NOT_EXECUTED] = "1"
+            return web.Response(status=503, headers=answer)
+        await request.read()
+        self._evidence.note_run(request_id, self.id)
+        self._evidence.check_revoked(request_id, self._revoke_s)
+        answer[names.SEAL] = f"seal-{self.id}"
+        if request.path.startswith("/s/"):
+            return await self._stream(request, answer, request_id)
+        await asyncio.sleep(CALL_S)
+        if self.mode == "lose" and self._rng.random() < 0.5:
+            self._reset(request)
+            return web.Response()
+        return web.Response(text=f"answer to {request_id}", headers=answer)
+
+    async def _stream(
+        self, request: web.BaseRequest, answer: dict[str, str], request_id: str
+    ) -> web.StreamResponse:
+        first = int(request.headers.get(names.LAST_EVENT, "0")) + 1
+        response = web.StreamResponse(headers=answer)
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        for number in range(first, EVENTS + 1):
+            if self.mode == "hang":
+                await asyncio.sleep(3.0)
+            if self.mode == "lose" and self._rng.random() < 0.05:
+                await response.write(b"id: ")
+                self._reset(request)
+                return response
+            await response.write(
+                f"id: {number}\ndata: {request_id} {number}\n\n".encode()
+            )
+            await asyncio.sleep(EVENT_S)
+        await response.write_eof()
+        return response
+
+    def _order(self, order: dict[str, object]) -> web.Response:
+        now_s = evidences.read_clock()
+        if order["operation"] == "reserve":
+            hold_s = float(str(order["holdMs"])) / 1e3
+            self._leases[str(order["id"])] = now_s + hold_s
+        else:
+            self._leases.pop(str(order["id"]), None)
+        return web.Response(text="{}")
+
+    def count_leases(self) -> int:
+        """Returns how many memory leases have neither ended nor lapsed."""
+        now_s = evidences.read_clock()
+        return sum(1 for until_s in self._leases.values() if until_s > now_s)
+
+    @staticmethod
+    def _reset(request: web.BaseRequest) -> None:
+        if request.transport is not None:
+            request.transport.abort()
+
+
+async def _wait_any(*events: asyncio.Event) -> None:
+    tasks = [asyncio.ensure_future(event.wait()) for event in events]
+    try:
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for task in tasks:
+            task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/tools/soak/fleet.py
@@ -0,0 +1,103 @@
+"""The real programs, as processes that are started and ended by their ids."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import sys
+
+from rhubarblock.platform import names
+
+SETTINGS = """\
+nodeName = "{name}"
+ip = "{ip}"
+zone = "{data_centre}"
+internalPortRange = [{peers},{last}]
+[listen]
+front = "{ip}:{front}"
+readyAddr = "{ip}:{ready}"
+[limits]
+maxFds = 4000
+[bounds]
+drainMs = 2000
+graceS = 6
+revokeMs = {revoke_ms}
+retryBudgetRatio = 0.2
+retryBudgetSlack = 100
+budgetWindowS = 10
+maxHoldMs = 20000
+idleMaxMs = 9000
+[platformSettings]
+address = "127.0.0.1:{store}"
+"""
+
+
+class SoakInstance:
+    """One instance: a process that comes back when it ends.
+
+    Attributes:
+      front: port for callers.
+      process: the present process.
+    """
+
+    def __init__(
+        self,
+        network: int,
+        number: int,
+        data_centre: str,
+        store_port: int,
+        revoke_s: float,
+        folder: pathlib.Path,
+    ):
+        # Each instance has an address of its own, as metrics have one port;
+        # seeds that are played at once have networks of their own.
+        self.ip = f"127.{network}.7.{number + 1}"
+        self.front, ready, peers = (_find_port(self.ip) for _ in range(3))
+        self.process: asyncio.subprocess.Process | None = None
+        self._path = folder / f"{number}.toml"
+        self._log = folder / f"{number}.log"
+        self._path.write_text(
+            SETTINGS.format(
+                name=f"edge-{number}",
+                ip=self.ip,
+                data_centre=data_centre,
+                front=self.front,
+                ready=ready,
+                peers=peers,
+                last=peers + 1,
+                revoke_ms=round(revoke_s * 1e3),
+                store=store_port,
+            )
+        )
+        self.ready_url = f"http://{self.ip}:{ready}/"
+
+    async def live(self, stop: asyncio.Event) -> None:
+        """Runs the program again and again until it is told to stop."""
+        env = {**os.environ, names.SETTINGS_VARIABLE: str(self._path)}
+        with self._log.open("ab") as log:
+            while not stop.is_set():
+                self.process = await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "rhubarblock.scripts.edge",
+                    stdout=log,
+                    stderr=log,
+                    env=env,
+                )
+                await self.process.wait()
+                await asyncio.sleep(0.2)
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal to the present process."""
+        if self.process is not None and self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
+
+def _find_port(ip: str) -> int:
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        port: int = probe.getsockname()[1]
+        return port
--- /dev/null
+++ b/tools/soak/proxy.py
@@ -0,0 +1,63 @@
+"""A loopback proxy between an instance and the store that a test can break."""
+
+import asyncio
+import contextlib
+
+# Bytes that are passed on at once.
+_PIECE = 1 << 16
+
+
+class SoakProxy:
+    """Passes connections on.
+
+    Attributes:
+      mode: empty passes on; ``silent`` keeps everything; ``reset`` breaks each
+        connection; ``deaf`` keeps what comes back, so that calls are done and
+        not answered.
+    """
+
+    def __init__(self, target: int):
+        self.mode = ""
+        self._target = target
+
+    @contextlib.asynccontextmanager
+    async def open(self):  # type: ignore[no-untyped-def]
+        """Listens while the context is open; yields its port."""
+        server = await asyncio.start_server(self._pass, "127.0.0.1", 0)
+        try:
+            yield server.sockets[0].getsockname()[1]
+        finally:
+            server.close()
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            far = await asyncio.open_connection("127.0.0.1", self._target)
+        except OSError:
+            writer.close()
+            return
+        ways = [
+            asyncio.ensure_future(self._copy(reader, far[1], False)),
+            asyncio.ensure_future(self._copy(far[0], writer, True)),
+        ]
+        await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+        for way in ways:
+            way.cancel()
+        await asyncio.gather(*ways, return_exceptions=True)
+        for end in (writer, far[1]):
+            end.close()
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_back: bool,
+    ) -> None:
+        while data := await reader.read(_PIECE):
+            if self.mode == "reset":
+                return
+            while self.mode == "silent" or (self.mode == "deaf" and is_back):
+                await asyncio.sleep(0.05)
+            writer.write(data)
+            await writer.drain()
--- /dev/null
+++ b/tools/soak/run.py
@@ -0,0 +1,285 @@
+"""Plays seeds of the soak: ``python -m tools.soak.run --seeds 1..50``."""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+
+import aiohttp
+import click
+
+from tools.soak import callers
+from tools.soak import engines
+from tools.soak import evidence as evidences
+from tools.soak import fleet
+from tools.soak import proxy as proxies
+from tools.soak import store as stores
+
+REVOKE_S = 3.0
+DATA_CENTRES = ("osu", "tema")
+INSTANCES = 4
+CALLERS = 10
+ENGINES = 6
+DESKS = 3
+# Seconds for which all may come up, and be quiet at the end.
+START_S = 20.0
+QUIET_S = 5.0
+
+ENGINE = {
+    "slots": 8,
+    "kvCapacityTokens": 450_000,
+    "stride": 46,
+    "step_ms": 0.4,
+    "read_per_s": 1e7,
+    "chunk": 2048,
+}
+
+
+def make_configuration(version: int, keys: list[str]) -> dict[str, object]:
+    """Returns what the operator writes."""
+
+    def route(name: str, kind: str, service: str) -> dict[str, object]:
+        return {
+            "name": name,
+            "host": "soak.example",
+            "pathPrefix": f"/{name}/",
+            "routeKind": kind,
+            "timeoutMs": 5000,
+            "targetLatencyMs": 500,
+            "gapTargetMs": 200 if kind == "streaming" else 0,
+            "streamResume": kind == "streaming",
+            "maxAttempts": 2,
+            "service": service,
+        }
+
+    return {
+        "version": version,
+        "routes": [
+            route("s", "streaming", "pool"),
+            route("once", "non_idempotent", "desk"),
+            route("again", "idempotent", "desk"),
+        ],
+        "services": [{"name": "pool", "engine": ENGINE}, {"name": "desk"}],
+        "tenants": [{"name": "w", "apiKeys": keys}],
+    }
+
+
+class Soak:
+    """One seed."""
+
+    def __init__(self, seed: int, folder: pathlib.Path):
+        self.rng = random.Random(seed)
+        self.network = 10 + seed % 200
+        self.folder = folder
+        self.store = stores.SoakStore()
+        self.evidence = evidences.Evidence()
+        self.keys = [f"key-{n}" for n in range(6)]
+        self.version = 1
+        self.stop = asyncio.Event()
+
+    async def play(self, length_s: float) -> evidences.Evidence:
+        """Plays for some seconds and returns what was seen."""
+        async with contextlib.AsyncExitStack() as stack:
+            group = await stack.enter_async_context(asyncio.TaskGroup())
+            _, store_port = await stack.enter_async_context(
+                stores.serve(self.store.handle)
+            )
+            self._write_configuration()
+            await self._start(stack, group, store_port)
+            await self._wait_ready()
+            faulting = group.create_task(self._inject_faults())
+            await asyncio.sleep(length_s)
+            faulting.cancel()
+            self._heal()
+            await asyncio.sleep(QUIET_S)
+            self._check_memory()
+            self.stop.set()
+            for instance in self.instances:
+                instance.send(signal.SIGKILL)
+        self.evidence.close()
+        return self.evidence
+
+    def _write_configuration(self) -> None:
+        self.version += self.rng.randint(1, 3)
+        self.store.put(
+            "config/main", make_configuration(self.version, self.keys)
+        )
+
+    async def _start(
+        self,
+        stack: contextlib.AsyncExitStack,
+        group: asyncio.TaskGroup,
+        store_port: int,
+    ) -> None:
+        self.endpoints = [
+            engines.SoakEndpoint(
+                "pool" if n < ENGINES else "desk",
+                DATA_CENTRES[n % len(DATA_CENTRES)],
+                self.store,
+                self.evidence,
+                REVOKE_S,
+                random.Random(self.rng.random()),
+            )
+            for n in range(ENGINES + DESKS)
+        ]
+        self.proxies = []
+        self.instances = []
+        for number in range(INSTANCES):
+            proxy = proxies.SoakProxy(store_port)
+            port = await stack.enter_async_context(proxy.open())
+            self.proxies.append(proxy)
+            self.instances.append(
+                fleet.SoakInstance(
+                    self.network,
+                    number,
+                    DATA_CENTRES[number % len(DATA_CENTRES)],
+                    port,
+                    REVOKE_S,
+                    self.folder,
+                )
+            )
+        for part in (*self.endpoints, *self.instances):
+            group.create_task(part.live(self.stop))
+
+    async def _wait_ready(self) -> None:
+        async with (
+            asyncio.timeout(START_S),
+            aiohttp.ClientSession() as session,
+        ):
+            for instance in self.instances:
+                while True:
+                    with contextlib.suppress(aiohttp.ClientError):
+                        async with session.get(instance.ready_url) as answer:
+                            if answer.status == 200:
+                                break
+                    await asyncio.sleep(0.1)
+        self.callers = [
+            callers.SoakCaller(
+                f"c{n}",
+                self.instances,
+                self.keys[:],
+                self.evidence,
+                random.Random(self.rng.random()),
+            )
+            for n in range(CALLERS)
+        ]
+        loop = asyncio.get_running_loop()
+        self.calling = [
+            loop.create_task(caller.live(self.stop)) for caller in self.callers
+        ]
+
+    async def _inject_faults(self) -> None:
+        faults = (
+            self._kill,
+            self._freeze,
+            self._terminate,
+            self._break_proxy,
+            self._break_store,
+            self._break_endpoint,
+            self._end_endpoint,
+            self._revoke,
+        )
+        running: set[asyncio.Task[None]] = set()
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.2, 1.2))
+            task = asyncio.ensure_future(self.rng.choice(faults)())
+            running.add(task)
+            task.add_done_callback(running.discard)
+
+    async def _kill(self) -> None:
+        self.rng.choice(self.instances).send(signal.SIGKILL)
+
+    async def _freeze(self) -> None:
+        instance = self.rng.choice(self.instances)
+        instance.send(signal.SIGSTOP)
+        await asyncio.sleep(self.rng.uniform(0.5, REVOKE_S + 2.0))
+        instance.send(signal.SIGCONT)
+
+    async def _terminate(self) -> None:
+        instance = self.rng.choice(self.instances)
+        instance.send(self.rng.choice([signal.SIGTERM, signal.SIGHUP]))
+
+    async def _break_proxy(self) -> None:
+        proxy = self.rng.choice(self.proxies)
+        proxy.mode = self.rng.choice(["silent", "reset", "deaf"])
+        await asyncio.sleep(self.rng.uniform(0.5, REVOKE_S + 2.0))
+        proxy.mode = ""
+
+    async def _break_store(self) -> None:
+        step = self.rng.choice(["refuses", "slow", "forgets"])
+        if step == "forgets":
+            self.store.forget_history()
+            return
+        self.store.refuses = step == "refuses"
+        self.store.delay_s = 0.3 if step == "slow" else 0.0
+        await asyncio.sleep(self.rng.uniform(0.5, 3.0))
+        self.store.refuses = False
+        self.store.delay_s = 0.0
+
+    async def _break_endpoint(self) -> None:
+        endpoint = self.rng.choice(self.endpoints)
+        endpoint.mode = self.rng.choice(["shed", "lose", "hang"])
+        await asyncio.sleep(self.rng.uniform(0.5, 3.0))
+        if endpoint.mode != "drain":
+            endpoint.mode = ""
+
+    async def _end_endpoint(self) -> None:
+        endpoint = self.rng.choice(self.endpoints)
+        endpoint.end(self.rng.choice(["crash", "drain"]))
+
+    async def _revoke(self) -> None:
+        if len(self.keys) > 2:
+            key = self.keys.pop(self.rng.randrange(len(self.keys)))
+            self._write_configuration()
+            self.evidence.revoked_s[key] = evidences.read_clock()
+
+    def _heal(self) -> None:
+        for proxy in self.proxies:
+            proxy.mode = ""
+        self.store.refuses = False
+        self.store.delay_s = 0.0
+        for endpoint in self.endpoints:
+            if endpoint.mode != "drain":
+                endpoint.mode = ""
+        for instance in self.instances:
+            instance.send(signal.SIGCONT)
+        for task in self.calling:
+            task.cancel()
+
+    def _check_memory(self) -> None:
+        held = sum(endpoint.count_leases() for endpoint in self.endpoints)
+        if held:
+            self.evidence.faults.append(f"{held} memory leases were not freed")
+
+
+async def play_seed(seed: int, length_s: float) -> evidences.Evidence:
+    """Plays one seed in a folder of its own."""
+    with tempfile.TemporaryDirectory() as folder:
+        return await Soak(seed, pathlib.Path(folder)).play(length_s)
+
+
+@click.command()
+@click.option("--seeds", default="1..3", help="first..last")
+@click.option("--seconds", default=12.0, help="length of the faults")
+def main(seeds: str, seconds: float) -> None:
+    """Plays seeds and says which broke a rule."""
+    first, _, last = seeds.partition("..")
+    broken = 0
+    for seed in range(int(first), int(last or first) + 1):
+        seen = asyncio.run(play_seed(seed, seconds))
+        served = seen.count(200)
+        click.echo(
+            f"seed {seed}: {len(seen.sent)} sent, {served} served, "
+            f"{len(seen.faults)} rules broken"
+        )
+        for fault in seen.faults:
+            click.echo(f"  {fault}")
+        broken += bool(seen.faults)
+    sys.exit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    main()
