--- a/rhubarblock/routing/parting.py
+++ b/rhubarblock/routing/parting.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 
 from rhubarblock.core import listed as lists
 from rhubarblock.core import route as routes
@@ -14,6 +15,8 @@
 
 # Most engines that read one prompt: the one that is asked and 16 helpers.
 MAX_PARTS = 17
+# Numbers of parts that are compared.
+COUNTS = (1, 2, 3, 4, 6, 8, 10, 12, 14, 17)
 # Parts are not made shorter than this many seconds: about the shortest pass,
 # which each further engine may have to end before it reads its part.
 SMALL_READ_S = 0.06
@@ -243,10 +246,18 @@
 def _list_counts(
     prompt: Prompt, model: routes.EngineModel, engines: int
 ) -> list[int]:
-    """Returns the numbers of parts that are worth looking at."""
+    """Returns the numbers of parts that are worth looking at.
+
+    A prompt that is soon read is not parted much, unless one engine can't hold
+    it.
+    """
     whole_s = model.predict_read(prompt.prompt_tokens)
-    most = min(MAX_PARTS, engines, max(1, int(whole_s / SMALL_READ_S)))
-    return [n for n in (1, 2, 3, 4, 6, 8, 10, 12, 14, 17) if n <= most] or [1]
+    most = max(1, int(whole_s / SMALL_READ_S))
+    needed = prompt.prompt_tokens + prompt.answer_tokens
+    if needed > MEMORY_PART * model.memory_tokens:
+        most = max(most, 2 * math.ceil(needed / LEASE_TOKENS))
+    most = min(MAX_PARTS, engines, most)
+    return [n for n in COUNTS if n <= most]
 
 
 def _rank_short(candidate: _Candidate, read_s: float) -> tuple[object, ...]:
--- a/rhubarblock/routing/parting_test.py
+++ b/rhubarblock/routing/parting_test.py
@@ -118,6 +118,17 @@
     assert held[0] > 0
 
 
+def test_prompt_that_is_soon_read_is_parted_if_no_engine_holds_it():
+    fast = dataclasses.replace(MODEL, read_per_ms=10_000.0, pair_ms=0.0)
+    huge = make_prompt(700_000, 0.8, 3.0)
+    choice = parting.Parter(make_book(), "osu").choose(
+        huge, make_engines(6), fast, 0.0
+    )
+    held = [part.tokens for part in choice.job.parts]
+    assert sum(held) == 701_600
+    assert sum(1 for tokens in held if tokens) == 4
+
+
 def test_prompt_that_nothing_can_hold_has_no_place():
     huge = make_prompt(1_000_000, 0.8, 3.0)
     assert choose(make_book(), huge, make_engines(3)) is None
