Move streams only where they begin sooner; let them wait for room

Change: an attempt is given up only if the parter finds it a place, and a sound engine only for one that begins in 0.6 of the time; what is under way waits for room, up to 1.5 s; new exchanges are still refused at once. Tests: leave, stay beside busier engines, stay alone.

--- a/rhubarblock/exchange/attempts.py
+++ b/rhubarblock/exchange/attempts.py
@@ -122,7 +122,7 @@
         self,
         flow: flows.Flow,
         place: placers.Place,
-        may_leave: Callable[[], bool],
+        may_leave: Callable[[silence.Reason], bool],
     ) -> None:
         """Runs an attempt until the caller has the whole answer.
 
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -9,6 +9,7 @@
 from rhubarblock.core import listed as lists
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import directory as directories
+from rhubarblock.exchange import flow as flows
 from rhubarblock.exchange import leases
 from rhubarblock.exchange import news as news_lib
 from rhubarblock.kernel import timers as timer_service
@@ -27,6 +28,9 @@
 # Predicted pauses of an engine, in pauses that are on time, from which a short
 # stream leaves it. Moving itself costs most of one such pause.
 MOVED_PAUSES = 1.2
+# Part of the silence before a stream that moving it may take: less gains
+# nothing for the reading that it costs.
+MOVE_PART = 0.6
 # Longest prompt in tokens with which an endpoint that failed is tried again.
 TRIAL_TOKENS = 8_000
 
@@ -139,6 +143,41 @@
             ids += [engine.endpoint_id for engine in place.helper_engines]
         return max(self._book.find(name).busy_until_s for name in ids)
 
+    def has_room(self, flow: flows.Flow) -> bool:
+        """Says whether an exchange that is under way has a place to go."""
+        return self._foresee(flow, flow.history.failed_endpoints) is not None
+
+    def can_move(self, flow: flows.Flow, place: Place, is_busy: bool) -> bool:
+        """Says whether an attempt had better go on elsewhere.
+
+        Args:
+          flow: the exchange.
+          place: where it is now.
+          is_busy: whether its engine is sound and only reads for others; then
+            another one must begin much sooner than this one goes on.
+        """
+        avoid = {place.endpoint.endpoint_id, *flow.history.failed_endpoints}
+        there_s = self._foresee(flow, avoid)
+        if there_s is None:
+            return False
+        free_s = self.predict_free(place, flow.sink.begun)
+        here_s = free_s - self._timers.read_monotonic()
+        return not is_busy or there_s < MOVE_PART * here_s
+
+    def _foresee(self, flow: flows.Flow, avoid: set[str]) -> float | None:
+        """Returns the seconds until an exchange would begin elsewhere."""
+        exchange = flow.exchange
+        endpoints = self._list_endpoints(exchange, avoid)
+        if not endpoints:
+            return None
+        model = exchange.service.engine
+        if model is None or not exchange.prompt_tokens:
+            return SERVICE_S
+        now_s = self._timers.read_monotonic()
+        prompt = _describe(exchange, "", flow.sink.begun)
+        choice = self._parter.choose(prompt, endpoints, model, now_s)
+        return choice.expected_s if choice else None
+
     @contextlib.contextmanager
     def watch_disturbance(
         self,
@@ -250,14 +289,8 @@
         now_s = self._timers.read_monotonic()
         self._book.expire(now_s)
         self._numbers += 1
-        prompt = parting.Prompt(
-            self._news.make_job_id(self._numbers),
-            exchange.prompt_tokens,
-            exchange.answer_tokens,
-            exchange.route.pause_s,
-            exchange.route.objective_s,
-            hurried,
-        )
+        job_id = self._news.make_job_id(self._numbers)
+        prompt = _describe(exchange, job_id, hurried)
         choice = self._parter.choose(prompt, endpoints, model, now_s)
         if choice is None:
             yield None
@@ -273,6 +306,19 @@
             self._news.tell_ended(choice.job.job_id)
 
 
+def _describe(
+    exchange: exchanges.Exchange, job_id: str, hurried: bool
+) -> parting.Prompt:
+    return parting.Prompt(
+        job_id,
+        exchange.prompt_tokens,
+        exchange.answer_tokens,
+        exchange.route.pause_s,
+        exchange.route.objective_s,
+        hurried,
+    )
+
+
 def _make_place(choice: parting.Choice) -> Place:
     """Returns the place of a choice, with the memory that helpers hold."""
     helpers = []
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -17,11 +17,16 @@
 from rhubarblock.exchange import leases
 from rhubarblock.exchange import outcomes
 from rhubarblock.exchange import placer as placers
+from rhubarblock.exchange import silence
 from rhubarblock.exchange import sink as sinks
 from rhubarblock.exchange import transport as transports
 
 # Seconds after which a caller that was refused may come back.
 RETRY_AFTER_S = 0.5
+# How often room is looked for by what is under way, and the seconds between: a
+# slot is free again within a short stream's length.
+ROOM_TRIES = 30
+ROOM_S = 0.05
 
 
 class ExchangeRelay:
@@ -91,14 +96,13 @@
     async def _try_once(self, flow: flows.Flow) -> failures.FailureError | None:
         """Makes one attempt and returns why it failed, if it did."""
         avoid = flow.history.failed_endpoints
+        await self._wait_for_room(flow)
         with self._placer.hold(flow.exchange, avoid, flow.sink.begun) as place:
             if place is None:
                 raise _give_up(flow, "no endpoint has room")
 
-            def may_leave() -> bool:
-                return not flow.is_last_attempt and self._outcomes.grant(
-                    flow.exchange
-                )
+            def may_leave(reason: silence.Reason) -> bool:
+                return self._may_leave(flow, place, reason)
 
             try:
                 await self._run_noted(flow, place, may_leave)
@@ -116,11 +120,38 @@
             self._crashes.note_served(flow.exchange)
             return None
 
+    def _may_leave(
+        self,
+        flow: flows.Flow,
+        place: placers.Place,
+        reason: silence.Reason,
+    ) -> bool:
+        """Takes what another attempt costs, if one is left and gains."""
+        if flow.is_last_attempt:
+            return False
+        is_busy = reason is silence.Reason.BUSY
+        if not self._placer.can_move(flow, place, is_busy):
+            return False
+        return self._outcomes.grant(flow.exchange)
+
+    async def _wait_for_room(self, flow: flows.Flow) -> None:
+        """Waits a while for room for what is under way already.
+
+        A new exchange is refused at once and its caller told when to come
+        back; one that was begun would be lost.
+        """
+        if not flow.history.attempts:
+            return
+        for _ in range(ROOM_TRIES):
+            if self._placer.has_room(flow):
+                return
+            await asyncio.sleep(ROOM_S)
+
     async def _run_noted(
         self,
         flow: flows.Flow,
         place: placers.Place,
-        may_leave: Callable[[], bool],
+        may_leave: Callable[[silence.Reason], bool],
     ) -> None:
         """Runs an attempt, and looks for a crash when its connection breaks."""
         with self._crashes.note_running(flow.exchange, place.endpoint):
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -9,6 +9,7 @@
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.platform import names
+from rhubarblock.routing import enginebook
 
 ONCE = fakes.make_route(routes.RouteKind.NON_IDEMPOTENT)
 STREAM = fakes.make_route(routes.RouteKind.STREAMING)
@@ -301,3 +302,76 @@
             return [n for n in range(1, 5) if parts.health.is_on_trial(f"e{n}")]
 
     assert asyncio.run(main())
+
+
+def make_long_reading(number, read_s):
+    part = enginebook.Part(f"e{number}", read_s)
+    return enginebook.Job(f"long{number}", (part,), 0.8)
+
+
+def run_beside_long_reading(*busy_too):
+    """Streams from the first engine while long reading is placed there.
+
+    Args:
+      *busy_too: seconds of reading that each further engine has.
+
+    Returns:
+      What the caller got, and the requests that arrived at each engine.
+    """
+
+    async def slow_events(head, writer):
+        writer.write(
+            f"HTTP/1.1 200 OK\r\n{fakes.ATTEMPT}: q1\r\n{fakes.SEAL}: s\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n".encode()
+        )
+        first = 3 if "Last-Event-Id" in head else 1
+        for number in range(first, 5):
+            fakes.write_chunk(writer, b"id: %d\ndata: x\n\n" % number)
+            await writer.drain()
+            if number == 2:
+                await asyncio.sleep(0.3)
+        writer.write(b"0\r\n\r\n")
+
+    async def main():
+        engines = [
+            fakes.ScriptedEndpoint(slow_events)
+            for _ in range(1 + len(busy_too))
+        ]
+        async with fakes.open_parts(*engines, service="pool") as parts:
+            now_s = asyncio.get_running_loop().time()
+            for number, read_s in enumerate(busy_too, 2):
+                if not read_s:
+                    continue
+                parts.book.add(make_long_reading(number, read_s), now_s)
+            sink = fakes.MemorySink()
+            exchange = fakes.make_exchange(
+                STREAM, fakes.ENGINES, prompt_tokens=2_000, answer_tokens=100
+            )
+            serving = asyncio.ensure_future(parts.relay.serve(exchange, sink))
+            while b"id: 2" not in sink.body:
+                await asyncio.sleep(0.005)
+            parts.book.add(make_long_reading(1, 2.0), now_s)
+            await serving
+            return sink, [len(engine.heads) for engine in engines]
+
+    return asyncio.run(main())
+
+
+def test_short_stream_leaves_an_engine_that_gets_long_reading():
+    sink, arrivals = run_beside_long_reading(0.0)
+    assert arrivals == [1, 1]
+    assert sink.body == b"".join(
+        b"id: %d\ndata: x\n\n" % number for number in (1, 2, 3, 4)
+    )
+
+
+def test_short_stream_stays_where_no_other_engine_begins_sooner():
+    sink, arrivals = run_beside_long_reading(1.9)
+    assert arrivals == [1, 0]
+    assert sink.finished
+
+
+def test_short_stream_stays_where_there_is_no_other_engine():
+    sink, arrivals = run_beside_long_reading()
+    assert arrivals == [1]
+    assert sink.finished
--- a/rhubarblock/exchange/silence.py
+++ b/rhubarblock/exchange/silence.py
@@ -54,7 +54,7 @@
         self,
         limit: asyncio.Timeout,
         predict_free: Callable[[], float],
-        may_leave: Callable[[], bool],
+        may_leave: Callable[[Reason], bool],
         timers: timer_service.Timers,
     ):
         """Creates a watch that does not watch yet.
@@ -64,7 +64,7 @@
           predict_free: says until when silence is explained, in monotonic
             seconds.
           may_leave: takes what another attempt costs; False if there is to be
-            none.
+            none, or nothing is gained by it.
           timers: clock and callbacks.
         """
         self._limit = limit
@@ -90,7 +90,7 @@
 
     def leave(self, reason: Reason) -> bool:
         """Gives the attempt up if it may go on elsewhere."""
-        if self.reason is not None or not self._may_leave():
+        if self.reason is not None or not self._may_leave(reason):
             return False
         self.reason = reason
         self._limit.reschedule(self._timers.read_monotonic())
@@ -118,7 +118,7 @@
 def watch_silence(
     limit: asyncio.Timeout,
     predict_free: Callable[[], float],
-    may_leave: Callable[[], bool],
+    may_leave: Callable[[Reason], bool],
     timers: timer_service.Timers,
 ) -> Iterator[SilenceWatch]:
     """Owns a watch while the context is open."""
--- a/rhubarblock/exchange/silence_test.py
+++ b/rhubarblock/exchange/silence_test.py
@@ -5,7 +5,7 @@
 from rhubarblock.kernel import virtualloop
 
 
-def run(patience_s, free_s=0.0, may_leave=lambda: True, signs=()):
+def run(patience_s, free_s=0.0, may_leave=lambda reason: True, signs=()):
     """Returns when and why an attempt is given up that never ends."""
 
     async def main():
@@ -45,12 +45,12 @@
 
 
 def test_attempt_that_nothing_can_follow_goes_on():
-    assert run(0.8, may_leave=lambda: False) == (20.0, None)
+    assert run(0.8, may_leave=lambda reason: False) == (20.0, None)
 
 
 def test_attempt_is_left_once_another_one_is_granted():
     answers = iter([False, False, True])
-    assert run(0.8, may_leave=lambda: next(answers)) == (
+    assert run(0.8, may_leave=lambda reason: next(answers)) == (
         1.3,
         silence.Reason.SILENT,
     )
@@ -63,7 +63,7 @@
         watch = silence.SilenceWatch(
             asyncio.timeout(None),
             lambda: 0.0,
-            lambda: paid.append(1) or True,
+            lambda reason: paid.append(1) or True,
             timers,
         )
         watch._limit.reschedule = lambda when_s: None
