--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -32,7 +32,6 @@
 from rhubarblock.exchange import statebook
 from rhubarblock.exchange import statefeed
 from rhubarblock.exchange import transport as transports
-from rhubarblock.fleet import member as members
 from rhubarblock.kernel import exposition
 from rhubarblock.kernel import life as lives
 from rhubarblock.kernel import logs
@@ -243,11 +242,10 @@
         peers = self.settings.peers
         own = listing.Listing(
             store,
-            members.Member(
+            listing.describe_entry(
                 self.settings.instance_id,
-                self.settings.data_centre,
                 str(peers),
-                0,
+                self.settings.data_centre,
             ),
         )
         while True:
--- a/rhubarblock/daemon/instance.py
+++ b/rhubarblock/daemon/instance.py
@@ -156,7 +156,13 @@
             await stack.enter_async_context(self.orders.run())
             await stack.enter_async_context(
                 listing.keep_listed(
-                    self.outside.store, self.membership.own, timers
+                    self.outside.store,
+                    listing.describe_entry(
+                        self.identity.instance_id,
+                        self.membership.own.address,
+                        self.identity.data_centre,
+                    ),
+                    timers,
                 )
             )
             stack.enter_context(self.parts.run_ticks())
--- a/rhubarblock/daemon/listing.py
+++ b/rhubarblock/daemon/listing.py
@@ -7,7 +7,6 @@
 from collections.abc import AsyncIterator
 import contextlib
 
-from rhubarblock.fleet import member as members
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.store import instances
 from rhubarblock.store import store as stores
@@ -21,18 +20,12 @@
 
     __slots__ = ("_name", "_store", "_value")
 
-    def __init__(self, store: stores.ObjectStore, own: members.Member):
+    def __init__(
+        self, store: stores.ObjectStore, own: instances.ListedInstance
+    ):
         self._store = store
         self._name = instances.name_object(own.instance_id)
-        self._value = instances.encode_instance(
-            instances.ListedInstance(
-                own.instance_id,
-                own.address,
-                own.data_centre,
-                "",
-                instances.InstanceKind.ENTRY,
-            )
-        )
+        self._value = instances.encode_instance(own)
 
     async def write(self) -> None:
         """Writes the line unless it stands there already."""
@@ -67,10 +60,19 @@
         return None if stored.value == self._value else stored.version
 
 
+def describe_entry(
+    instance_id: str, address: str, data_centre: str
+) -> instances.ListedInstance:
+    """Returns the line of an entry instance."""
+    return instances.ListedInstance(
+        instance_id, address, data_centre, "", instances.InstanceKind.ENTRY
+    )
+
+
 @contextlib.asynccontextmanager
 async def keep_listed(
     store: stores.ObjectStore,
-    own: members.Member,
+    own: instances.ListedInstance,
     timers: timer_service.Timers,
 ) -> AsyncIterator[None]:
     """Is in the platform's list while the context is open.
