Part the listening server from the instance that uses it

Change: connections and listeners stand in daemon/listener.py; no behaviour changed, the tests are the same.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -5,17 +5,15 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator
-from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
 import logging
 import random
-from typing import Any
 
 import aiohttp
 from aiohttp import web
 
+from rhubarblock.daemon import listener as listeners
 from rhubarblock.daemon import listing
 from rhubarblock.exchange import attempts
 from rhubarblock.exchange import authority as authorities
@@ -55,8 +53,6 @@
 # Part of the retries allowed to all instances that they share among them; the
 # rest is for those that count fewer peers than there are.
 RETRY_PART = 0.8
-# Connections that may wait to be accepted.
-BACKLOG = 1024
 # Seconds between two tries to find peers until the store answered once.
 RETRY_S = 1.0
 # Seconds for which a start waits for the list of its peers, and then for their
@@ -68,7 +64,6 @@
 
 StoreFactory = Callable[[aiohttp.ClientSession], stores.ObjectStore]
 LeaseFactory = Callable[[aiohttp.ClientSession], dialects.LeaseClient]
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
 class ExchangeInstance:
@@ -186,13 +181,15 @@
             self._rng,
         )
         self._callers = await stack.enter_async_context(
-            _serve(door.handle, settings.callers, KEEPALIVE_S)
+            listeners.open_listener(door.handle, settings.callers, KEEPALIVE_S)
         )
         await stack.enter_async_context(
-            _serve(self._answer_readiness, settings.readiness, KEEPALIVE_S)
+            listeners.open_listener(
+                self._answer_readiness, settings.readiness, KEEPALIVE_S
+            )
         )
         await stack.enter_async_context(
-            _serve(
+            listeners.open_listener(
                 statefeed.StateServer(
                     self.state, self.authority, news.source
                 ).handle,
@@ -201,7 +198,9 @@
             )
         )
         await stack.enter_async_context(
-            _serve(self._answer_metrics, settings.metrics, KEEPALIVE_S)
+            listeners.open_listener(
+                self._answer_metrics, settings.metrics, KEEPALIVE_S
+            )
         )
         follower = followers.StoreFollower(
             store,
@@ -324,95 +323,3 @@
             self.life.state.value,
             in_flight=self.life.in_flight,
         )
-
-
-class _Connection(web.RequestHandler):
-    """A caller's connection that knows whether it owes an answer."""
-
-    __slots__ = ("_registry", "owes_answer")
-
-    def __init__(
-        self, server: web.Server, registry: set["_Connection"], **options: Any
-    ):
-        super().__init__(server, **options)
-        self._registry = registry
-        self.owes_answer = False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._registry.add(self)
-        super().connection_made(transport)
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        self._registry.discard(self)
-        super().connection_lost(exc)
-
-    def data_received(self, data: bytes) -> None:
-        # From the first byte, as the request may be whole before its handler
-        # has begun to run.
-        self.owes_answer = True
-        super().data_received(data)
-
-
-class _Listener:
-    """A listening HTTP server that knows which connections are in use."""
-
-    __slots__ = ("_connections", "_handler", "_keepalive_s", "listener")
-
-    def __init__(self, handler: Handler, keepalive_s: float):
-        self._handler = handler
-        self._keepalive_s = keepalive_s
-        self._connections: set[_Connection] = set()
-        self.listener: asyncio.Server
-
-    def connect(self, server: web.Server) -> _Connection:
-        """Makes the protocol of a new connection."""
-        return _Connection(
-            server,
-            self._connections,
-            loop=asyncio.get_running_loop(),
-            keepalive_timeout=self._keepalive_s,
-            access_log=None,
-        )
-
-    def refuse_new(self) -> None:
-        """Closes idle connections now and the others after their answers.
-
-        The library's own ways would leave idle connections open, unread or
-        not, until the process ends.
-        """
-        self.listener.close()
-        for connection in list(self._connections):
-            if connection.owes_answer:
-                connection.close()
-            else:
-                connection.force_close()
-
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Runs the handler of a request."""
-        try:
-            return await self._handler(request)
-        finally:
-            connection = request.protocol
-            if isinstance(connection, _Connection):
-                connection.owes_answer = False
-
-
-@contextlib.asynccontextmanager
-async def _serve(
-    handler: Handler, address: settings_lib.SocketAddress, keepalive_s: float
-) -> AsyncIterator[_Listener]:
-    """Serves HTTP at an address while the context is open."""
-    served = _Listener(handler, keepalive_s)
-    server = web.Server(served.handle, handler_cancellation=True)
-    loop = asyncio.get_running_loop()
-    served.listener = await loop.create_server(
-        lambda: served.connect(server),
-        address.host,
-        address.port,
-        backlog=BACKLOG,
-    )
-    try:
-        yield served
-    finally:
-        served.listener.close()
-        await server.shutdown(EXIT_S / 2)
--- /dev/null
+++ b/rhubarblock/daemon/listener.py
@@ -0,0 +1,118 @@
+"""A listening HTTP server that can be left without losing a request."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+from typing import Any
+
+from aiohttp import web
+
+from rhubarblock.settings import exchange as settings_lib
+
+# Connections that may wait to be accepted.
+BACKLOG = 1024
+# Seconds that the bytes of the last answers get when the server is closed.
+SHUTDOWN_S = 0.3
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class CallerConnection(web.RequestHandler):
+    """A caller's connection that knows whether it owes an answer."""
+
+    __slots__ = ("_registry", "owes_answer")
+
+    def __init__(
+        self,
+        server: web.Server,
+        registry: set["CallerConnection"],
+        **options: Any,
+    ):
+        super().__init__(server, **options)
+        self._registry = registry
+        self.owes_answer = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._registry.add(self)
+        super().connection_made(transport)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self._registry.discard(self)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        # From the first byte, as the request may be whole before its handler
+        # has begun to run.
+        self.owes_answer = True
+        super().data_received(data)
+
+
+class Listener:
+    """A listening HTTP server that knows which connections are in use.
+
+    Attributes:
+      listener: the listening socket.
+    """
+
+    __slots__ = ("_connections", "_handler", "_keepalive_s", "listener")
+
+    def __init__(self, handler: Handler, keepalive_s: float):
+        self._handler = handler
+        self._keepalive_s = keepalive_s
+        self._connections: set[CallerConnection] = set()
+        self.listener: asyncio.Server
+
+    def connect(self, server: web.Server) -> CallerConnection:
+        """Makes the protocol of a new connection."""
+        return CallerConnection(
+            server,
+            self._connections,
+            loop=asyncio.get_running_loop(),
+            keepalive_timeout=self._keepalive_s,
+            access_log=None,
+        )
+
+    def refuse_new(self) -> None:
+        """Closes idle connections now and the others after their answers.
+
+        The library's own ways would leave idle connections open, unread or
+        not, until the process ends.
+        """
+        self.listener.close()
+        for connection in list(self._connections):
+            if connection.owes_answer:
+                connection.close()
+            else:
+                connection.force_close()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Runs the handler of a request."""
+        try:
+            return await self._handler(request)
+        finally:
+            connection = request.protocol
+            if isinstance(connection, CallerConnection):
+                connection.owes_answer = False
+
+
+@contextlib.asynccontextmanager
+async def open_listener(
+    handler: Handler, address: settings_lib.SocketAddress, keepalive_s: float
+) -> AsyncIterator[Listener]:
+    """Serves HTTP at an address while the context is open."""
+    served = Listener(handler, keepalive_s)
+    server = web.Server(served.handle, handler_cancellation=True)
+    loop = asyncio.get_running_loop()
+    served.listener = await loop.create_server(
+        lambda: served.connect(server),
+        address.host,
+        address.port,
+        backlog=BACKLOG,
+    )
+    try:
+        yield served
+    finally:
+        served.listener.close()
+        await server.shutdown(SHUTDOWN_S)
