Notice a reader that lost the store within the bound; wait for settings

Change: the pace of reads, waits and the age that is relied on are parts of the bound of the deployment (0.7, 0.4 and 1.3 s for two seconds).

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -50,9 +50,6 @@
 CHECK_S = 0.1
 # Seconds for which an idle connection of a caller is kept.
 KEEPALIVE_S = 20.0
-# Part of the retries allowed to all instances that they share among them; the
-# rest is for those that count fewer peers than there are.
-RETRY_PART = 0.8
 # Seconds between two tries to find peers until the store answered once.
 RETRY_S = 1.0
 # Seconds for which a start waits for the list of its peers, and then for their
@@ -159,11 +156,8 @@
         outcome = outcomes.Outcomes(
             self.health,
             news,
-            lambda: (
-                RETRY_PART
-                * settings.bounds.retry_slack
-                / news.count_instances()
-            ),
+            news.count_instances,
+            settings.bounds,
             self.timers,
             self.metrics,
         )
@@ -211,6 +205,7 @@
                 store_session, self.state, self.authority, self.timers
             ),
             news,
+            followers.Pace(settings.bounds.apply_s),
             self.timers,
             self._rng,
         )
--- a/rhubarblock/daemon/exchangeinstance_test.py
+++ b/rhubarblock/daemon/exchangeinstance_test.py
@@ -84,7 +84,6 @@
         metrics=find_port(),
         store=find_port(),
         bounds=fakes.BOUNDS,
-        max_files=1000,
     )
 
 
@@ -103,6 +102,7 @@
     running = asyncio.ensure_future(instance.run(stop))
     async with aiohttp.ClientSession() as session:
         while await ask_ready(session, settings) != 200:
+            assert not running.done(), running
             await asyncio.sleep(0.01)
         try:
             yield settings, session, stop, running
@@ -178,6 +178,7 @@
             stop = asyncio.Event()
             running = asyncio.ensure_future(instance.run(stop))
             while "instances/i1" not in store.objects:
+                assert not running.done(), running
                 await asyncio.sleep(0.01)
             running.cancel()
             await asyncio.gather(running, return_exceptions=True)
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -47,16 +47,7 @@
 )
 SERVICE = routes.ServiceSpec("desk", "/health", 100, None)
 ENGINES = routes.ServiceSpec("pool", "/health", 100, MODEL)
-BOUNDS = settings_lib.ExchangeBounds(
-    drain_s=2.0,
-    grace_s=8.0,
-    revoke_s=5.0,
-    retry_ratio=0.2,
-    retry_slack=100,
-    retry_window_s=10.0,
-    lease_max_s=20.0,
-    lease_idle_s=9.0,
-)
+BOUNDS = settings_lib.ExchangeBounds(retry_ratio=0.2, retry_slack=100)
 
 
 def make_route(kind=routes.RouteKind.IDEMPOTENT, **changes):
@@ -252,7 +243,12 @@
             self.placer,
             runner,
             outcomes.Outcomes(
-                self.health, self.news, lambda: 10, self.timers, self.metrics
+                self.health,
+                self.news,
+                lambda: 8,
+                BOUNDS,
+                self.timers,
+                self.metrics,
             ),
             crashes.CrashWatch(self.news, self.timers),
         )
--- a/rhubarblock/exchange/follower.py
+++ b/rhubarblock/exchange/follower.py
@@ -21,12 +21,15 @@
 from rhubarblock.store import backoff as backoffs
 from rhubarblock.store import store as stores
 
-# Seconds between two reads of the configuration. A change is in force after
-# one of them, and the lease outlasts four that fail.
-READ_INTERVAL_S = 1.0
-# Age of the state, in seconds, from which an instance does not rely on the
-# peer that it asks: two reads failed there.
-OLD_S = 2.5
+# Parts of the time in which a configuration must be in force everywhere: how
+# often it is read, how long a peer's answer waits for news, and the age from
+# which an instance reads the store itself. A reader that lost the store is
+# noticed after the last two together, which leaves time for the own read.
+READ_PART = 0.35
+WAIT_PART = 0.2
+OLD_PART = 0.65
+# Longest time between two reads, in seconds: the lease outlasts four that fail.
+READ_MOST_S = 1.0
 # Seconds between two looks at whether this instance is to read the store.
 ROLE_INTERVAL_S = 1.0
 # Seconds by which instances that have a reader wait longer after a failed read
@@ -40,6 +43,28 @@
 _logger = logging.getLogger(__name__)
 
 
+class Pace:
+    """How often the state is looked at.
+
+    Attributes:
+      read_s: seconds between two reads of the store.
+      wait_s: seconds for which a peer's answer waits for news.
+      old_s: age in seconds from which a peer's state is not relied on.
+    """
+
+    __slots__ = ("old_s", "read_s", "wait_s")
+
+    def __init__(self, apply_s: float):
+        """Derives the pace from a bound.
+
+        Args:
+          apply_s: seconds in which a configuration must be in force.
+        """
+        self.read_s = min(READ_MOST_S, READ_PART * apply_s)
+        self.wait_s = min(statefeed.WAIT_S, WAIT_PART * apply_s)
+        self.old_s = OLD_PART * apply_s
+
+
 class StoreFollower:
     """Keeps the state of one instance up to date."""
 
@@ -49,6 +74,7 @@
         "_client",
         "_dialect",
         "_news",
+        "_pace",
         "_reachable",
         "_reads_store",
         "_rng",
@@ -64,6 +90,7 @@
         authority: authorities.Authority,
         client: statefeed.StateClient,
         news: news_lib.News,
+        pace: Pace,
         timers: timer_service.Timers,
         rng: random.Random,
     ):
@@ -76,6 +103,7 @@
           authority: age of the state.
           client: asks peers.
           news: knows peers.
+          pace: how often the state is looked at.
           timers: clock and sleeps.
           rng: spreads waits.
         """
@@ -85,6 +113,7 @@
         self._authority = authority
         self._client = client
         self._news = news
+        self._pace = pace
         self._timers = timers
         self._rng = rng
         self._reachable = True
@@ -116,7 +145,7 @@
             self._set_role(True)
             if await self._read_store():
                 backoff.reset()
-                await self._timers.sleep(READ_INTERVAL_S)
+                await self._timers.sleep(self._pace.read_s)
                 continue
             await self._ask_anybody()
             others = 0.0 if reader is None else OTHERS_WAIT_S
@@ -125,7 +154,7 @@
     async def _ask(self, address: str) -> bool:
         """Asks a peer; says whether its state is young enough to rely on."""
         try:
-            await self._client.ask(address)
+            await self._client.ask(address, self._pace.wait_s)
         except statefeed.FeedError as error:
             _logger.info(
                 "a peer gave no state",
@@ -133,7 +162,7 @@
             )
             self._news.distrust(address)
             return False
-        return self._authority.age_s < OLD_S
+        return self._authority.age_s < self._pace.old_s
 
     async def _ask_anybody(self) -> None:
         """Asks peers, near ones first, until one has younger state."""
@@ -141,7 +170,7 @@
         for address in self._news.list_peers():
             with contextlib.suppress(statefeed.FeedError):
                 await self._client.ask(address, 0.0)
-                if self._authority.age_s < min(before_s, OLD_S):
+                if self._authority.age_s < min(before_s, self._pace.old_s):
                     return
 
     async def _read_store(self) -> bool:
--- a/rhubarblock/exchange/follower_test.py
+++ b/rhubarblock/exchange/follower_test.py
@@ -103,6 +103,7 @@
             side.authority,
             client,
             News(reader, *peers),
+            followers.Pace(2.0),
             side.timers,
             random.Random(1),
         )
@@ -114,10 +115,10 @@
 
 def test_first_instance_of_a_data_centre_reads_the_store():
     async def step(side, store, client):
-        await asyncio.sleep(10.5)
+        await asyncio.sleep(10.4)
         return store.reads, store.lists, client.asked, side.usable()
 
-    assert run(step) == (11, 1, [], ["a", "b"])
+    assert run(step) == (15, 1, [], ["a", "b"])
 
 
 def test_others_ask_it_and_make_no_calls():
@@ -190,3 +191,21 @@
         return side.authority.version, side.authority.find_valid()
 
     assert run(step) == (5, None)
+
+
+def test_reader_that_lost_the_store_is_noticed_within_the_bound():
+    # Its answers come in time and get older with each one.
+    async def step(side, store, client):
+        lost_s = side.timers.read_monotonic()
+        ask = client.ask
+
+        async def ask_older(address, wait_s=0.7):
+            client.age_s = side.timers.read_monotonic() - lost_s + wait_s
+            await ask(address, wait_s)
+
+        client.ask = ask_older
+        while not store.reads:
+            await asyncio.sleep(0.01)
+        return side.timers.read_monotonic() - lost_s
+
+    assert run(step, "10.0.0.1:1") < 1.9
--- a/rhubarblock/exchange/leases.py
+++ b/rhubarblock/exchange/leases.py
@@ -21,11 +21,12 @@
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.settings import exchange as settings_lib
 
-# Seconds of a lease: an engine whose holder was lost must have the memory back
-# within four seconds of the end of the request that used it.
-HOLD_S = 3.5
-# Seconds between two renewals; one that is lost leaves time for the next.
-RENEW_S = 1.5
+# Part of the time by which memory must be free after its request's end that a
+# lease lasts: an engine whose holder was lost gets it back in time.
+HOLD_PART = 0.85
+# Part of a lease after which it is renewed; a renewal that is lost leaves time
+# for the next.
+RENEW_PART = 0.42
 # Seconds after an order without an answer at which the memory is given back
 # once more: such an order may be carried out up to twelve seconds late.
 LATE_RELEASES_S = (2.5, 5.0, 8.0, 12.5)
@@ -80,7 +81,7 @@
         """Creates a holder; see ``open_holder``."""
         self._client = client
         self._timers = timers
-        self._hold_s = min(HOLD_S, bounds.lease_max_s)
+        self._hold_s = min(HOLD_PART * bounds.lease_free_s, bounds.lease_max_s)
         self._tasks: set[asyncio.Task[None]] = set()
 
     @contextlib.asynccontextmanager
@@ -135,7 +136,7 @@
 
     async def _renew(self, wanted: Sequence[Lease], unsure: set[str]) -> None:
         while True:
-            await self._timers.sleep(RENEW_S)
+            await self._timers.sleep(RENEW_PART * self._hold_s)
             await asyncio.gather(
                 *(self._reserve(lease, unsure) for lease in wanted)
             )
--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -17,7 +17,11 @@
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.relay import retrybudget
 from rhubarblock.routing import health as healths
+from rhubarblock.settings import exchange as settings_lib
 
+# Part of the repeats allowed to all instances that they share among them; the
+# rest is for those that count fewer peers than there are.
+SLACK_PART = 0.8
 # Upper bounds of the bands of prompt lengths, in tokens.
 BANDS = ((16_000, "short"), (120_000, "middle"), (450_000, "long"))
 
@@ -28,11 +32,12 @@
     """Learns from the attempts of one instance."""
 
     __slots__ = (
+        "_bounds",
         "_budgets",
+        "_count_instances",
         "_health",
         "_metrics",
         "_news",
-        "_read_floor",
         "_timers",
     )
 
@@ -40,7 +45,8 @@
         self,
         health: healths.Health,
         news: news_lib.News,
-        read_floor: Callable[[], float],
+        count_instances: Callable[[], int],
+        bounds: settings_lib.ExchangeBounds,
         timers: timer_service.Timers,
         metrics: metric_store.Metrics,
     ):
@@ -49,14 +55,15 @@
         Args:
           health: takes what attempts met.
           news: tells peers of endpoints that broke.
-          read_floor: retries that this instance may make in a window whatever
-            its successes; its share of what all may.
+          count_instances: how many share what may be repeated in any case.
+          bounds: how much may be repeated.
           timers: the clock.
           metrics: counters.
         """
         self._health = health
         self._news = news
-        self._read_floor = read_floor
+        self._count_instances = count_instances
+        self._bounds = bounds
         self._timers = timers
         self._metrics = metrics
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
@@ -159,10 +166,20 @@
         name = exchange.service.name
         budget = self._budgets.get(name)
         if budget is None:
-            budget = retrybudget.RetryBudget(self._timers, self._read_floor)
+            budget = retrybudget.RetryBudget(
+                self._timers,
+                self._share_slack,
+                self._bounds.retry_ratio,
+                self._bounds.retry_window_s,
+            )
             self._budgets[name] = budget
         return budget
 
+    def _share_slack(self) -> float:
+        """Returns the repeats that this instance may make in any case."""
+        slack = SLACK_PART * self._bounds.retry_slack
+        return slack / self._count_instances()
+
     def _log(
         self,
         flow: flows.Flow,
--- a/rhubarblock/platform/settings.py
+++ b/rhubarblock/platform/settings.py
@@ -60,7 +60,6 @@
         store=reader.read("platformSettings.address", _read_address)
         or _NOWHERE,
         bounds=_read_bounds(reader),
-        max_files=int(reader.read("limits.maxFds", _read_positive) or 0),
     )
     if reader.errors:
         return result.Failure(reader.errors)
@@ -78,12 +77,16 @@
 
     def read(self, name: str, convert: Callable[[Any], T]) -> T | None:
         """Returns a field by its dotted name, or None after an error."""
-        value: Any = self._fields
-        for part in name.split("."):
-            value = value.get(part) if isinstance(value, Mapping) else None
-        if value is None:
+        if self._find(name) is None:
             self.errors.append(settings_lib.SettingError(name, "is missing"))
             return None
+        return self.read_given(name, convert)
+
+    def read_given(self, name: str, convert: Callable[[Any], T]) -> T | None:
+        """Returns a field that may be missing, or None."""
+        value = self._find(name)
+        if value is None:
+            return None
         try:
             return convert(value)
         except ValueError as error:
@@ -91,23 +94,32 @@
             self.errors.append(settings_lib.SettingError(name, message))
             return None
 
+    def _find(self, name: str) -> Any:
+        value: Any = self._fields
+        for part in name.split("."):
+            value = value.get(part) if isinstance(value, Mapping) else None
+        return value
+
 
 _NOWHERE = settings_lib.SocketAddress("", 0)
 
 
 def _read_bounds(reader: _Reader) -> settings_lib.ExchangeBounds:
-    def read(name: str) -> float:
-        return reader.read(f"bounds.{name}", _read_positive) or 0.0
+    usual = settings_lib.ExchangeBounds()
+
+    def read(name: str, unit: float, default: float) -> float:
+        value = reader.read_given(f"bounds.{name}", _read_positive)
+        return default if value is None else value / unit
 
     return settings_lib.ExchangeBounds(
-        drain_s=read("drainMs") / _MS_PER_S,
-        grace_s=read("graceS"),
-        revoke_s=read("revokeMs") / _MS_PER_S,
-        retry_ratio=read("retryBudgetRatio"),
-        retry_slack=int(read("retryBudgetSlack")),
-        retry_window_s=read("budgetWindowS"),
-        lease_max_s=read("maxHoldMs") / _MS_PER_S,
-        lease_idle_s=read("idleMaxMs") / _MS_PER_S,
+        grace_s=read("graceS", 1.0, usual.grace_s),
+        apply_s=read("configApplyMs", _MS_PER_S, usual.apply_s),
+        revoke_s=read("revokeMs", _MS_PER_S, usual.revoke_s),
+        retry_ratio=read("retryBudgetRatio", 1.0, usual.retry_ratio),
+        retry_slack=int(read("retryBudgetSlack", 1.0, usual.retry_slack)),
+        retry_window_s=read("budgetWindowS", 1.0, usual.retry_window_s),
+        lease_max_s=read("maxHoldMs", _MS_PER_S, usual.lease_max_s),
+        lease_free_s=read("freeMs", _MS_PER_S, usual.lease_free_s),
     )
 
 
--- a/rhubarblock/platform/settings_test.py
+++ b/rhubarblock/platform/settings_test.py
@@ -48,7 +48,7 @@
         TEXT.replace("graceS = 8", "graceS = 0")
         .replace('zone = "osu-hall"', "zone = 4")
         .replace('front = "10.1.0.40:8227"', 'front = "nowhere"')
-        .replace("revokeMs = 5000\n", "")
+        .replace('[platformSettings]\naddress = "10.200.1.7:8223"\n', "")
         .replace("[7340,7355]", "[7340]")
     )
     failed = load(tmp_path, text)
@@ -58,11 +58,18 @@
         "not [7340]",
         "zone: a text is expected, not 4",
         "listen.front: an IP number and a port are expected, not 'nowhere'",
+        "platformSettings.address: is missing",
         "bounds.graceS: a number over 0 is expected, not 0",
-        "bounds.revokeMs: is missing",
     ]
 
 
+def test_bounds_that_a_deployment_does_not_promise_have_defaults(tmp_path):
+    text = TEXT.replace("revokeMs = 5000\n", "").replace("maxHoldMs", "other")
+    bounds = load(tmp_path, text).unwrap().bounds
+    assert bounds.revoke_s == 5.0
+    assert bounds.lease_max_s == 20.0
+
+
 def test_file_that_is_missing_or_broken_is_an_error(tmp_path):
     missing = settings.load_settings(tmp_path / "none.toml")
     assert isinstance(missing, result.Failure)
--- a/rhubarblock/relay/retrybudget.py
+++ b/rhubarblock/relay/retrybudget.py
@@ -33,20 +33,34 @@
 class RetryBudget:
     """Counts successes and retries in a sliding window."""
 
-    __slots__ = ("_read_floor", "_retries", "_slots", "_successes", "_timers")
+    __slots__ = (
+        "_ratio",
+        "_read_floor",
+        "_retries",
+        "_slots",
+        "_successes",
+        "_timers",
+        "_window_s",
+    )
 
     def __init__(
         self,
         timers: timer_service.Timers,
         read_floor: Callable[[], float] = lambda: RETRY_FLOOR,
+        ratio: float = RETRY_RATIO,
+        window_s: float = WINDOW_S,
     ):
         """Creates a budget without any success yet.
 
         Args:
           timers: the timer service.
           read_floor: retries allowed in the window whatever the successes.
+          ratio: retries allowed for each success in the window.
+          window_s: length of the window in seconds.
         """
         self._read_floor = read_floor
+        self._ratio = ratio
+        self._window_s = window_s
         self._timers = timers
         self._slots: collections.deque[_Slot] = collections.deque()
         # Sums over the slots.
@@ -62,7 +76,7 @@
         """Takes one retry from the budget if there is one."""
         slot = self._find_slot()
         floor = self._read_floor()
-        allowed = floor + RETRY_RATIO * self._successes
+        allowed = floor + self._ratio * self._successes
         if self._retries + 1 > allowed:
             return False
         if slot.retries + 1 > max(floor, BURST_PART * allowed):
@@ -75,7 +89,7 @@
         """Returns the present slot, after those that left the window."""
         now_s = self._timers.read_monotonic()
         slots = self._slots
-        while slots and now_s - slots[0].begun_s >= WINDOW_S:
+        while slots and now_s - slots[0].begun_s >= self._window_s:
             gone = slots.popleft()
             self._successes -= gone.successes
             self._retries -= gone.retries
--- a/rhubarblock/scripts/edge.py
+++ b/rhubarblock/scripts/edge.py
@@ -9,6 +9,7 @@
 import random
 import signal
 import sys
+import time
 
 import aiohttp
 import click
@@ -24,6 +25,8 @@
 from rhubarblock.settings import exchange as settings_lib
 
 CONFIG_STATUS = 2
+# Seconds between two looks at settings that can't be used.
+LOOK_AGAIN_S = 1.0
 
 _logger = logging.getLogger(__name__)
 
@@ -35,15 +38,43 @@
     type=click.Path(path_type=pathlib.Path),
     help="settings file; else the platform's variable names it",
 )
-def edge_command(path: pathlib.Path | None) -> None:
+@click.option("--check", is_flag=True, help="only check the settings file")
+def edge_command(path: pathlib.Path | None, check: bool) -> None:
     """Serves on the users' platform until SIGTERM, then drains."""
+    path = path or settings_loader.find_path()
+    if check:
+        sys.exit(check_settings(path))
     logs.configure("INFO", sys.stdout)
-    loaded = settings_loader.load_settings(path or settings_loader.find_path())
-    if isinstance(loaded, result.Failure):
-        for error in loaded.failure():
-            click.echo(str(error), err=True)
-        sys.exit(CONFIG_STATUS)
-    asyncio.run(serve(loaded.unwrap()))
+    asyncio.run(serve(wait_for_settings(path)))
+
+
+def check_settings(path: pathlib.Path) -> int:
+    """Prints every error of a settings file; returns the exit status."""
+    loaded = settings_loader.load_settings(path)
+    if isinstance(loaded, result.Success):
+        return 0
+    for error in loaded.failure():
+        click.echo(str(error), err=True)
+    return CONFIG_STATUS
+
+
+def wait_for_settings(path: pathlib.Path) -> settings_lib.ExchangeSettings:
+    """Returns the settings once they can be used.
+
+    Until then nothing listens, so the instance isn't ready; ending would only
+    make the platform start it again and again.
+    """
+    told: list[settings_lib.SettingError] = []
+    while True:
+        loaded = settings_loader.load_settings(path)
+        if isinstance(loaded, result.Success):
+            return loaded.unwrap()
+        errors = loaded.failure()
+        if errors != told:
+            told = errors
+            for error in errors:
+                _logger.error("setting refused", extra={"error": str(error)})
+        time.sleep(LOOK_AGAIN_S)
 
 
 async def serve(settings: settings_lib.ExchangeSettings) -> None:
--- /dev/null
+++ b/rhubarblock/scripts/edge_test.py
@@ -0,0 +1,46 @@
+from click.testing import CliRunner
+
+from rhubarblock.platform import settings_test
+from rhubarblock.scripts import edge
+
+
+def test_check_prints_every_error(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text('nodeName = 4\nip = "10.0.0.1"\n')
+    ran = CliRunner().invoke(
+        edge.edge_command, ["--check", "--settings", str(path)]
+    )
+    assert ran.exit_code == 2
+    lines = ran.output.splitlines()
+    assert lines.pop().endswith(".address: is missing")
+    assert lines == [
+        "internalPortRange: is missing",
+        "nodeName: a text is expected, not 4",
+        "zone: is missing",
+        "listen.front: is missing",
+        "listen.readyAddr: is missing",
+    ]
+
+
+def test_check_accepts_good_settings(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(settings_test.TEXT)
+    ran = CliRunner().invoke(
+        edge.edge_command, ["--check", "--settings", str(path)]
+    )
+    assert (ran.exit_code, ran.output) == (0, "")
+
+
+def test_bad_settings_are_waited_out(tmp_path, monkeypatch):
+    path = tmp_path / "settings.toml"
+    path.write_text("nodeName = ")
+    waits = []
+
+    def mend(delay_s):
+        waits.append(delay_s)
+        if len(waits) == 2:
+            path.write_text(settings_test.TEXT)
+
+    monkeypatch.setattr(edge.time, "sleep", mend)
+    assert edge.wait_for_settings(path).data_centre == "osu-hall"
+    assert waits == [1.0, 1.0]
--- a/rhubarblock/settings/exchange.py
+++ b/rhubarblock/settings/exchange.py
@@ -25,27 +25,30 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ExchangeBounds:
-    """Bounds in seconds that the deployment promises to its callers.
+    """Bounds that the deployment promises to its callers.
+
+    The defaults are for deployments that promise nothing of the kind; each is
+    at least as strict as what is known of any.
 
     Attributes:
-      drain_s: until a leaving endpoint gets nothing more.
-      grace_s: from the signal to stop until the process is killed.
-      revoke_s: until a removed key is refused everywhere.
+      grace_s: seconds from the signal to stop until the process is killed.
+      apply_s: seconds until a configuration is in force everywhere.
+      revoke_s: seconds until a removed key is refused everywhere.
       retry_ratio: repeats allowed for each request of a service.
-      retry_slack: repeats allowed besides.
-      retry_window_s: window in which both are counted.
-      lease_max_s: longest memory lease at an engine.
-      lease_idle_s: longest time for which a lease may stay unused.
+      retry_slack: repeats allowed besides, by all instances together.
+      retry_window_s: seconds of the window in which both are counted.
+      lease_max_s: longest memory lease at an engine, in seconds.
+      lease_free_s: seconds after a request's end by which its memory is free.
     """
 
-    drain_s: float
-    grace_s: float
-    revoke_s: float
-    retry_ratio: float
-    retry_slack: int
-    retry_window_s: float
-    lease_max_s: float
-    lease_idle_s: float
+    grace_s: float = 8.0
+    apply_s: float = 2.0
+    revoke_s: float = 5.0
+    retry_ratio: float = 0.1
+    retry_slack: int = 50
+    retry_window_s: float = 10.0
+    lease_max_s: float = 20.0
+    lease_free_s: float = 4.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -72,7 +75,6 @@
       metrics: where counters are read.
       store: address of the object API.
       bounds: promised bounds.
-      max_files: file descriptors that it may hold.
     """
 
     instance_id: str
@@ -83,4 +85,3 @@
     metrics: SocketAddress
     store: SocketAddress
     bounds: ExchangeBounds
-    max_files: int
