Hold requests at an instance that has just started

Change: a request waits up to a second at an instance that never had a configuration; with an expired lease it waits 0.3 s as before.

--- a/rhubarblock/exchange/frontdoor.py
+++ b/rhubarblock/exchange/frontdoor.py
@@ -23,6 +23,10 @@
 # Seconds for which a request waits for the lease of the configuration, as
 # after a freeze: one read of the store and some more.
 LEASE_WAIT_S = 0.3
+# Seconds for which a request waits at an instance that has just started: the
+# first read is under way, and a caller that was refused would come back later
+# than that.
+START_WAIT_S = 1.0
 # Seconds after which a caller may come back that no instance could check.
 LEASE_RETRY_S = 1.0
 
@@ -135,7 +139,8 @@
         body = await _read_body(
             request, table.bounds if table else routes.CallerBounds()
         )
-        table = await self._authority.wait_valid(LEASE_WAIT_S)
+        wait_s = START_WAIT_S if table is None else LEASE_WAIT_S
+        table = await self._authority.wait_valid(wait_s)
         if not self._listed.is_set():
             # The list comes right after the configuration at a start.
             with contextlib.suppress(TimeoutError):
--- a/rhubarblock/exchange/frontdoor_test.py
+++ b/rhubarblock/exchange/frontdoor_test.py
@@ -195,3 +195,18 @@
             return (await asked).status
 
     assert asyncio.run(main()) == 200
+
+
+def test_request_at_a_start_waits_for_the_configuration():
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(fakes.whole())
+        async with open_door(endpoint, table=None) as (parts, session, url):
+            asked = asyncio.ensure_future(
+                session.post(url + "/a/x", headers=make_headers())
+            )
+            while not parts.life.in_flight:
+                await asyncio.sleep(0.001)
+            parts.authority.install(TABLE, parts.authority.read_clock())
+            return (await asked).status
+
+    assert asyncio.run(main()) == 200
