Forget endpoints whose address another one has, and those that left

Cause: a 421 was only a refusal of one request, so each further one went there first until the list changed; what was known of endpoints that left stayed for good. Change: a misdirected endpoint is forgotten unless the list names it anew; each half minute what is known of endpoints that are not listed is dropped; a type that nothing used is gone. Figures: two tests.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -50,6 +50,8 @@
 CHECK_S = 0.1
 # Seconds for which an idle connection of a caller is kept.
 KEEPALIVE_S = 20.0
+# Seconds between two times at which endpoints that left are forgotten.
+TIDY_S = 30.0
 # Seconds between two tries to find peers until the store answered once.
 RETRY_S = 1.0
 # Seconds for which a start waits for the list of its peers, and then for their
@@ -141,6 +143,7 @@
             settings.data_centre,
             self.timers,
         )
+        stack.enter_context(self.timers.subscribe(TIDY_S, placer.tidy))
         lease_holder = await stack.enter_async_context(
             leases.open_holder(
                 self._make_leases(store_session), settings.bounds, self.timers
--- a/rhubarblock/exchange/attempts.py
+++ b/rhubarblock/exchange/attempts.py
@@ -37,16 +37,18 @@
 
     Attributes:
       at_fault: address of the endpoint that made it refuse, or empty.
+      misdirected: whether another endpoint has its address now.
     """
 
-    def __init__(self, status: int, at_fault: str):
+    def __init__(self, status: int, fields: dialects.AnswerFields):
         super().__init__(
             failures.Failure(
                 failures.FailureCode.NO_ENDPOINT,
                 f"the endpoint refused it with {status}",
             )
         )
-        self.at_fault = at_fault
+        self.at_fault = fields.at_fault
+        self.misdirected = fields.misdirected
 
 
 class LeftError(transports.AttemptError):
@@ -264,7 +266,7 @@
 def _check_refusal(answer: transports.Answer) -> None:
     """Raises what an endpoint's word that it did not run means."""
     if answer.fields.refused:
-        raise RefusedError(answer.status, answer.fields.at_fault)
+        raise RefusedError(answer.status, answer.fields)
 
 
 def _predict_patience(route: routes.Route, place: placers.Place) -> float:
--- a/rhubarblock/exchange/dialect.py
+++ b/rhubarblock/exchange/dialect.py
@@ -89,23 +89,6 @@
     at_fault: str
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class EngineReport:
-    """What an engine says of itself, some time ago.
-
-    Attributes:
-      queued: requests that wait.
-      running: requests that run.
-      memory_used: tokens of memory that can't yield.
-      pace: how many times longer than usual a step takes.
-    """
-
-    queued: int
-    running: int
-    memory_used: int
-    pace: float
-
-
 class LeaseAnswer(enum.Enum):
     """What an engine said to an order about memory."""
 
--- a/rhubarblock/exchange/directory.py
+++ b/rhubarblock/exchange/directory.py
@@ -92,6 +92,10 @@
         endpoint = self._endpoints.get(endpoint_id)
         return endpoint.listed if endpoint else None
 
+    def list_ids(self) -> set[str]:
+        """Returns the ids of all endpoints that are known."""
+        return set(self._endpoints)
+
     def list_usable(self, service: str) -> list[lists.ListedEndpoint]:
         """Returns the endpoints of a service that take new work.
 
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -127,6 +127,22 @@
             with self._hold_prompt(exchange, endpoints, hurried) as place:
                 yield place
 
+    def forget(self, place: Place) -> None:
+        """Takes in that another endpoint has the address of a place now.
+
+        It is not used again unless the list names it anew.
+        """
+        self._directory.remove(place.endpoint.endpoint_id)
+
+    async def tidy(self) -> None:
+        """Forgets what is known of endpoints that are not listed any more."""
+        ids = self._directory.list_ids()
+        self._book.keep_only(ids)
+        self._health.keep_only(ids)
+        for endpoint_id in [e for e in self._calls if e not in ids]:
+            if not self._calls[endpoint_id]:
+                del self._calls[endpoint_id]
+
     def predict_free(self, place: Place, begun: bool) -> float:
         """Returns when the engines of a place have read what they were given.
 
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -112,6 +112,8 @@
                     avoid.add(error.endpoint_id)
                 else:
                     avoid |= self._outcomes.blame_helper(place, error.at_fault)
+                    if error.misdirected:
+                        self._placer.forget(place)
                 return error
             except transports.AttemptError as error:
                 self._outcomes.note_failed(flow, place, error)
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -71,6 +71,35 @@
     assert failure.retry_after_s > 0.0
 
 
+def test_endpoint_whose_address_another_one_has_is_forgotten():
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(MISDIRECTED)
+        async with fakes.open_parts(endpoint) as parts:
+            with pytest.raises(failures.FailureError):
+                await parts.relay.serve(
+                    fakes.make_exchange(ONCE), fakes.MemorySink()
+                )
+            return parts.directory.list_usable("desk")
+
+    assert asyncio.run(main()) == []
+
+
+def test_what_is_known_of_endpoints_that_left_is_forgotten():
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(cut)
+        async with fakes.open_parts(endpoint) as parts:
+            with pytest.raises(failures.FailureError):
+                await parts.relay.serve(
+                    fakes.make_exchange(ONCE), fakes.MemorySink()
+                )
+            before = parts.health.is_on_trial("e1")
+            parts.directory.remove("e1")
+            await parts.placer.tidy()
+            return before, parts.health.is_on_trial("e1")
+
+    assert asyncio.run(main()) == (True, False)
+
+
 def test_idempotent_request_is_sent_again_after_a_cut():
     sink, failure, heads = run(cut, cut)
     assert len(heads) == 2
--- a/rhubarblock/routing/health.py
+++ b/rhubarblock/routing/health.py
@@ -128,6 +128,11 @@
         state = self._states.get(endpoint_id)
         return state.share if state else 0.0
 
+    def keep_only(self, endpoint_ids: set[str]) -> None:
+        """Forgets endpoints that are not there any more."""
+        for endpoint_id in [e for e in self._states if e not in endpoint_ids]:
+            del self._states[endpoint_id]
+
     def _note_silent(
         self, endpoint_id: str, data_centre: str, now_s: float
     ) -> None:
