--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -25,7 +25,7 @@
 ENGINES = 6
 DESKS = 3
 # Seconds for which all may come up, and be quiet at the end.
-START_S = 20.0
+START_S = 60.0
 QUIET_S = 5.0
 
 ENGINE = {
