Part the start of an instance by what it opens

Cause: one function of a hundred lines opened everything. Change: relay, listeners and follower are put together in functions of their own; no behaviour changed, the tests are the same.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -117,12 +117,10 @@
             await self._drain()
 
     async def _start(self, stack: contextlib.AsyncExitStack) -> None:
+        """Opens all parts; the stack closes them in the opposite order."""
         settings = self.settings
-        store_session = await stack.enter_async_context(aiohttp.ClientSession())
-        store = self._make_store(store_session)
-        session = await stack.enter_async_context(
-            transports.open_session(self._attempt_header)
-        )
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        store = self._make_store(session)
         start_id = f"{self._rng.getrandbits(32):08x}"
         news = news_lib.News(
             settings.instance_id,
@@ -135,23 +133,38 @@
         await stack.enter_async_context(
             news.open(settings.peers.host, settings.peers.port)
         )
+        relay = await self._open_relay(stack, session, news)
+        await self._listen(stack, relay, news)
+        follower = self._make_follower(session, store, news)
+        following = asyncio.create_task(self._follow(store, news, follower))
+        stack.callback(following.cancel)
+
+    async def _open_relay(
+        self,
+        stack: contextlib.AsyncExitStack,
+        session: aiohttp.ClientSession,
+        news: news_lib.News,
+    ) -> relays.ExchangeRelay:
+        """Puts together what serves an exchange."""
+        bounds = self.settings.bounds
         placer = placers.Placer(
             self.directory,
             self.book,
             self.health,
             news,
-            settings.data_centre,
+            self.settings.data_centre,
             self.timers,
         )
         stack.enter_context(self.timers.subscribe(TIDY_S, placer.tidy))
         lease_holder = await stack.enter_async_context(
-            leases.open_holder(
-                self._make_leases(store_session), settings.bounds, self.timers
-            )
+            leases.open_holder(self._make_leases(session), bounds, self.timers)
+        )
+        endpoint_session = await stack.enter_async_context(
+            transports.open_session(self._attempt_header)
         )
         runner = attempts.AttemptRunner(
             placer,
-            transports.EndpointTransport(session, self._dialect),
+            transports.EndpointTransport(endpoint_session, self._dialect),
             self.health,
             lease_holder,
             self.timers,
@@ -160,13 +173,21 @@
             self.health,
             news,
             news.count_instances,
-            settings.bounds,
+            bounds,
             self.timers,
             self.metrics,
         )
-        relay = relays.ExchangeRelay(
-            placer, runner, outcome, crashes.CrashWatch(news, self.timers)
-        )
+        crash_watch = crashes.CrashWatch(news, self.timers)
+        return relays.ExchangeRelay(placer, runner, outcome, crash_watch)
+
+    async def _listen(
+        self,
+        stack: contextlib.AsyncExitStack,
+        relay: relays.ExchangeRelay,
+        news: news_lib.News,
+    ) -> None:
+        """Listens for callers, the balancer, peers and scrapers."""
+        settings = self.settings
         door = frontdoor.FrontDoor(
             self.authority,
             self._dialect,
@@ -177,43 +198,40 @@
             self.metrics,
             self._rng,
         )
+        feed = statefeed.StateServer(self.state, self.authority, news.source)
         self._callers = await stack.enter_async_context(
             listeners.open_listener(door.handle, settings.callers, KEEPALIVE_S)
         )
-        await stack.enter_async_context(
-            listeners.open_listener(
-                self._answer_readiness, settings.readiness, KEEPALIVE_S
-            )
-        )
-        await stack.enter_async_context(
-            listeners.open_listener(
-                statefeed.StateServer(
-                    self.state, self.authority, news.source
-                ).handle,
-                settings.peers,
-                KEEPALIVE_S,
-            )
-        )
-        await stack.enter_async_context(
-            listeners.open_listener(
-                self._answer_metrics, settings.metrics, KEEPALIVE_S
+        for handler, address in (
+            (self._answer_readiness, settings.readiness),
+            (feed.handle, settings.peers),
+            (self._answer_metrics, settings.metrics),
+        ):
+            await stack.enter_async_context(
+                listeners.open_listener(handler, address, KEEPALIVE_S)
             )
+
+    def _make_follower(
+        self,
+        session: aiohttp.ClientSession,
+        store: stores.ObjectStore,
+        news: news_lib.News,
+    ) -> followers.StoreFollower:
+        """Returns what keeps the state up to date."""
+        client = statefeed.StateClient(
+            session, self.state, self.authority, self.timers
         )
-        follower = followers.StoreFollower(
+        return followers.StoreFollower(
             store,
             self._dialect,
             self.state,
             self.authority,
-            statefeed.StateClient(
-                store_session, self.state, self.authority, self.timers
-            ),
+            client,
             news,
-            followers.Pace(settings.bounds.apply_s),
+            followers.Pace(self.settings.bounds.apply_s),
             self.timers,
             self._rng,
         )
-        following = asyncio.create_task(self._follow(store, news, follower))
-        stack.callback(following.cancel)
 
     async def _follow(
         self,
