End the soak's processes when the soak is ended

Cause: ended from outside, the soak left ten instances running. Change: a signal to end is an interrupt, and each instance's process is ended with its task.

--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -86,7 +86,11 @@
                     stderr=log,
                     env=env,
                 )
-                await self.process.wait()
+                try:
+                    await self.process.wait()
+                finally:
+                    # Nothing is left behind when the soak itself is ended.
+                    self.send(signal.SIGKILL)
                 await asyncio.sleep(0.2)
 
     def send(self, number: signal.Signals) -> None:
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -266,6 +266,8 @@
 @click.option("--seconds", default=12.0, help="length of the faults")
 def main(seeds: str, seconds: float) -> None:
     """Plays seeds and says which broke a rule."""
+    # A signal to end is an interrupt, so that every process is ended too.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     first, _, last = seeds.partition("..")
     broken = 0
     for seed in range(int(first), int(last or first) + 1):
