Say once what stood twice in the serving of exchanges

Cause: a read of the whole change found the same greeting and liveness check written twice in the news, the same header filter twice in the adapter, the same test for a prompt twice in the placer, a counter left from an earlier tie break, and the same life log in both instances. Change: each has one place (kernel/life.log_step, heads._keep, _Peer.is_alive, _find_model); the leftover counter is gone. The greeting is spelled compactly like every other datagram.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -32,7 +32,6 @@
 from rhubarblock.exchange import transport as transports
 from rhubarblock.kernel import exposition
 from rhubarblock.kernel import life as lives
-from rhubarblock.kernel import logs
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import enginebook
@@ -330,12 +329,4 @@
         )
 
     def _log_life(self, step: Callable[[], None]) -> None:
-        before = self.life.state.value
-        step()
-        logs.log_state_change(
-            _logger,
-            f"instance {self.settings.instance_id}",
-            before,
-            self.life.state.value,
-            in_flight=self.life.in_flight,
-        )
+        lives.log_step(_logger, self.life, self.settings.instance_id, step)
--- a/rhubarblock/daemon/instance.py
+++ b/rhubarblock/daemon/instance.py
@@ -33,7 +33,6 @@
 from rhubarblock.fleet import orphans
 from rhubarblock.fleet import peertransport
 from rhubarblock.kernel import life as lives
-from rhubarblock.kernel import logs
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import registry as registries
 from rhubarblock.relay import claims
@@ -380,12 +379,4 @@
         self._log_life(self.life.mark_stopped)
 
     def _log_life(self, step: Callable[[], None]) -> None:
-        before = self.life.state.value
-        step()
-        logs.log_state_change(
-            _logger,
-            f"instance {self.identity.instance_id}",
-            before,
-            self.life.state.value,
-            in_flight=self.life.in_flight,
-        )
+        lives.log_step(_logger, self.life, self.identity.instance_id, step)
--- a/rhubarblock/exchange/news.py
+++ b/rhubarblock/exchange/news.py
@@ -60,6 +60,10 @@
     data_centre: str = ""
     distrusted_until_s: float = 0.0
 
+    def is_alive(self, now_s: float) -> bool:
+        """Says whether it spoke lately."""
+        return now_s - self.heard_s <= ALIVE_S
+
 
 class News(asyncio.DatagramProtocol):
     """Tells peers of placed work and hears of theirs."""
@@ -86,6 +90,7 @@
         self._own_id = own_id
         self._prefix = f"{own_id}.{start_id}"
         self._data_centre = data_centre
+        self._greeting = [_GREETING, own_id, data_centre]
         self._book = book
         self._health = health
         self._timers = timers
@@ -142,10 +147,7 @@
         for address, peer in self._peers.items():
             if peer.data_centre != self._data_centre:
                 continue
-            if (
-                now_s - peer.heard_s > ALIVE_S
-                or now_s < peer.distrusted_until_s
-            ):
+            if not peer.is_alive(now_s) or now_s < peer.distrusted_until_s:
                 continue
             if best is None or peer.instance_id < best[0]:
                 best = (peer.instance_id, address)
@@ -167,13 +169,13 @@
         alive = [
             (peer.data_centre != self._data_centre, "{}:{}".format(*address))
             for address, peer in self._peers.items()
-            if now_s - peer.heard_s <= ALIVE_S
+            if peer.is_alive(now_s)
         ]
         return [address for _, address in sorted(alive)][:MOST_ASKED]
 
     async def greet(self) -> None:
         """Gives a sign of life."""
-        self._send([_GREETING, self._own_id, self._data_centre])
+        self._send(self._greeting)
 
     def tell_placed(self, job: enginebook.Job) -> None:
         """Tells peers of a job that was placed."""
@@ -206,7 +208,8 @@
         peer = self._peers.get(addr)
         if peer is None:
             peer = self._peers[addr] = _Peer(now_s)
-            self._tell([_GREETING, self._own_id, self._data_centre], addr)
+            if self._transport is not None:
+                self._transport.sendto(_encode(self._greeting), addr)
         peer.heard_s = now_s
         try:
             self._take(json.loads(data), peer, now_s)
@@ -238,7 +241,7 @@
     def _send(self, fields: list[Any]) -> None:
         if self._transport is None:
             return
-        data = json.dumps(fields, separators=(",", ":")).encode()
+        data = _encode(fields)
         oldest_s = self._timers.read_monotonic() - SILENT_S
         for address, peer in list(self._peers.items()):
             if peer.heard_s < oldest_s:
@@ -246,6 +249,6 @@
                 continue
             self._transport.sendto(data, address)
 
-    def _tell(self, fields: list[Any], address: tuple[str, int]) -> None:
-        if self._transport is not None:
-            self._transport.sendto(json.dumps(fields).encode(), address)
+
+def _encode(fields: list[Any]) -> bytes:
+    return json.dumps(fields, separators=(",", ":")).encode()
--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -95,7 +95,7 @@
                 "prompt_tokens": exchange.prompt_tokens,
                 "parts": 1 + len(place.helpers),
                 "expected_s": round(place.expected_s, 3),
-                "first_s": round(flow.progress.first_s or 0.0, 3),
+                "first_s": round(first_s, 3),
                 "longest_pause_s": round(flow.progress.longest_pause_s, 3),
                 "total_s": round(now_s - exchange.arrived_s, 3),
                 "failed_attempts": flow.history.attempts,
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -7,6 +7,7 @@
 
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import listed as lists
+from rhubarblock.core import route as routes
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import directory as directories
 from rhubarblock.exchange import flow as flows
@@ -120,12 +121,14 @@
         endpoints = self._list_endpoints(exchange, avoid)
         if not endpoints:
             yield None
-        elif exchange.service.engine is None or not exchange.prompt_tokens:
+            return
+        model = _find_model(exchange)
+        if model is None:
             with self._hold_call(endpoints) as place:
                 yield place
-        else:
-            with self._hold_prompt(exchange, endpoints, hurried) as place:
-                yield place
+            return
+        with self._hold_prompt(exchange, endpoints, model, hurried) as place:
+            yield place
 
     def forget(self, place: Place) -> None:
         """Takes in that another endpoint has the address of a place now.
@@ -186,8 +189,8 @@
         endpoints = self._list_endpoints(exchange, avoid)
         if not endpoints:
             return None
-        model = exchange.service.engine
-        if model is None or not exchange.prompt_tokens:
+        model = _find_model(exchange)
+        if model is None:
             return SERVICE_S
         now_s = self._timers.read_monotonic()
         prompt = _describe(exchange, "", flow.sink.begun)
@@ -274,7 +277,6 @@
         self, endpoints: list[lists.ListedEndpoint]
     ) -> Iterator[Place]:
         chosen = min(endpoints, key=self._weigh_call)
-        self._numbers += 1
         self._health.note_chosen(
             chosen.endpoint_id, self._timers.read_monotonic()
         )
@@ -298,10 +300,9 @@
         self,
         exchange: exchanges.Exchange,
         endpoints: list[lists.ListedEndpoint],
+        model: routes.EngineModel,
         hurried: bool,
     ) -> Iterator[Place | None]:
-        model = exchange.service.engine
-        assert model is not None
         now_s = self._timers.read_monotonic()
         self._book.expire(now_s)
         self._numbers += 1
@@ -322,6 +323,11 @@
             self._news.tell_ended(choice.job.job_id)
 
 
+def _find_model(exchange: exchanges.Exchange) -> routes.EngineModel | None:
+    """Returns what the steps of its engines cost; None for a plain call."""
+    return exchange.service.engine if exchange.prompt_tokens else None
+
+
 def _describe(
     exchange: exchanges.Exchange, job_id: str, hurried: bool
 ) -> parting.Prompt:
--- a/rhubarblock/kernel/life.py
+++ b/rhubarblock/kernel/life.py
@@ -9,11 +9,13 @@
 from collections.abc import Iterator
 import contextlib
 import enum
+import logging
 from typing import Any
 
 import transitions
 
 from rhubarblock.core import failure as failures
+from rhubarblock.kernel import logs
 
 
 class LifeState(enum.Enum):
@@ -157,3 +159,28 @@
             return
         for hook in self._hooks:
             hook(before, after)
+
+
+def log_step(
+    logger: logging.Logger,
+    life: InstanceLife,
+    instance_id: str,
+    step: Callable[[], None],
+) -> None:
+    """Takes a step of a life and writes the line of its change.
+
+    Args:
+      logger: logger of the module that takes it.
+      life: the life.
+      instance_id: whose life it is.
+      step: such as ``life.mark_ready``.
+    """
+    before = life.state.value
+    step()
+    logs.log_state_change(
+        logger,
+        f"instance {instance_id}",
+        before,
+        life.state.value,
+        in_flight=life.in_flight,
+    )
--- a/rhubarblock/platform/heads.py
+++ b/rhubarblock/platform/heads.py
@@ -63,24 +63,14 @@
       connection: value of the field that names further ones that concern one
         connection only.
     """
-    dropped = _HOP_BY_HOP | _OWN | _split_names(connection)
-    return tuple(
-        exchanges.Header(name, value)
-        for name, value in fields
-        if name.lower() not in dropped
-    )
+    return _keep(fields, _HOP_BY_HOP | _OWN | _split_names(connection))
 
 
 def pass_back(
     fields: Iterable[tuple[str, str]], connection: str
 ) -> tuple[exchanges.Header, ...]:
     """Returns an endpoint's fields that go to the caller unchanged."""
-    dropped = _HOP_BY_HOP | _split_names(connection)
-    return tuple(
-        exchanges.Header(name, value)
-        for name, value in fields
-        if name.lower() not in dropped
-    )
+    return _keep(fields, _HOP_BY_HOP | _split_names(connection))
 
 
 def address(
@@ -117,6 +107,16 @@
     )
 
 
+def _keep(
+    fields: Iterable[tuple[str, str]], dropped: frozenset[str]
+) -> tuple[exchanges.Header, ...]:
+    return tuple(
+        exchanges.Header(name, value)
+        for name, value in fields
+        if name.lower() not in dropped
+    )
+
+
 def _format_helper(helper: dialects.Helper) -> str:
     if helper.lease_id:
         return f"{helper.address}/{helper.lease_id}"
