--- a/rhubarblock/admin/api.py
+++ b/rhubarblock/admin/api.py
@@ -27,7 +27,7 @@
 from rhubarblock.core import catalogue as catalogues
 from rhubarblock.core import failure as failures
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.platform import store as stores
+from rhubarblock.store import store as stores
 
 PREFIX = "/admin/v1"
 # A catalogue must fit into one object of the platform; its text is longer.
--- a/rhubarblock/catalogue/archive.py
+++ b/rhubarblock/catalogue/archive.py
@@ -12,7 +12,7 @@
 from rhubarblock.catalogue import audit
 from rhubarblock.catalogue import codec
 from rhubarblock.core import catalogue as catalogues
-from rhubarblock.platform import store as stores
+from rhubarblock.store import store as stores
 
 CURRENT_OBJECT = "catalogue/current"
 AUDIT_PREFIX = "audit/"
--- a/rhubarblock/catalogue/changes.py
+++ b/rhubarblock/catalogue/changes.py
@@ -24,7 +24,7 @@
 from rhubarblock.core import failure as failures
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.platform import store as stores
+from rhubarblock.store import store as stores
 
 # How often an unsure write is tried and read back, and how long between.
 COMMIT_ATTEMPTS = 6
--- a/rhubarblock/catalogue/codec_test.py
+++ b/rhubarblock/catalogue/codec_test.py
@@ -8,7 +8,7 @@
 from rhubarblock.catalogue import diff
 from rhubarblock.catalogue import samples_test as samples
 from rhubarblock.core import catalogue as catalogues
-from rhubarblock.platform import store as stores
+from rhubarblock.store import store as stores
 
 
 def make_record():
--- a/rhubarblock/catalogue/fakestore_test.py
+++ b/rhubarblock/catalogue/fakestore_test.py
@@ -7,7 +7,7 @@
 import pytest
 
 from rhubarblock.kernel import virtualloop
-from rhubarblock.platform import store as stores
+from rhubarblock.store import store as stores
 
 _Kind = stores.StoreErrorKind
 
--- /dev/null
+++ b/rhubarblock/core/listed.py
@@ -0,0 +1,24 @@
+"""An endpoint as the list of endpoints shows it."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ListedEndpoint:
+    """One line of the list.
+
+    Attributes:
+      endpoint_id: names one start of an endpoint.
+      address: ``host:port`` with an IP number.
+      data_centre: data centre in which it runs.
+      service: service that it belongs to.
+      slots: requests that it runs at once.
+      draining: whether it is about to leave and wants no new work.
+    """
+
+    endpoint_id: str
+    address: str
+    data_centre: str
+    service: str
+    slots: int
+    draining: bool
--- a/rhubarblock/daemon/endpointwatch.py
+++ b/rhubarblock/daemon/endpointwatch.py
@@ -10,9 +10,9 @@
 from rhubarblock.fleet import endpoints as endpointtables
 from rhubarblock.fleet import engineclient
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import instances
-from rhubarblock.platform import store as stores
 from rhubarblock.routing import loadtable
+from rhubarblock.store import instances
+from rhubarblock.store import store as stores
 
 LIST_INTERVAL_S = 1.0
 LOAD_INTERVAL_S = 0.25
--- /dev/null
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -0,0 +1,249 @@
+"""An instance that passes opaque exchanges on, put together.
+
+It has no disk and is told nothing of its peers: configuration, endpoints and
+the other instances all come from the store.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import logging
+import random
+
+import aiohttp
+from aiohttp import web
+
+from rhubarblock.daemon import listing
+from rhubarblock.exchange import authority as authorities
+from rhubarblock.exchange import dialect as dialects
+from rhubarblock.exchange import directory as directories
+from rhubarblock.exchange import follower as followers
+from rhubarblock.exchange import frontdoor
+from rhubarblock.exchange import news as news_lib
+from rhubarblock.exchange import placer as placers
+from rhubarblock.exchange import relay as relays
+from rhubarblock.exchange import transport as transports
+from rhubarblock.fleet import member as members
+from rhubarblock.kernel import life as lives
+from rhubarblock.kernel import logs
+from rhubarblock.kernel import metrics as metric_store
+from rhubarblock.kernel import timers as timer_service
+from rhubarblock.routing import enginebook
+from rhubarblock.routing import health as healths
+from rhubarblock.settings import exchange as settings_lib
+from rhubarblock.store import instances
+from rhubarblock.store import store as stores
+
+# Seconds after the signal to stop for which new connections are still taken:
+# a balancer that asks once a second needs two refusals to see it.
+LEAVE_S = 2.6
+# Seconds that are kept of the grace for the last bytes and the exit.
+EXIT_S = 0.6
+# Seconds between two looks at whether the last request ended.
+CHECK_S = 0.1
+# Seconds for which an idle connection of a caller is kept.
+KEEPALIVE_S = 20.0
+# Connections that may wait to be accepted.
+BACKLOG = 1024
+# Milliseconds; how often peers are looked for until the store answered once.
+RETRY_S = 1.0
+
+_logger = logging.getLogger(__name__)
+
+StoreFactory = Callable[[aiohttp.ClientSession], stores.ObjectStore]
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class ExchangeInstance:
+    """One instance; ``run`` serves until it is told to stop."""
+
+    def __init__(
+        self,
+        settings: settings_lib.ExchangeSettings,
+        dialect: dialects.Dialect,
+        make_store: StoreFactory,
+        attempt_header: str,
+        rng: random.Random,
+    ):
+        """Creates the parts that need no running loop.
+
+        Args:
+          settings: checked settings.
+          dialect: spelling of the deployment.
+          make_store: makes the client of the store on a session.
+          attempt_header: name of the field that answers echo.
+          rng: source of jitter and choices.
+        """
+        self.settings = settings
+        self.life = lives.InstanceLife()
+        self.metrics = metric_store.Metrics()
+        self.timers = timer_service.LoopTimers()
+        self.authority = authorities.Authority(settings.bounds.revoke_s)
+        self.directory = directories.Directory(self.timers)
+        self.book = enginebook.EngineBook()
+        self.health = healths.Health()
+        self._dialect = dialect
+        self._make_store = make_store
+        self._attempt_header = attempt_header
+        self._rng = rng
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serves until the event is set, then drains.
+
+        Raises:
+          OSError: an address can't be listened on.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            await self._start(stack)
+            await self._become_ready(stop)
+            await stop.wait()
+            await self._drain()
+
+    async def _start(self, stack: contextlib.AsyncExitStack) -> None:
+        settings = self.settings
+        store_session = await stack.enter_async_context(aiohttp.ClientSession())
+        store = self._make_store(store_session)
+        session = await stack.enter_async_context(
+            transports.open_session(self._attempt_header)
+        )
+        start_id = f"{self._rng.getrandbits(32):08x}"
+        news = news_lib.News(
+            settings.instance_id, start_id, self.book, self.timers
+        )
+        await stack.enter_async_context(
+            news.open(settings.peers.host, settings.peers.port)
+        )
+        placer = placers.Placer(
+            self.directory, self.book, self.health, news, self.timers
+        )
+        relay = relays.ExchangeRelay(
+            placer,
+            transports.EndpointTransport(session, self._dialect),
+            self.health,
+            self.timers,
+            self.metrics,
+        )
+        door = frontdoor.FrontDoor(
+            self.authority,
+            self._dialect,
+            relay,
+            self.life,
+            self.timers,
+            self.metrics,
+            self._rng,
+        )
+        await stack.enter_async_context(
+            _serve(door.handle, settings.callers, KEEPALIVE_S)
+        )
+        await stack.enter_async_context(
+            _serve(self._answer_readiness, settings.readiness, KEEPALIVE_S)
+        )
+        self._follower = await stack.enter_async_context(
+            followers.StoreFollower(
+                store,
+                self._dialect,
+                self.authority,
+                self.directory,
+                self.timers,
+                self._rng,
+            ).run()
+        )
+        finder = asyncio.create_task(self._find_peers(store, news))
+        stack.callback(finder.cancel)
+
+    async def _find_peers(
+        self, store: stores.ObjectStore, news: news_lib.News
+    ) -> None:
+        """Enters the list of instances and greets the others in it."""
+        peers = self.settings.peers
+        own = listing.Listing(
+            store,
+            members.Member(
+                self.settings.instance_id,
+                self.settings.data_centre,
+                str(peers),
+                0,
+            ),
+        )
+        while True:
+            try:
+                await own.write()
+                page = await store.list_objects(instances.OBJECT_PREFIX)
+            except stores.StoreError as error:
+                _logger.debug("peers can't be listed: %s", error)
+                await self.timers.sleep(RETRY_S)
+                continue
+            break
+        for stored in page.objects:
+            peer = instances.decode_instance(stored.value)
+            host, _, port = peer.address.rpartition(":")
+            news.add_peer(host, int(port))
+        await news.greet()
+
+    async def _become_ready(self, stop: asyncio.Event) -> None:
+        """Waits until there is something to serve with."""
+        while not stop.is_set():
+            if self.authority.find_valid() and self._follower.listed.is_set():
+                self._log_life(self.life.mark_ready)
+                return
+            await self.timers.sleep(CHECK_S)
+
+    async def _drain(self) -> None:
+        """Lets requests end; new connections come until the balancer knows."""
+        self._log_life(self.life.start_drain)
+        begun_s = self.timers.read_monotonic()
+        latest_s = begun_s + self.settings.bounds.grace_s - EXIT_S
+        while True:
+            now_s = self.timers.read_monotonic()
+            left = now_s >= begun_s + LEAVE_S and not self.life.in_flight
+            if left or now_s >= latest_s:
+                break
+            await self.timers.sleep(CHECK_S)
+        if self.life.in_flight:
+            _logger.warning("requests cut", extra={"n": self.life.in_flight})
+        self._log_life(self.life.mark_stopped)
+
+    async def _answer_readiness(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        del request
+        ready = (
+            self.life.state is lives.LifeState.READY
+            and self.authority.find_valid() is not None
+        )
+        return web.Response(status=200 if ready else 503)
+
+    def _log_life(self, step: Callable[[], None]) -> None:
+        before = self.life.state.value
+        step()
+        logs.log_state_change(
+            _logger,
+            f"instance {self.settings.instance_id}",
+            before,
+            self.life.state.value,
+            in_flight=self.life.in_flight,
+        )
+
+
+@contextlib.asynccontextmanager
+async def _serve(
+    handler: Handler, address: settings_lib.SocketAddress, keepalive_s: float
+) -> AsyncIterator[None]:
+    """Serves HTTP at an address while the context is open."""
+    server = web.Server(
+        handler,
+        handler_cancellation=True,
+        keepalive_timeout=keepalive_s,
+        access_log=None,
+    )
+    loop = asyncio.get_running_loop()
+    listener = await loop.create_server(
+        server, address.host, address.port, backlog=BACKLOG
+    )
+    try:
+        yield
+    finally:
+        listener.close()
+        await server.shutdown(EXIT_S / 2)
--- a/rhubarblock/daemon/listing.py
+++ b/rhubarblock/daemon/listing.py
@@ -9,8 +9,8 @@
 
 from rhubarblock.fleet import member as members
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import instances
-from rhubarblock.platform import store as stores
+from rhubarblock.store import instances
+from rhubarblock.store import store as stores
 
 # Seconds between two looks at the own line.
 CHECK_INTERVAL_S = 30.0
--- a/rhubarblock/daemon/loopbackfleet_test.py
+++ b/rhubarblock/daemon/loopbackfleet_test.py
@@ -16,7 +16,6 @@
 from rhubarblock.daemon import server
 from rhubarblock.experiments import demofleet
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import instances
 from rhubarblock.settings import entry as settings_lib
 from rhubarblock.settings import kinds
 from rhubarblock.standins import engine as engines
@@ -27,6 +26,7 @@
 from rhubarblock.standins import platformserver
 from rhubarblock.standins import service
 from rhubarblock.standins import serviceserver
+from rhubarblock.store import instances
 
 SECRET = "adwoa-caller"
 OPERATOR_SECRET = "adwoa-operator"
--- a/rhubarblock/daemon/outside.py
+++ b/rhubarblock/daemon/outside.py
@@ -5,8 +5,8 @@
 from rhubarblock.fleet import engineclient
 from rhubarblock.fleet import serviceclient
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import instances
-from rhubarblock.platform import store as stores
+from rhubarblock.store import instances
+from rhubarblock.store import store as stores
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/rhubarblock/daemon/sockets.py
+++ b/rhubarblock/daemon/sockets.py
@@ -9,9 +9,9 @@
 from rhubarblock.fleet import httpengine
 from rhubarblock.fleet import httpservice
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import httpstore
-from rhubarblock.platform import instances
 from rhubarblock.settings import entry as settings_lib
+from rhubarblock.store import httpstore
+from rhubarblock.store import instances
 
 # Connections to engines are bounded by the queue, not by the pool.
 NO_CONNECTION_LIMIT = 0
--- /dev/null
+++ b/rhubarblock/exchange/__init__.py
@@ -0,0 +1,1 @@
+"""Serving of opaque exchanges: routes, keys, attempts, placement."""
--- /dev/null
+++ b/rhubarblock/exchange/directory.py
@@ -0,0 +1,113 @@
+"""The endpoints that this instance knows, followed through the store's list.
+
+The list says who is there and who leaves. What it says lags, and it may be
+out of reach; an endpoint that said itself that it is another one is not used
+again until the list names it anew.
+"""
+
+import dataclasses
+import logging
+
+from rhubarblock.core import listed as lists
+from rhubarblock.kernel import logs
+from rhubarblock.kernel import timers as timer_service
+
+# Seconds for which an endpoint that vanished from a new listing is still
+# counted as there: entries that lapsed while the store was down come back
+# within two seconds of its return.
+RETURN_S = 2.0
+
+_logger = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class Endpoint:
+    """An endpoint and what was seen of it.
+
+    Attributes:
+      listed: what the list says.
+      draining: whether it wants no new work; this never goes back.
+      missing_since_s: when a new listing lacked it, in monotonic seconds.
+    """
+
+    listed: lists.ListedEndpoint
+    draining: bool = False
+    missing_since_s: float | None = None
+
+
+class Directory:
+    """Endpoints by id."""
+
+    __slots__ = ("_endpoints", "_timers")
+
+    def __init__(self, timers: timer_service.Timers):
+        """Starts empty."""
+        self._timers = timers
+        self._endpoints: dict[str, Endpoint] = {}
+
+    def replace(self, listing: list[lists.ListedEndpoint]) -> None:
+        """Takes in a whole listing."""
+        now_s = self._timers.read_monotonic()
+        present = {entry.endpoint_id for entry in listing}
+        for endpoint_id, endpoint in list(self._endpoints.items()):
+            if endpoint_id in present:
+                continue
+            if endpoint.missing_since_s is None:
+                endpoint.missing_since_s = now_s
+        for entry in listing:
+            self.update(entry)
+        self.expire()
+
+    def update(self, entry: lists.ListedEndpoint) -> None:
+        """Takes in one entry of the list."""
+        known = self._endpoints.get(entry.endpoint_id)
+        if known is None:
+            self._endpoints[entry.endpoint_id] = Endpoint(entry, entry.draining)
+            self._log(entry, "unknown", entry.draining)
+            return
+        known.listed = entry
+        known.missing_since_s = None
+        if entry.draining and not known.draining:
+            known.draining = True
+            self._log(entry, "ready", True)
+
+    def remove(self, endpoint_id: str) -> None:
+        """Forgets an endpoint whose entry was removed."""
+        gone = self._endpoints.pop(endpoint_id, None)
+        if gone is not None:
+            logs.log_state_change(
+                _logger, f"endpoint {endpoint_id}", "listed", "gone"
+            )
+
+    def expire(self) -> None:
+        """Forgets endpoints that did not come back into the list."""
+        now_s = self._timers.read_monotonic()
+        for endpoint_id, endpoint in list(self._endpoints.items()):
+            since_s = endpoint.missing_since_s
+            if since_s is not None and now_s - since_s >= RETURN_S:
+                self.remove(endpoint_id)
+
+    def find(self, endpoint_id: str) -> lists.ListedEndpoint | None:
+        """Returns an endpoint that is known."""
+        endpoint = self._endpoints.get(endpoint_id)
+        return endpoint.listed if endpoint else None
+
+    def list_usable(self, service: str) -> list[lists.ListedEndpoint]:
+        """Returns the endpoints of a service that take new work."""
+        return [
+            endpoint.listed
+            for endpoint in self._endpoints.values()
+            if endpoint.listed.service == service and not endpoint.draining
+        ]
+
+    def _log(
+        self, entry: lists.ListedEndpoint, before: str, draining: bool
+    ) -> None:
+        logs.log_state_change(
+            _logger,
+            f"endpoint {entry.endpoint_id}",
+            before,
+            "draining" if draining else "ready",
+            service=entry.service,
+            address=entry.address,
+        )
--- /dev/null
+++ b/rhubarblock/exchange/frontdoor.py
@@ -0,0 +1,279 @@
+"""The callers' side: reads a request, checks key and route, relays it."""
+
+import asyncio
+import contextlib
+import hashlib
+import logging
+import random
+
+from aiohttp import web
+
+from rhubarblock.core import exchange as exchanges
+from rhubarblock.core import failure as failures
+from rhubarblock.core import route as routes
+from rhubarblock.exchange import authority as authorities
+from rhubarblock.exchange import dialect as dialects
+from rhubarblock.exchange import relay as relays
+from rhubarblock.exchange import sink as sinks
+from rhubarblock.kernel import life as lives
+from rhubarblock.kernel import metrics as metric_store
+from rhubarblock.kernel import timers as timer_service
+from rhubarblock.relay import apierrors
+
+# Seconds for which a request waits for the lease of the configuration, as
+# after a freeze: one read of the store and some more.
+LEASE_WAIT_S = 0.3
+# Seconds after which a caller may come back that no instance could check.
+LEASE_RETRY_S = 1.0
+
+_logger = logging.getLogger(__name__)
+
+
+class FrontDoor:
+    """Takes callers' requests."""
+
+    __slots__ = (
+        "_authority",
+        "_dialect",
+        "_life",
+        "_metrics",
+        "_relay",
+        "_rng",
+        "_timers",
+    )
+
+    def __init__(
+        self,
+        authority: authorities.Authority,
+        dialect: dialects.Dialect,
+        relay: relays.ExchangeRelay,
+        life: lives.InstanceLife,
+        timers: timer_service.Timers,
+        metrics: metric_store.Metrics,
+        rng: random.Random,
+    ):
+        """Creates a front door.
+
+        Args:
+          authority: the configuration in force.
+          dialect: spelling of heads.
+          relay: serves exchanges.
+          life: counts requests in flight.
+          timers: the clock.
+          metrics: counters.
+          rng: parts requests between the services of a route.
+        """
+        self._authority = authority
+        self._dialect = dialect
+        self._relay = relay
+        self._life = life
+        self._timers = timers
+        self._metrics = metrics
+        self._rng = rng
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serves one request of a caller."""
+        arrived_s = self._timers.read_monotonic()
+        sink = HttpSink(request, self._life)
+        self._metrics.count("exchange.requests")
+        with self._life.hold_request():
+            try:
+                exchange = await self._check(request, arrived_s)
+                await self._relay.serve(exchange, sink)
+            except failures.FailureError as error:
+                return self._answer_failure(request, sink, error.failure)
+            assert sink.response is not None
+            return sink.response
+
+    def _answer_failure(
+        self,
+        request: web.BaseRequest,
+        sink: "HttpSink",
+        failure: failures.Failure,
+    ) -> web.StreamResponse:
+        self._metrics.count(f"exchange.failed.{failure.code.value}")
+        _logger.info(
+            "request failed",
+            extra={
+                "path": request.rel_url.raw_path,
+                "code": failure.code.value,
+                "reason": failure.message,
+                "verdict": failure.verdict.value,
+                "begun": sink.begun,
+            },
+        )
+        if sink.response is not None:
+            sink.cut()
+            return sink.response
+        response = apierrors.answer(failure)
+        if failure.retry_after_s is not None:
+            # Callers here read fractions, which spread them better.
+            response.headers["Retry-After"] = f"{failure.retry_after_s:g}"
+        self._mark_closing(response)
+        return response
+
+    def _mark_closing(self, response: web.StreamResponse) -> None:
+        if self._life.state is lives.LifeState.DRAINING:
+            response.force_close()
+
+    async def _check(
+        self, request: web.BaseRequest, arrived_s: float
+    ) -> exchanges.Exchange:
+        """Reads a request and checks what it may do.
+
+        Raises:
+          failures.FailureError: it may not be served.
+        """
+        table = self._authority.table
+        body = await _read_body(
+            request, table.bounds if table else routes.CallerBounds()
+        )
+        table = await self._authority.wait_valid(LEASE_WAIT_S)
+        if table is None:
+            raise failures.FailureError(
+                failures.Failure(
+                    failures.FailureCode.PLATFORM_UNAVAILABLE,
+                    "the configuration can't be confirmed at present",
+                    retry_after_s=LEASE_RETRY_S,
+                )
+            )
+        fields = self._dialect.read_caller(request.headers)
+        route = table.find_route(request.host, request.rel_url.raw_path)
+        if route is None:
+            raise apierrors.reject(
+                failures.FailureCode.UNKNOWN_SERVICE, "no route has this path"
+            )
+        workspace = _find_workspace(table, route, fields.key)
+        wait_s = route.timeout_s
+        if fields.remaining_s:
+            wait_s = min(wait_s, fields.remaining_s)
+        return exchanges.Exchange(
+            request_id=fields.request_id,
+            method=request.method,
+            target=request.raw_path,
+            headers=self._dialect.pass_on(
+                request.headers.items(), request.headers.get("Connection", "")
+            ),
+            body=body,
+            route=route,
+            service=self._choose_service(table, route),
+            workspace=workspace.name if workspace else "",
+            priority=_find_priority(route, workspace),
+            arrived_s=arrived_s,
+            deadline_s=arrived_s + wait_s,
+            prompt_tokens=fields.prompt_tokens,
+            answer_tokens=fields.answer_tokens,
+            last_event=fields.last_event,
+            digest=_digest(request, workspace, body),
+        )
+
+    def _choose_service(
+        self, table: routes.RoutingTable, route: routes.Route
+    ) -> routes.ServiceSpec:
+        weights = [share.weight for share in route.shares]
+        share = self._rng.choices(route.shares, weights)[0]
+        return table.services[share.service]
+
+
+class HttpSink(sinks.Sink):
+    """Writes an answer to a caller's connection."""
+
+    __slots__ = ("_life", "_request", "response")
+
+    def __init__(self, request: web.BaseRequest, life: lives.InstanceLife):
+        self._request = request
+        self._life = life
+        self.response: web.StreamResponse | None = None
+
+    @property
+    def begun(self) -> bool:
+        return self.response is not None
+
+    async def begin(
+        self,
+        status: int,
+        headers: tuple[exchanges.Header, ...],
+        length: int | None,
+    ) -> None:
+        response = web.StreamResponse(status=status)
+        for header in headers:
+            response.headers.add(header.name, header.value)
+        if length is None:
+            response.enable_chunked_encoding()
+        else:
+            response.content_length = length
+        if self._life.state is lives.LifeState.DRAINING:
+            response.force_close()
+        self.response = response
+        await response.prepare(self._request)
+
+    async def write(self, data: bytes) -> None:
+        assert self.response is not None
+        if data:
+            with _caller_gone():
+                await self.response.write(data)
+
+    async def finish(self) -> None:
+        assert self.response is not None
+        with _caller_gone():
+            await self.response.write_eof()
+
+    def cut(self) -> None:
+        transport = self._request.transport
+        if transport is not None:
+            transport.close()
+
+
+@contextlib.contextmanager
+def _caller_gone():  # type: ignore[no-untyped-def]
+    """Ends an exchange like a cancelled one when its caller has left."""
+    try:
+        yield
+    except ConnectionError as error:
+        raise asyncio.CancelledError from error
+
+
+async def _read_body(
+    request: web.BaseRequest, bounds: routes.CallerBounds
+) -> bytes:
+    pieces = []
+    size = 0
+    while data := await request.content.readany():
+        size += len(data)
+        if size > bounds.body_bytes:
+            raise apierrors.reject(
+                failures.FailureCode.BODY_TOO_LARGE,
+                f"the body is over {bounds.body_bytes} bytes",
+            )
+        pieces.append(data)
+    return b"".join(pieces)
+
+
+def _find_workspace(
+    table: routes.RoutingTable, route: routes.Route, key: str
+) -> routes.Workspace | None:
+    if route.anonymous or table.keys is None:
+        return None
+    workspace = table.keys.get(key)
+    if workspace is None:
+        raise apierrors.reject(
+            failures.FailureCode.UNAUTHENTICATED, "the key is not known"
+        )
+    return workspace
+
+
+def _find_priority(
+    route: routes.Route, workspace: routes.Workspace | None
+) -> int:
+    if workspace is not None and workspace.priority is not None:
+        return workspace.priority
+    return route.priority
+
+
+def _digest(
+    request: web.BaseRequest, workspace: routes.Workspace | None, body: bytes
+) -> str:
+    owner = workspace.name if workspace else ""
+    digest = hashlib.sha256(f"{request.raw_path}\0{owner}\0".encode())
+    digest.update(body)
+    return digest.hexdigest()[:32]
--- /dev/null
+++ b/rhubarblock/exchange/placer.py
@@ -0,0 +1,173 @@
+"""Chooses the endpoint of an exchange and tells the books of it."""
+
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+
+from rhubarblock.core import exchange as exchanges
+from rhubarblock.core import listed as lists
+from rhubarblock.exchange import dialect as dialects
+from rhubarblock.exchange import directory as directories
+from rhubarblock.exchange import news as news_lib
+from rhubarblock.kernel import timers as timer_service
+from rhubarblock.routing import enginebook
+from rhubarblock.routing import health as healths
+from rhubarblock.routing import parting
+
+# Seconds that an answer of a plain service is expected to take at first.
+SERVICE_S = 0.1
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Place:
+    """Where one attempt goes.
+
+    Attributes:
+      endpoint: the endpoint that is asked.
+      helpers: engines that read parts of the prompt.
+      expected_s: seconds until the first byte, as predicted.
+      urgency: rank at an engine; None leaves the usual one.
+    """
+
+    endpoint: lists.ListedEndpoint
+    helpers: tuple[dialects.Helper, ...] = ()
+    expected_s: float = SERVICE_S
+    urgency: int | None = None
+
+
+class Placer:
+    """Places the exchanges of one instance."""
+
+    __slots__ = (
+        "_book",
+        "_calls",
+        "_directory",
+        "_health",
+        "_news",
+        "_numbers",
+        "_parter",
+        "_timers",
+    )
+
+    def __init__(
+        self,
+        directory: directories.Directory,
+        book: enginebook.EngineBook,
+        health: healths.Health,
+        news: news_lib.News,
+        timers: timer_service.Timers,
+    ):
+        """Creates a placer.
+
+        Args:
+          directory: endpoints that are known.
+          book: what each engine has before it.
+          health: endpoints to leave alone.
+          news: tells peers what was placed.
+          timers: the clock.
+        """
+        self._directory = directory
+        self._book = book
+        self._health = health
+        self._news = news
+        self._timers = timers
+        self._parter = parting.Parter(book)
+        self._calls: dict[str, int] = {}
+        self._numbers = 0
+
+    @contextlib.contextmanager
+    def hold(
+        self,
+        exchange: exchanges.Exchange,
+        avoid: set[str],
+    ) -> Iterator[Place | None]:
+        """Places an attempt and keeps it in the books while it lasts.
+
+        Args:
+          exchange: what is to be sent.
+          avoid: endpoints that failed it.
+
+        Yields:
+          Where it goes, or None if there is no room anywhere.
+        """
+        endpoints = self._list_endpoints(exchange, avoid)
+        if not endpoints:
+            yield None
+        elif exchange.service.engine is None or not exchange.prompt_tokens:
+            with self._hold_call(endpoints) as place:
+                yield place
+        else:
+            with self._hold_prompt(exchange, endpoints) as place:
+                yield place
+
+    def _list_endpoints(
+        self, exchange: exchanges.Exchange, avoid: set[str]
+    ) -> list[lists.ListedEndpoint]:
+        """Returns the endpoints to choose from, sound ones if there are any."""
+        now_s = self._timers.read_monotonic()
+        usable = [
+            endpoint
+            for endpoint in self._directory.list_usable(exchange.service.name)
+            if endpoint.endpoint_id not in avoid
+        ]
+        sound = [
+            endpoint
+            for endpoint in usable
+            if not self._health.is_suspect(endpoint.endpoint_id, now_s)
+        ]
+        return sound or usable
+
+    @contextlib.contextmanager
+    def _hold_call(
+        self, endpoints: list[lists.ListedEndpoint]
+    ) -> Iterator[Place]:
+        chosen = min(
+            endpoints,
+            key=lambda e: (
+                self._calls.get(e.endpoint_id, 0)
+                + e.slots * self._health.share_of(e.endpoint_id),
+                self._numbers * 31 % (hash(e.endpoint_id) % 97 + 1),
+            ),
+        )
+        self._numbers += 1
+        self._calls[chosen.endpoint_id] = (
+            self._calls.get(chosen.endpoint_id, 0) + 1
+        )
+        try:
+            yield Place(chosen)
+        finally:
+            self._calls[chosen.endpoint_id] -= 1
+
+    @contextlib.contextmanager
+    def _hold_prompt(
+        self,
+        exchange: exchanges.Exchange,
+        endpoints: list[lists.ListedEndpoint],
+    ) -> Iterator[Place | None]:
+        model = exchange.service.engine
+        assert model is not None
+        now_s = self._timers.read_monotonic()
+        self._book.expire(now_s)
+        self._numbers += 1
+        prompt = parting.Prompt(
+            self._news.make_job_id(self._numbers),
+            exchange.prompt_tokens,
+            exchange.answer_tokens,
+            exchange.route.pause_s,
+            exchange.route.objective_s,
+        )
+        choice = self._parter.choose(prompt, endpoints, model, now_s)
+        if choice is None:
+            yield None
+            return
+        self._book.add(choice.job, now_s)
+        self._news.tell_placed(choice.job)
+        try:
+            yield Place(
+                choice.engines[0],
+                tuple(dialects.Helper(e.address) for e in choice.engines[1:]),
+                choice.expected_s,
+            )
+        finally:
+            self._book.remove(choice.job.job_id)
+            self._news.tell_ended(choice.job.job_id)
--- /dev/null
+++ b/rhubarblock/exchange/transport.py
@@ -0,0 +1,272 @@
+"""Connections to endpoints, over the HTTP library.
+
+The library's client is made for calls of one's own: it follows redirects,
+keeps cookies, sends again, and takes whatever comes next on a kept connection
+for the next answer. Here every byte belongs to a certain caller, so all of
+that is switched off or checked.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+import contextlib
+import functools
+import socket
+from typing import Any
+
+import aiohttp
+from aiohttp import client_proto
+from aiohttp import http_exceptions
+import yarl
+
+from rhubarblock.core import exchange as exchanges
+from rhubarblock.core import failure as failures
+from rhubarblock.core import verdict as verdicts
+from rhubarblock.exchange import dialect as dialects
+from rhubarblock.store import sendonce
+
+# Seconds that a new connection may take: a hundred times the way between two
+# data centres, and short enough to go elsewhere within a caller's objective.
+CONNECT_TIMEOUT_S = 0.25
+# Seconds for which a kept connection is used again. An endpoint closes idle
+# ones by itself; one that is about to be closed would lose the next request.
+KEEP_S = 4.0
+# Milliseconds after which unacknowledged bytes break a connection, so that a
+# silent one does not hold its request until the deadline.
+SILENT_MS = 2_000
+# Library errors that mean that nothing was sent.
+_NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+_FAILED = (
+    aiohttp.ClientError,
+    http_exceptions.HttpProcessingError,
+    OSError,
+)
+
+_SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+
+
+class AttemptError(failures.FailureError):
+    """An attempt failed; its verdict says whether it may have run."""
+
+
+class EndpointProtocol(client_proto.ResponseHandler):
+    """A connection that gives each request its own answer only.
+
+    Attributes:
+      expected_id: id that the answer to the present request echoes.
+      was_reset: whether the connection ended with an error.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, attempt_header: str):
+        super().__init__(loop)
+        self._attempt_header = attempt_header
+        self.expected_id = ""
+        self.was_reset = False
+
+    def is_connected(self) -> bool:
+        # Bytes that came while nothing was asked belong to no request.
+        return super().is_connected() and not self.should_close
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        if exc is not None:
+            self.was_reset = True
+        super().connection_lost(exc)
+
+    async def read(self) -> Any:
+        """Returns the next answer that echoes the expected id."""
+        while True:
+            message, payload = await super().read()
+            echoed = message.headers.get(self._attempt_header)
+            if echoed is None or echoed == self.expected_id:
+                return message, payload
+            # A late answer to a request that was given up.
+            await payload.read()
+
+
+class EndpointRequest(aiohttp.ClientRequest):
+    """Tells the connection which answer it is to expect."""
+
+    ATTEMPT_HEADER = ""
+
+    async def send(self, conn: Any) -> aiohttp.ClientResponse:
+        conn.protocol.expected_id = self.headers.get(self.ATTEMPT_HEADER, "")
+        return await super().send(conn)
+
+
+class EndpointResponse(aiohttp.ClientResponse):
+    """Remembers its connection beyond the end of its body.
+
+    Attributes:
+      endpoint_protocol: the connection that it came on.
+    """
+
+    endpoint_protocol: EndpointProtocol | None = None
+
+    async def start(self, connection: Any) -> aiohttp.ClientResponse:
+        self.endpoint_protocol = connection.protocol
+        return await super().start(connection)
+
+
+class Answer:
+    """An endpoint's answer whose body has not been read yet."""
+
+    __slots__ = ("_response", "fields", "headers", "status")
+
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        dialect: dialects.Dialect,
+    ):
+        self._response = response
+        self.status = response.status
+        self.fields = dialect.read_answer(response.status, response.headers)
+        self.headers = dialect.pass_back(
+            response.headers.items(), response.headers.get("Connection", "")
+        )
+
+    @property
+    def length(self) -> int | None:
+        """Length of the body in bytes if the head gives it."""
+        return self._response.content_length
+
+    async def read_some(self) -> bytes:
+        """Returns the next bytes of the body, empty at its whole end.
+
+        Raises:
+          AttemptError: it broke off.
+        """
+        with translate_errors():
+            data = await self._response.content.readany()
+        if not data and self._was_reset():
+            # Without a length, a reset looks like the end to the library.
+            raise make_error("the connection was reset within the answer")
+        return data
+
+    def _was_reset(self) -> bool:
+        response = self._response
+        if not isinstance(response, EndpointResponse):
+            return False
+        protocol = response.endpoint_protocol
+        if protocol is None or not protocol.was_reset:
+            return False
+        framed = response.content_length is not None or (
+            "Transfer-Encoding" in response.headers
+        )
+        return not framed
+
+
+class EndpointTransport:
+    """Sends exchanges to endpoints and gives their answers."""
+
+    __slots__ = ("_dialect", "_session")
+
+    def __init__(
+        self, session: aiohttp.ClientSession, dialect: dialects.Dialect
+    ):
+        """Creates a transport on a session of ``open_session``."""
+        self._session = session
+        self._dialect = dialect
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self,
+        exchange: exchanges.Exchange,
+        address: str,
+        order: dialects.SendOrder,
+    ) -> AsyncIterator[Answer]:
+        """Sends an exchange once and owns the answer.
+
+        Args:
+          exchange: what to send.
+          address: ``host:port`` of the endpoint.
+          order: how it is addressed.
+
+        Yields:
+          The answer; its connection is closed unless it was read to the end.
+
+        Raises:
+          AttemptError: it could not be sent, or no answer came.
+        """
+        with translate_errors():
+            response = await self._session.request(
+                exchange.method,
+                yarl.URL(f"http://{address}{exchange.target}", encoded=True),
+                headers=self._dialect.address(exchange, order),
+                data=exchange.body or None,
+                allow_redirects=False,
+                middlewares=(sendonce.send_once,),
+            )
+        try:
+            answer = Answer(response, self._dialect)
+            if answer.fields.request_id != exchange.request_id:
+                raise make_error("the answer belongs to another request")
+            yield answer
+        finally:
+            response.close()
+
+
+@contextlib.contextmanager
+def translate_errors() -> Any:
+    """Turns the library's errors into attempt errors with a verdict."""
+    try:
+        yield
+    except _NOT_SENT as error:
+        raise make_error(str(error), verdicts.Verdict.NOT_RUN) from error
+    except _FAILED as error:
+        raise make_error(str(error) or type(error).__name__) from error
+
+
+def make_error(
+    message: str,
+    verdict: verdicts.Verdict = verdicts.Verdict.MAY_HAVE_RUN,
+) -> AttemptError:
+    """Returns the error of an attempt that an endpoint or the way failed."""
+    return AttemptError(
+        failures.Failure(failures.FailureCode.ENDPOINT_FAILED, message, verdict)
+    )
+
+
+@contextlib.asynccontextmanager
+async def open_session(
+    attempt_header: str,
+) -> AsyncIterator[aiohttp.ClientSession]:
+    """Opens a session for calls to endpoints.
+
+    Args:
+      attempt_header: name of the field that an answer echoes.
+
+    Yields:
+      The session, closed with the context.
+    """
+    loop = asyncio.get_running_loop()
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        keepalive_timeout=KEEP_S,
+        socket_factory=_make_socket,
+        happy_eyeballs_delay=None,
+    )
+    # The library gives no other way to choose the class of its connections.
+    connector._factory = functools.partial(  # type: ignore[assignment]
+        EndpointProtocol, loop=loop, attempt_header=attempt_header
+    )
+    request_class = type(
+        "NamedRequest", (EndpointRequest,), {"ATTEMPT_HEADER": attempt_header}
+    )
+    async with aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=_SKIPPED_HEADERS,
+        request_class=request_class,
+        response_class=EndpointResponse,
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S
+        ),
+    ) as session:
+        yield session
+
+
+def _make_socket(address: Any) -> socket.socket:
+    family, kind, protocol = address[:3]
+    made = socket.socket(family, kind, protocol)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MS)
+    return made
--- a/rhubarblock/experiments/capacitylists.py
+++ b/rhubarblock/experiments/capacitylists.py
@@ -10,10 +10,10 @@
 from rhubarblock.fleet import endpoints as endpointtables
 from rhubarblock.fleet import listrelay
 from rhubarblock.kernel import virtualloop
-from rhubarblock.platform import instances
 from rhubarblock.routing import loadtable
 from rhubarblock.standins import enginecluster
 from rhubarblock.standins import memoryfleet
+from rhubarblock.store import instances
 
 SETTLE_S = 15.0
 RUN_S = 20.0
--- a/rhubarblock/experiments/capacitymeter.py
+++ b/rhubarblock/experiments/capacitymeter.py
@@ -12,9 +12,9 @@
 from rhubarblock.fleet import peertransport
 from rhubarblock.kernel import metrics
 from rhubarblock.kernel import timers
-from rhubarblock.platform import instances
-from rhubarblock.platform import store as stores
 from rhubarblock.standins import memorypeers
+from rhubarblock.store import instances
+from rhubarblock.store import store as stores
 
 # What a part refers to and does not hold itself.
 _FOREIGN = (
--- a/rhubarblock/experiments/capacityplatform.py
+++ b/rhubarblock/experiments/capacityplatform.py
@@ -17,7 +17,6 @@
 from rhubarblock.fleet import orders
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
-from rhubarblock.platform import instances
 from rhubarblock.relay import claimroute
 from rhubarblock.relay import claims
 from rhubarblock.standins import engine as engines
@@ -27,6 +26,7 @@
 from rhubarblock.standins import memoryfleet
 from rhubarblock.standins import memorypeers
 from rhubarblock.standins import platform
+from rhubarblock.store import instances
 
 ORDERS_SETTLE_S = 20.0
 ORDERS_RUN_S = 20.0
--- a/rhubarblock/experiments/capacitysockets.py
+++ b/rhubarblock/experiments/capacitysockets.py
@@ -23,8 +23,8 @@
 from rhubarblock.fleet import enginewire
 from rhubarblock.fleet import httpengine
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import instances
 from rhubarblock.routing import loadtable
+from rhubarblock.store import instances
 
 # Seconds in which connections are opened, and that are measured.
 WARM_S = 0.6
--- a/rhubarblock/experiments/claimcost.py
+++ b/rhubarblock/experiments/claimcost.py
@@ -22,14 +22,14 @@
 from rhubarblock.fleet import duties
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
-from rhubarblock.platform import backoff as backoffs
-from rhubarblock.platform import store as stores
 from rhubarblock.relay import claimroute
 from rhubarblock.relay import claimrow
 from rhubarblock.relay import claims
 from rhubarblock.relay import claimsettings
 from rhubarblock.standins import memorypeers
 from rhubarblock.standins import platform
+from rhubarblock.store import backoff as backoffs
+from rhubarblock.store import store as stores
 
 _Kind = stores.StoreErrorKind
 
--- a/rhubarblock/experiments/demofleet.py
+++ b/rhubarblock/experiments/demofleet.py
@@ -18,7 +18,6 @@
 from rhubarblock.core import endpoint as endpoints
 from rhubarblock.daemon import server
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import instances
 from rhubarblock.settings import entry as settings_lib
 from rhubarblock.settings import kinds
 from rhubarblock.standins import engine as engines
@@ -29,6 +28,7 @@
 from rhubarblock.standins import platformserver
 from rhubarblock.standins import service
 from rhubarblock.standins import serviceserver
+from rhubarblock.store import instances
 
 DATA_CENTRES = ("osu-hall", "tema-hall")
 MODEL = "reader"
--- a/rhubarblock/experiments/faultkinds.py
+++ b/rhubarblock/experiments/faultkinds.py
@@ -9,8 +9,8 @@
 
 from rhubarblock.experiments import faultfleet
 from rhubarblock.experiments import simulation
-from rhubarblock.platform import instances
 from rhubarblock.standins import engine as engines
+from rhubarblock.store import instances
 
 # Moments closer than this are the same one, in seconds.
 MOMENT_S = 0.001
--- a/rhubarblock/experiments/fleetbench.py
+++ b/rhubarblock/experiments/fleetbench.py
@@ -20,13 +20,13 @@
 from rhubarblock.fleet import listrelay
 from rhubarblock.fleet import member as members
 from rhubarblock.fleet import orders
-from rhubarblock.platform import instances
-from rhubarblock.platform import store as stores
 from rhubarblock.standins import engine as engines
 from rhubarblock.standins import enginecluster
 from rhubarblock.standins import enginesettings
 from rhubarblock.standins import engineweights
 from rhubarblock.standins import memoryfleet
+from rhubarblock.store import instances
+from rhubarblock.store import store as stores
 
 DATA_CENTRES = ("osu-hall", "tema-hall", "achimota-hall")
 SERVICE = "rhubarb-pool"
--- a/rhubarblock/experiments/fleetsockets.py
+++ b/rhubarblock/experiments/fleetsockets.py
@@ -21,9 +21,9 @@
 from rhubarblock.fleet import member as members
 from rhubarblock.fleet import membership as memberships
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.platform import instances
 from rhubarblock.standins import instancelist
 from rhubarblock.standins import platform
+from rhubarblock.store import instances
 
 SCENARIO = "fleet-sockets"
 MOST_INSTANCES = 40
--- a/rhubarblock/experiments/overheadparts.py
+++ b/rhubarblock/experiments/overheadparts.py
@@ -20,12 +20,12 @@
 from rhubarblock.experiments import overheadsource
 from rhubarblock.fleet import httpengine
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import instances
 from rhubarblock.settings import entry as settings_lib
 from rhubarblock.settings import kinds
 from rhubarblock.standins import instancelist
 from rhubarblock.standins import platform
 from rhubarblock.standins import platformserver
+from rhubarblock.store import instances
 
 MODEL = "reader"
 POOL = "pool"
--- a/rhubarblock/experiments/simulation.py
+++ b/rhubarblock/experiments/simulation.py
@@ -23,7 +23,6 @@
 from rhubarblock.daemon import outside as outsides
 from rhubarblock.experiments import workload
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import instances
 from rhubarblock.relay import completion as completions
 from rhubarblock.relay import sink as sinks
 from rhubarblock.settings import entry as settings_lib
@@ -36,6 +35,7 @@
 from rhubarblock.standins import memorypeers
 from rhubarblock.standins import platform
 from rhubarblock.standins import service
+from rhubarblock.store import instances
 
 MODEL = "reader"
 POOL = "pool"
--- a/rhubarblock/fleet/distribution.py
+++ b/rhubarblock/fleet/distribution.py
@@ -29,8 +29,8 @@
 from rhubarblock.fleet import peertransport
 from rhubarblock.kernel import logs
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.platform import backoff
-from rhubarblock.platform import store as stores
+from rhubarblock.store import backoff
+from rhubarblock.store import store as stores
 
 NOTICE_KIND = "catalogue.notice"
 FETCH_KIND = "catalogue.fetch"
--- a/rhubarblock/fleet/distribution_test.py
+++ b/rhubarblock/fleet/distribution_test.py
@@ -7,8 +7,8 @@
 from rhubarblock.core import catalogue as catalogues
 from rhubarblock.fleet import distribution
 from rhubarblock.kernel import virtualloop
-from rhubarblock.platform import store as stores
 from rhubarblock.standins import memoryfleet
+from rhubarblock.store import store as stores
 
 SETTLE_S = 20.0
 # The goal for a revision to be in force everywhere.
--- a/rhubarblock/fleet/drainrecord.py
+++ b/rhubarblock/fleet/drainrecord.py
@@ -8,7 +8,7 @@
 import json
 
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.platform import store as stores
+from rhubarblock.store import store as stores
 
 RECORD_OBJECT = "drains/endpoints"
 
--- a/rhubarblock/fleet/endpointnews.py
+++ b/rhubarblock/fleet/endpointnews.py
@@ -19,7 +19,7 @@
 from rhubarblock.fleet import membership as memberships
 from rhubarblock.fleet import peertransport
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.platform import store as stores
+from rhubarblock.store import store as stores
 
 NOTICE_KIND = "endpoints.notice"
 DRAINS_KIND = "endpoints.drains"
--- a/rhubarblock/fleet/endpointnews_test.py
+++ b/rhubarblock/fleet/endpointnews_test.py
@@ -3,8 +3,8 @@
 from rhubarblock.fleet import endpointnews
 from rhubarblock.fleet import endpoints as endpointtables
 from rhubarblock.kernel import virtualloop
-from rhubarblock.platform import instances
 from rhubarblock.standins import memoryfleet
+from rhubarblock.store import instances
 
 REFUSED = failures.Failure(failures.FailureCode.DRAINING, "draining")
 LISTED = [
--- a/rhubarblock/fleet/endpoints.py
+++ b/rhubarblock/fleet/endpoints.py
@@ -15,7 +15,7 @@
 from rhubarblock.fleet import endpointlife
 from rhubarblock.fleet import holddown
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.platform import instances
+from rhubarblock.store import instances
 
 _State = endpoints.EndpointState
 _Code = failures.FailureCode
--- a/rhubarblock/fleet/endpoints_test.py
+++ b/rhubarblock/fleet/endpoints_test.py
@@ -5,7 +5,7 @@
 from rhubarblock.fleet import endpoints as endpointtables
 from rhubarblock.kernel import timers as timers_lib
 from rhubarblock.kernel import virtualloop
-from rhubarblock.platform import instances
+from rhubarblock.store import instances
 
 BROKEN = failures.Failure(failures.FailureCode.ENDPOINT_FAILED, "reset")
 REFUSED = failures.Failure(failures.FailureCode.DRAINING, "draining")
--- a/rhubarblock/fleet/httpservice.py
+++ b/rhubarblock/fleet/httpservice.py
@@ -15,7 +15,7 @@
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.fleet import serviceclient
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import sendonce
+from rhubarblock.store import sendonce
 
 ATTEMPT_HEADER = "X-Attempt-Id"
 REQUEST_HEADER = "X-Request-Id"
--- a/rhubarblock/fleet/lease.py
+++ b/rhubarblock/fleet/lease.py
@@ -13,7 +13,7 @@
 import random
 
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.platform import store as stores
+from rhubarblock.store import store as stores
 
 LEASE_PREFIX = "leases/"
 
--- a/rhubarblock/fleet/listrelay.py
+++ b/rhubarblock/fleet/listrelay.py
@@ -20,8 +20,8 @@
 from rhubarblock.fleet import membertable
 from rhubarblock.fleet import peertransport
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.platform import instances
-from rhubarblock.platform import store as stores
+from rhubarblock.store import instances
+from rhubarblock.store import store as stores
 
 FETCH_KIND = "instances.fetch"
 NOTICE_KIND = "instances.notice"
--- a/rhubarblock/fleet/listrelay_test.py
+++ b/rhubarblock/fleet/listrelay_test.py
@@ -2,9 +2,9 @@
 
 from rhubarblock.fleet import listrelay
 from rhubarblock.kernel import virtualloop
-from rhubarblock.platform import instances
-from rhubarblock.platform import store as stores
 from rhubarblock.standins import memoryfleet
+from rhubarblock.store import instances
+from rhubarblock.store import store as stores
 
 ENGINE = instances.ListedInstance(
     "e1", "10.9.0.1:80", "a", "pool", instances.InstanceKind.ENGINE
--- a/rhubarblock/fleet/membership.py
+++ b/rhubarblock/fleet/membership.py
@@ -26,8 +26,8 @@
 from rhubarblock.fleet import peertransport
 from rhubarblock.fleet import probing
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.platform import instances
-from rhubarblock.platform import store
+from rhubarblock.store import instances
+from rhubarblock.store import store
 
 SYNC_KIND = "membership.sync"
 NEWS_KIND = "membership.news"
--- a/rhubarblock/fleet/orders.py
+++ b/rhubarblock/fleet/orders.py
@@ -22,7 +22,7 @@
 from rhubarblock.fleet import poolkeeper
 from rhubarblock.fleet import poolrecord
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.platform import store as stores
+from rhubarblock.store import store as stores
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/rhubarblock/fleet/orders_test.py
+++ b/rhubarblock/fleet/orders_test.py
@@ -14,12 +14,12 @@
 from rhubarblock.fleet import poolrecord
 from rhubarblock.fleet import versiontrial
 from rhubarblock.kernel import virtualloop
-from rhubarblock.platform import instances
 from rhubarblock.standins import engine as engines
 from rhubarblock.standins import enginecluster
 from rhubarblock.standins import enginesettings
 from rhubarblock.standins import engineweights
 from rhubarblock.standins import memoryfleet
+from rhubarblock.store import instances
 
 SETTLE_S = 20.0
 # Long enough for a report to be older than the last order.
--- a/rhubarblock/fleet/orphans_test.py
+++ b/rhubarblock/fleet/orphans_test.py
@@ -9,10 +9,10 @@
 from rhubarblock.fleet import orphans
 from rhubarblock.kernel import timers
 from rhubarblock.kernel import virtualloop
-from rhubarblock.platform import instances
 from rhubarblock.standins import engine as engines
 from rhubarblock.standins import enginecluster
 from rhubarblock.standins import enginetesting
+from rhubarblock.store import instances
 
 ADDRESS = "10.0.0.1:8000"
 # An engine whose orphans are instance a's duty, also while b lives.
--- a/rhubarblock/fleet/poolkeeper.py
+++ b/rhubarblock/fleet/poolkeeper.py
@@ -25,7 +25,7 @@
 from rhubarblock.fleet import versionplan
 from rhubarblock.fleet import versiontrial
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.platform import store as stores
+from rhubarblock.store import store as stores
 
 _State = endpoints.EndpointState
 
--- a/rhubarblock/fleet/poolrecord.py
+++ b/rhubarblock/fleet/poolrecord.py
@@ -7,7 +7,7 @@
 import dataclasses
 import json
 
-from rhubarblock.platform import store as stores
+from rhubarblock.store import store as stores
 
 RECORD_PREFIX = "orders/"
 
--- a/rhubarblock/fleet/versiontrial.py
+++ b/rhubarblock/fleet/versiontrial.py
@@ -14,7 +14,7 @@
 from rhubarblock.fleet import versionplan
 from rhubarblock.kernel import logs
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.platform import store as stores
+from rhubarblock.store import store as stores
 
 _logger = logging.getLogger(__name__)
 
--- a/rhubarblock/kernel/life.py
+++ b/rhubarblock/kernel/life.py
@@ -96,6 +96,19 @@
           failure.FailureError: the instance takes no requests; NOT_RUN.
         """
         self._check_ready()
+        with self.hold_request():
+            yield
+
+    @contextlib.contextmanager
+    def hold_request(self) -> Iterator[None]:
+        """Counts a request as in flight, whatever the state.
+
+        Where callers reach an instance through a balancer that needs a while to
+        see that it drains, what still arrives is served.
+
+        Yields:
+          Nothing.
+        """
         self._in_flight += 1
         self._idle.clear()
         try:
--- /dev/null
+++ b/rhubarblock/platform/dialect.py
@@ -0,0 +1,58 @@
+"""The platform's spelling, as the relay of exchanges asks for it."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from rhubarblock.core import exchange as exchanges
+from rhubarblock.core import listed
+from rhubarblock.core import route as routes
+from rhubarblock.exchange import dialect as dialects
+from rhubarblock.platform import configuration
+from rhubarblock.platform import heads
+from rhubarblock.platform import names
+from rhubarblock.store import store as stores
+
+
+class PlatformDialect(dialects.Dialect):
+    """Joins the modules of this folder under the product's interface."""
+
+    __slots__ = ()
+
+    @property
+    def configuration_name(self) -> str:
+        return names.CONFIGURATION
+
+    @property
+    def endpoint_prefix(self) -> str:
+        return names.ENDPOINT_KIND
+
+    def read_caller(self, fields: Mapping[str, str]) -> dialects.CallerFields:
+        return heads.read_caller(fields)
+
+    def pass_on(
+        self, fields: Iterable[tuple[str, str]], connection: str
+    ) -> tuple[exchanges.Header, ...]:
+        return heads.pass_on(fields, connection)
+
+    def pass_back(
+        self, fields: Iterable[tuple[str, str]], connection: str
+    ) -> tuple[exchanges.Header, ...]:
+        return heads.pass_back(fields, connection)
+
+    def address(
+        self, exchange: exchanges.Exchange, order: dialects.SendOrder
+    ) -> list[tuple[str, str]]:
+        return heads.address(exchange, order)
+
+    def read_answer(
+        self, status: int, fields: Mapping[str, str]
+    ) -> dialects.AnswerFields:
+        return heads.read_answer(status, fields)
+
+    def decode_table(self, value: bytes) -> routes.RoutingTable:
+        return configuration.decode_table(value)
+
+    def decode_endpoint(
+        self, stored: stores.StoredObject
+    ) -> listed.ListedEndpoint:
+        return configuration.decode_endpoint(stored)
--- /dev/null
+++ b/rhubarblock/platform/heads.py
@@ -0,0 +1,139 @@
+"""Heads of requests and answers on the platform's wire."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from rhubarblock.core import exchange as exchanges
+from rhubarblock.exchange import dialect as dialects
+from rhubarblock.platform import names
+
+_MS_PER_S = 1000.0
+
+# Fields that concern one connection only.
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+# Fields that this system sets itself, whatever the caller sent.
+_OWN = frozenset(
+    name.lower()
+    for name in (
+        names.REMAINING,
+        names.CREDENTIAL,
+        names.TENANT,
+        names.TARGET,
+        names.URGENCY,
+        names.HELPERS,
+        names.LAST_EVENT,
+    )
+)
+
+
+def read_caller(fields: Mapping[str, str]) -> dialects.CallerFields:
+    """Decodes what a caller's head says besides the exchange itself."""
+    prompt_tokens, answer_tokens = _read_tokens(fields.get(names.TOKEN_COUNT))
+    return dialects.CallerFields(
+        request_id=fields.get(names.ATTEMPT_ID, ""),
+        key=fields.get(names.CREDENTIAL, ""),
+        remaining_s=_read_number(fields.get(names.REMAINING)) / _MS_PER_S,
+        prompt_tokens=prompt_tokens,
+        answer_tokens=answer_tokens,
+        last_event=int(_read_number(fields.get(names.LAST_EVENT), -1.0)),
+    )
+
+
+def pass_on(
+    fields: Iterable[tuple[str, str]], connection: str
+) -> tuple[exchanges.Header, ...]:
+    """Returns a caller's fields that go to the endpoint unchanged.
+
+    Args:
+      fields: names and values as they came.
+      connection: value of the field that names further ones that concern one
+        connection only.
+    """
+    dropped = _HOP_BY_HOP | _OWN | _split_names(connection)
+    return tuple(
+        exchanges.Header(name, value)
+        for name, value in fields
+        if name.lower() not in dropped
+    )
+
+
+def pass_back(
+    fields: Iterable[tuple[str, str]], connection: str
+) -> tuple[exchanges.Header, ...]:
+    """Returns an endpoint's fields that go to the caller unchanged."""
+    dropped = _HOP_BY_HOP | _split_names(connection)
+    return tuple(
+        exchanges.Header(name, value)
+        for name, value in fields
+        if name.lower() not in dropped
+    )
+
+
+def address(
+    exchange: exchanges.Exchange, order: dialects.SendOrder
+) -> list[tuple[str, str]]:
+    """Returns the head with which an exchange goes to an endpoint."""
+    fields = [(header.name, header.value) for header in exchange.headers]
+    remaining_ms = max(1, int(order.remaining_s * _MS_PER_S))
+    fields.append((names.REMAINING, str(remaining_ms)))
+    fields.append((names.TARGET, order.endpoint_id))
+    if exchange.workspace:
+        fields.append((names.TENANT, exchange.workspace))
+    if order.urgency is not None:
+        fields.append((names.URGENCY, str(order.urgency)))
+    if order.last_event >= 0:
+        fields.append((names.LAST_EVENT, str(order.last_event)))
+    if order.helpers:
+        listed = ",".join(_format_helper(helper) for helper in order.helpers)
+        fields.append((names.HELPERS, listed))
+    return fields
+
+
+def read_answer(
+    status: int, fields: Mapping[str, str]
+) -> dialects.AnswerFields:
+    """Decodes what the head of an endpoint's answer says."""
+    return dialects.AnswerFields(
+        request_id=fields.get(names.ATTEMPT_ID, ""),
+        sealed=names.SEAL in fields,
+        # 421 says that another endpoint has the address now.
+        refused=names.NOT_EXECUTED in fields or status == 421,
+        misdirected=status == 421,
+        at_fault=fields.get(names.AT_SERVER, ""),
+    )
+
+
+def _format_helper(helper: dialects.Helper) -> str:
+    if helper.lease_id:
+        return f"{helper.address}/{helper.lease_id}"
+    return helper.address
+
+
+def _split_names(connection: str) -> set[str]:
+    return {name.strip().lower() for name in connection.split(",")}
+
+
+def _read_number(text: str | None, default: float = 0.0) -> float:
+    try:
+        return float(text) if text else default
+    except ValueError:
+        return default
+
+
+def _read_tokens(text: str | None) -> tuple[int, int]:
+    prompt, _, answer = (text or "").partition(",")
+    return int(_read_number(prompt)), int(_read_number(answer))
--- /dev/null
+++ b/rhubarblock/platform/settings.py
@@ -0,0 +1,142 @@
+"""The platform's settings file, decoded whole with all errors at once."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import os
+import pathlib
+import tomllib
+from typing import Any
+from typing import TypeVar
+
+from returns import result
+
+from rhubarblock.platform import names
+from rhubarblock.settings import exchange as settings_lib
+
+T = TypeVar("T")
+
+_MS_PER_S = 1000.0
+
+Loaded = result.Result[
+    settings_lib.ExchangeSettings, list[settings_lib.SettingError]
+]
+
+
+def find_path() -> pathlib.Path:
+    """Returns the path of the settings file of this process."""
+    return pathlib.Path(os.environ.get(names.SETTINGS_VARIABLE, ""))
+
+
+def load_settings(path: pathlib.Path) -> Loaded:
+    """Reads the settings file.
+
+    Args:
+      path: TOML file; fields that are not known are passed over.
+
+    Returns:
+      The settings, or every error found.
+    """
+    try:
+        fields = tomllib.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        return result.Failure(
+            [settings_lib.SettingError(str(path), str(error))]
+        )
+    return decode_settings(fields)
+
+
+def decode_settings(fields: Mapping[str, Any]) -> Loaded:
+    """Checks the fields of a settings file."""
+    reader = _Reader(fields)
+    peers = reader.read("ip", _read_text)
+    ports = reader.read("internalPortRange", _read_ports)
+    settings = settings_lib.ExchangeSettings(
+        instance_id=reader.read("nodeName", _read_text) or "",
+        data_centre=reader.read("zone", _read_text) or "",
+        callers=reader.read("listen.front", _read_address) or _NOWHERE,
+        readiness=reader.read("listen.readyAddr", _read_address) or _NOWHERE,
+        peers=settings_lib.SocketAddress(peers or "", ports or 0),
+        metrics=settings_lib.SocketAddress(peers or "", names.METRICS_PORT),
+        store=reader.read("platformSettings.address", _read_address)
+        or _NOWHERE,
+        bounds=_read_bounds(reader),
+        max_files=int(reader.read("limits.maxFds", _read_positive) or 0),
+    )
+    if reader.errors:
+        return result.Failure(reader.errors)
+    return result.Success(settings)
+
+
+class _Reader:
+    """Reads fields and keeps what is wrong with them."""
+
+    __slots__ = ("_fields", "errors")
+
+    def __init__(self, fields: Mapping[str, Any]):
+        self._fields = fields
+        self.errors: list[settings_lib.SettingError] = []
+
+    def read(self, name: str, convert: Callable[[Any], T]) -> T | None:
+        """Returns a field by its dotted name, or None after an error."""
+        value: Any = self._fields
+        for part in name.split("."):
+            value = value.get(part) if isinstance(value, Mapping) else None
+        if value is None:
+            self.errors.append(settings_lib.SettingError(name, "is missing"))
+            return None
+        try:
+            return convert(value)
+        except ValueError as error:
+            message = f"{error}, not {value!r}"
+            self.errors.append(settings_lib.SettingError(name, message))
+            return None
+
+
+_NOWHERE = settings_lib.SocketAddress("", 0)
+
+
+def _read_bounds(reader: _Reader) -> settings_lib.ExchangeBounds:
+    def read(name: str) -> float:
+        return reader.read(f"bounds.{name}", _read_positive) or 0.0
+
+    return settings_lib.ExchangeBounds(
+        drain_s=read("drainMs") / _MS_PER_S,
+        grace_s=read("graceS"),
+        revoke_s=read("revokeMs") / _MS_PER_S,
+        retry_ratio=read("retryBudgetRatio"),
+        retry_slack=int(read("retryBudgetSlack")),
+        retry_window_s=read("budgetWindowS"),
+        lease_max_s=read("maxHoldMs") / _MS_PER_S,
+        lease_idle_s=read("idleMaxMs") / _MS_PER_S,
+    )
+
+
+def _read_text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError("a text is expected")
+    return value
+
+
+def _read_positive(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError("a number is expected")
+    if value <= 0:
+        raise ValueError("a number over 0 is expected")
+    return float(value)
+
+
+def _read_address(value: Any) -> settings_lib.SocketAddress:
+    host, _, port = str(value).rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError("an IP number and a port are expected")
+    return settings_lib.SocketAddress(host, int(port))
+
+
+def _read_ports(value: Any) -> int:
+    if (
+        not isinstance(value, list)
+        or len(value) != 2
+        or not all(isinstance(port, int) for port in value)
+    ):
+        raise ValueError("the first and the last port are expected")
+    return int(value[0])
--- a/rhubarblock/relay/backoff.py
+++ b/rhubarblock/relay/backoff.py
@@ -8,7 +8,7 @@
 import random
 
 from rhubarblock.core import verdict as verdicts
-from rhubarblock.platform import backoff as backoffs
+from rhubarblock.store import backoff as backoffs
 
 
 class Backoff:
--- a/rhubarblock/relay/claimhead.py
+++ b/rhubarblock/relay/claimhead.py
@@ -1,8 +1,8 @@
 """Reads and writes the head object of one shard."""
 
-from rhubarblock.platform import store as stores
 from rhubarblock.relay import claimpacer
 from rhubarblock.relay import claimtable
+from rhubarblock.store import store as stores
 
 
 class HeadObject:
--- a/rhubarblock/relay/claimindex.py
+++ b/rhubarblock/relay/claimindex.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from rhubarblock.platform import store as stores
 from rhubarblock.relay import claimrow
 from rhubarblock.relay import claimtable
+from rhubarblock.store import store as stores
 
 # Segments that are read at one time after a start.
 READS_AT_ONCE = 8
--- a/rhubarblock/relay/claiminterleave_test.py
+++ b/rhubarblock/relay/claiminterleave_test.py
@@ -29,8 +29,6 @@
 from rhubarblock.fleet import serviceclient
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
-from rhubarblock.platform import backoff as backoffs
-from rhubarblock.platform import store as stores
 from rhubarblock.relay import claimhead
 from rhubarblock.relay import claimindex
 from rhubarblock.relay import claimops
@@ -43,6 +41,8 @@
 from rhubarblock.relay import servicecalls
 from rhubarblock.standins import platformstate
 from rhubarblock.standins import service_test
+from rhubarblock.store import backoff as backoffs
+from rhubarblock.store import store as stores
 
 _Kind = stores.StoreErrorKind
 
--- a/rhubarblock/relay/claimlayout.py
+++ b/rhubarblock/relay/claimlayout.py
@@ -9,9 +9,9 @@
 import json
 
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import backoff as backoffs
-from rhubarblock.platform import store as stores
 from rhubarblock.relay import claimtable
+from rhubarblock.store import backoff as backoffs
+from rhubarblock.store import store as stores
 
 LAYOUT_NAME = claimtable.HEAD_PREFIX + "layout"
 
--- a/rhubarblock/relay/claims.py
+++ b/rhubarblock/relay/claims.py
@@ -20,8 +20,6 @@
 from rhubarblock.core import request as requests
 from rhubarblock.fleet import peertransport
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import backoff as backoffs
-from rhubarblock.platform import store as stores
 from rhubarblock.relay import claimfailures
 from rhubarblock.relay import claimhead
 from rhubarblock.relay import claimindex
@@ -34,6 +32,8 @@
 from rhubarblock.relay import claimsettings
 from rhubarblock.relay import claimshard
 from rhubarblock.relay import claimwire
+from rhubarblock.store import backoff as backoffs
+from rhubarblock.store import store as stores
 
 # Seconds that a caller waits for a platform that has been failing for longer
 # than the claim timeout: one more try, not the whole timeout each time.
--- a/rhubarblock/relay/claimseal.py
+++ b/rhubarblock/relay/claimseal.py
@@ -18,11 +18,11 @@
 import random
 
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import store as stores
 from rhubarblock.relay import claimhead
 from rhubarblock.relay import claimrow
 from rhubarblock.relay import claimsettings
 from rhubarblock.relay import claimtable
+from rhubarblock.store import store as stores
 
 # Seconds after which a segment that is being written counts as given up.
 SEALING_TIMEOUT_S = 60.0
--- a/rhubarblock/relay/claimsettings.py
+++ b/rhubarblock/relay/claimsettings.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from rhubarblock.platform import backoff as backoffs
+from rhubarblock.store import backoff as backoffs
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/rhubarblock/relay/claimshard.py
+++ b/rhubarblock/relay/claimshard.py
@@ -12,14 +12,14 @@
 import random
 
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import backoff as backoffs
-from rhubarblock.platform import store as stores
 from rhubarblock.relay import claimhead
 from rhubarblock.relay import claimindex
 from rhubarblock.relay import claimops
 from rhubarblock.relay import claimseal
 from rhubarblock.relay import claimsettings
 from rhubarblock.relay import claimtable
+from rhubarblock.store import backoff as backoffs
+from rhubarblock.store import store as stores
 
 # Another instance wrote the head in between: the next try can follow soon.
 CONFLICT_BACKOFF = backoffs.BackoffSettings(first_s=0.004, max_s=0.1)
--- /dev/null
+++ b/rhubarblock/routing/enginebook.py
@@ -0,0 +1,136 @@
+"""What each engine has before it, as far as this instance knows.
+
+An engine works in passes: a pass takes one step for each token that it writes
+and reads prompts between the steps, so reading makes the pauses of those who
+write there longer. The book holds what this instance and its peers placed,
+and predicts from it how long an engine's next pass lasts.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+from rhubarblock.core import route as routes
+
+# Seconds after which a job whose end nobody told is forgotten: twice the
+# longest time that a caller waits in the deployments known today.
+FORGET_S = 30.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Part:
+    """One engine's share of a prompt.
+
+    Attributes:
+      endpoint_id: the engine.
+      read_s: seconds of reading.
+    """
+
+    endpoint_id: str
+    read_s: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Job:
+    """A prompt that was placed.
+
+    Attributes:
+      job_id: unique over all instances.
+      parts: where it is read; the first one also writes the answer.
+      tokens: memory that it takes at the first engine.
+      pause_s: longest pause between its events that is on time, in seconds;
+        0 where any is.
+    """
+
+    job_id: str
+    parts: tuple[Part, ...]
+    tokens: int
+    pause_s: float
+
+    @property
+    def endpoint_id(self) -> str:
+        """The engine that writes the answer."""
+        return self.parts[0].endpoint_id
+
+
+class EngineLoad:
+    """What one engine has before it.
+
+    Attributes:
+      busy_until_s: when it has read what was given to it, in monotonic
+        seconds.
+      jobs: what it writes, or will write, by job id.
+    """
+
+    __slots__ = ("busy_until_s", "jobs")
+
+    def __init__(self) -> None:
+        self.busy_until_s = 0.0
+        self.jobs: dict[str, Job] = {}
+
+    @property
+    def tokens(self) -> int:
+        """Tokens of memory in use."""
+        return sum(job.tokens for job in self.jobs.values())
+
+    @property
+    def tightest_pause_s(self) -> float:
+        """The shortest pause that one of its writers allows, in seconds."""
+        pauses = [job.pause_s for job in self.jobs.values() if job.pause_s]
+        return min(pauses, default=float("inf"))
+
+    def predict_wait(self, now_s: float) -> float:
+        """Returns the seconds of reading that lie before new work."""
+        return max(0.0, self.busy_until_s - now_s)
+
+    def predict_stride(self, model: routes.EngineModel) -> float:
+        """Returns the seconds of a pass that reads nothing."""
+        return model.predict_stride(len(self.jobs), self.tokens)
+
+
+class EngineBook:
+    """Loads of all engines."""
+
+    __slots__ = ("_ends", "_jobs", "_loads")
+
+    def __init__(self) -> None:
+        self._loads: dict[str, EngineLoad] = {}
+        self._jobs: dict[str, Job] = {}
+        self._ends: dict[str, float] = {}
+
+    def find(self, endpoint_id: str) -> EngineLoad:
+        """Returns the load of an engine; an unknown one has none."""
+        load = self._loads.get(endpoint_id)
+        if load is None:
+            load = self._loads[endpoint_id] = EngineLoad()
+        return load
+
+    def add(self, job: Job, now_s: float) -> None:
+        """Takes in a job that was placed."""
+        if job.job_id in self._jobs:
+            return
+        self._jobs[job.job_id] = job
+        self._ends[job.job_id] = now_s + FORGET_S
+        self.find(job.endpoint_id).jobs[job.job_id] = job
+        for part in job.parts:
+            load = self.find(part.endpoint_id)
+            load.busy_until_s = max(load.busy_until_s, now_s) + part.read_s
+
+    def remove(self, job_id: str) -> None:
+        """Takes in the end of a job."""
+        job = self._jobs.pop(job_id, None)
+        if job is None:
+            return
+        del self._ends[job_id]
+        self.find(job.endpoint_id).jobs.pop(job_id, None)
+
+    def expire(self, now_s: float) -> None:
+        """Forgets jobs whose end was never told."""
+        for job_id in [j for j, end_s in self._ends.items() if end_s <= now_s]:
+            self.remove(job_id)
+
+    def keep_only(self, endpoint_ids: Iterable[str]) -> None:
+        """Forgets engines that are not there any more."""
+        kept = set(endpoint_ids)
+        for endpoint_id in [e for e in self._loads if e not in kept]:
+            if not self._loads[endpoint_id].jobs:
+                del self._loads[endpoint_id]
--- a/rhubarblock/routing/quarantine.py
+++ b/rhubarblock/routing/quarantine.py
@@ -28,13 +28,13 @@
 from rhubarblock.fleet import duties
 from rhubarblock.fleet import peertransport
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.platform import store as stores
 from rhubarblock.routing import quarantine_pb2
 from rhubarblock.routing import quarantinebook
 from rhubarblock.routing import quarantinedesk
 from rhubarblock.routing import quarantineflight
 from rhubarblock.routing import quarantinekeeper
 from rhubarblock.routing import quarantinewire
+from rhubarblock.store import store as stores
 
 SHARE_KIND = "quarantine.share"
 PERMIT_KIND = "quarantine.permit"
--- a/rhubarblock/routing/quarantinekeeper.py
+++ b/rhubarblock/routing/quarantinekeeper.py
@@ -7,9 +7,9 @@
 import dataclasses
 
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.platform import store as stores
 from rhubarblock.routing import quarantinebook
 from rhubarblock.routing import quarantinewire
+from rhubarblock.store import store as stores
 
 OBJECT_NAME = "quarantine/book"
 
--- a/rhubarblock/scripts/measurecosts.py
+++ b/rhubarblock/scripts/measurecosts.py
@@ -17,7 +17,7 @@
 from rhubarblock.experiments import overheadthreads
 from rhubarblock.experiments import slopes
 from rhubarblock.fleet import httpengine
-from rhubarblock.platform import instances
+from rhubarblock.store import instances
 
 _MS_PER_S = 1_000.0
 
--- a/rhubarblock/scripts/standin.py
+++ b/rhubarblock/scripts/standin.py
@@ -11,8 +11,6 @@
 
 from rhubarblock.core import endpoint as endpoints
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import httpstore
-from rhubarblock.platform import instances
 from rhubarblock.standins import engine as engines
 from rhubarblock.standins import engineserver
 from rhubarblock.standins import enginesettings
@@ -21,6 +19,8 @@
 from rhubarblock.standins import platformserver
 from rhubarblock.standins import service
 from rhubarblock.standins import serviceserver
+from rhubarblock.store import httpstore
+from rhubarblock.store import instances
 
 _listen_option = click.option(
     "--port", default=0, show_default=True, help="Port; 0 takes a free one."
--- a/rhubarblock/standins/instancelist.py
+++ b/rhubarblock/standins/instancelist.py
@@ -6,9 +6,9 @@
 
 import dataclasses
 
-from rhubarblock.platform import instances
 from rhubarblock.standins import platform
 from rhubarblock.standins import platformstate
+from rhubarblock.store import instances
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/rhubarblock/standins/instancelist_test.py
+++ b/rhubarblock/standins/instancelist_test.py
@@ -5,9 +5,9 @@
 
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
-from rhubarblock.platform import instances
 from rhubarblock.standins import instancelist
 from rhubarblock.standins import platform
+from rhubarblock.store import instances
 
 DESK = instances.ListedInstance(
     instance_id="desk-1",
--- a/rhubarblock/standins/memoryfleet.py
+++ b/rhubarblock/standins/memoryfleet.py
@@ -14,10 +14,10 @@
 from rhubarblock.fleet import membership as memberships
 from rhubarblock.fleet import probing
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.platform import instances
 from rhubarblock.standins import instancelist
 from rhubarblock.standins import memorypeers
 from rhubarblock.standins import platform
+from rhubarblock.store import instances
 
 _PORT = 7000
 
--- a/rhubarblock/standins/platform.py
+++ b/rhubarblock/standins/platform.py
@@ -12,11 +12,11 @@
 import random
 
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import store as stores
 from rhubarblock.standins import platformfaults
 from rhubarblock.standins import platformrates
 from rhubarblock.standins import platformstate
 from rhubarblock.standins import platformwatch
+from rhubarblock.store import store as stores
 
 _Kind = stores.StoreErrorKind
 
--- a/rhubarblock/standins/platform_test.py
+++ b/rhubarblock/standins/platform_test.py
@@ -7,8 +7,8 @@
 
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
-from rhubarblock.platform import store as stores
 from rhubarblock.standins import platform
+from rhubarblock.store import store as stores
 
 _Kind = stores.StoreErrorKind
 
--- a/rhubarblock/standins/platformserver.py
+++ b/rhubarblock/standins/platformserver.py
@@ -11,11 +11,11 @@
 
 from aiohttp import web
 
-from rhubarblock.platform import instances
-from rhubarblock.platform import store as stores
-from rhubarblock.platform import storewire
 from rhubarblock.standins import instancelist
 from rhubarblock.standins import platform
+from rhubarblock.store import instances
+from rhubarblock.store import store as stores
+from rhubarblock.store import storewire
 
 FAULTS_PATH = "/v1/faults"
 # Room for a value that is over the limit, so that the store refuses it.
--- a/rhubarblock/standins/platformserver_test.py
+++ b/rhubarblock/standins/platformserver_test.py
@@ -9,13 +9,13 @@
 import pytest
 
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import httpstore
-from rhubarblock.platform import instances
-from rhubarblock.platform import store as stores
 from rhubarblock.standins import instancelist
 from rhubarblock.standins import instancelist_test
 from rhubarblock.standins import platform
 from rhubarblock.standins import platformserver
+from rhubarblock.store import httpstore
+from rhubarblock.store import instances
+from rhubarblock.store import store as stores
 
 _Kind = stores.StoreErrorKind
 
--- a/rhubarblock/standins/platformstate.py
+++ b/rhubarblock/standins/platformstate.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 import dataclasses
 
-from rhubarblock.platform import store as stores
+from rhubarblock.store import store as stores
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/rhubarblock/standins/platformwatch.py
+++ b/rhubarblock/standins/platformwatch.py
@@ -5,9 +5,9 @@
 import random
 
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import store as stores
 from rhubarblock.standins import platformfaults
 from rhubarblock.standins import platformstate
+from rhubarblock.store import store as stores
 
 # A watch that lags by more events than this is told to list anew.
 BUFFER_LIMIT = 1000
--- /dev/null
+++ b/rhubarblock/store/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object API."""
--- a/rhubarblock/platform/httpstore.py
+++ b/rhubarblock/store/httpstore.py
@@ -8,9 +8,9 @@
 
 import aiohttp
 
-from rhubarblock.platform import sendonce
-from rhubarblock.platform import store as stores
-from rhubarblock.platform import storewire
+from rhubarblock.store import sendonce
+from rhubarblock.store import store as stores
+from rhubarblock.store import storewire
 
 # Seconds until a call without an answer counts as lost.
 CALL_TIMEOUT_S = 5.0
--- a/rhubarblock/platform/instances.py
+++ b/rhubarblock/store/instances.py
@@ -13,8 +13,8 @@
 
 import aiohttp
 
-from rhubarblock.platform import store as stores
-from rhubarblock.platform import storewire
+from rhubarblock.store import store as stores
+from rhubarblock.store import storewire
 
 OBJECT_PREFIX = "instances/"
 CALL_TIMEOUT_S = 5.0
--- a/rhubarblock/platform/storewire.py
+++ b/rhubarblock/store/storewire.py
@@ -8,7 +8,7 @@
 import json
 from typing import Any
 
-from rhubarblock.platform import store as stores
+from rhubarblock.store import store as stores
 
 OBJECTS_PATH = "/v1/objects"
 WATCH_PATH = "/v1/watch"
--- a/rhubarblock/platform/unsure.py
+++ b/rhubarblock/store/unsure.py
@@ -11,8 +11,8 @@
 import random
 
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.platform import backoff as backoffs
-from rhubarblock.platform import store as stores
+from rhubarblock.store import backoff as backoffs
+from rhubarblock.store import store as stores
 
 _Kind = stores.StoreErrorKind
 
--- a/rhubarblock/platform/unsure_test.py
+++ b/rhubarblock/store/unsure_test.py
@@ -8,9 +8,9 @@
 
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
-from rhubarblock.platform import backoff as backoffs
-from rhubarblock.platform import store as stores
-from rhubarblock.platform import unsure
+from rhubarblock.store import backoff as backoffs
+from rhubarblock.store import store as stores
+from rhubarblock.store import unsure
 
 _Kind = stores.StoreErrorKind
 
