Bound the log lines of a second, and write them without waiting

Cause: lines went through a plain handler, so a standard output that nobody reads stopped the event loop; nothing bounded them under load; a request that was served left no line, so 'no line' could mean served, never arrived, or lost.

Change: a queue with a thread of its own writes the lines (logwriter), a budget a second leaves out what was served first and failures last, and tells by message how many (linebudget).

--- a/rhubarblock/exchange/frontdoor.py
+++ b/rhubarblock/exchange/frontdoor.py
@@ -100,7 +100,7 @@
         failure: failures.Failure,
     ) -> web.StreamResponse:
         self._metrics.count(f"exchange.failed.{failure.code.value}")
-        _logger.info(
+        _logger.warning(
             "request failed",
             extra={
                 "request": self._dialect.read_caller(
@@ -111,6 +111,9 @@
                 "reason": failure.message,
                 "verdict": failure.verdict.value,
                 "begun": sink.begun,
+                "retry_after_s": failure.retry_after_s,
+                "configuration": self._authority.version,
+                "configuration_age_s": self._describe_age(),
             },
         )
         if sink.response is not None:
@@ -123,6 +126,12 @@
         self._mark_closing(response)
         return response
 
+    def _describe_age(self) -> float | None:
+        """Returns the age of the configuration in seconds, None without one."""
+        if self._authority.table is None:
+            return None
+        return round(self._authority.age_s, 2)
+
     def _mark_closing(self, response: web.StreamResponse) -> None:
         if self._life.state is lives.LifeState.DRAINING:
             response.force_close()
--- /dev/null
+++ b/rhubarblock/exchange/lines_test.py
@@ -0,0 +1,81 @@
+"""The lines that tell an exchange's story."""
+
+import asyncio
+import logging
+
+import pytest
+
+from rhubarblock.core import failure as failures
+from rhubarblock.core import route as routes
+from rhubarblock.exchange import fakeparts_test as fakes
+
+FAILS = fakes.whole(b"bad", "500 Internal Server Error")
+
+
+class Lines(logging.Handler):
+    """Keeps what was logged."""
+
+    def __init__(self):
+        super().__init__()
+        self.records = []
+
+    def emit(self, record):
+        self.records.append(record)
+
+
+@pytest.fixture
+def lines():
+    logger = logging.getLogger("rhubarblock.exchange")
+    handler = Lines()
+    level = logger.level
+    logger.addHandler(handler)
+    logger.setLevel(logging.DEBUG)
+    yield handler.records
+    logger.removeHandler(handler)
+    logger.setLevel(level)
+
+
+def serve(*scripts):
+    async def main():
+        endpoints = [fakes.ScriptedEndpoint(script) for script in scripts]
+        async with fakes.open_parts(*endpoints) as parts:
+            exchange = fakes.make_exchange(
+                fakes.make_route(routes.RouteKind.IDEMPOTENT)
+            )
+            await parts.relay.serve(exchange, fakes.MemorySink())
+
+    asyncio.run(main())
+
+
+def tell(records):
+    return [
+        (
+            record.message if hasattr(record, "message") else record.msg,
+            record.levelname,
+        )
+        for record in records
+        if getattr(record, "request", "") == "q1"
+    ]
+
+
+def test_request_that_was_served_leaves_two_lines(lines):
+    serve(fakes.whole(b"ok"))
+    assert tell(lines) == [("placed", "DEBUG"), ("served", "DEBUG")]
+    assert lines[-1].failed_attempts == 0
+    assert lines[-1].parts == 1
+
+
+def test_attempt_that_failed_stands_between_two_places(lines):
+    serve(FAILS, FAILS)
+    assert tell(lines) == [
+        ("placed", "DEBUG"),
+        ("attempt ended", "INFO"),
+        ("placed", "DEBUG"),
+        ("attempt ended", "INFO"),
+    ]
+
+
+def test_exchange_without_a_place_is_not_told_as_placed(lines):
+    with pytest.raises(failures.FailureError):
+        serve()
+    assert tell(lines) == []
--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -75,29 +75,40 @@
         self._metrics.count(name)
         return granted
 
+    def note_placed(self, flow: flows.Flow, place: placers.Place) -> None:
+        """Takes in where an attempt goes."""
+        _logger.debug(
+            "placed",
+            extra={
+                **self._describe(flow, place),
+                "engines": [e.endpoint_id for e in place.helper_engines],
+                "leased_tokens": sum(lease.tokens for lease in place.held),
+                "prompt_tokens": flow.exchange.prompt_tokens,
+                "begun": flow.sink.begun,
+                "left_s": round(
+                    flow.exchange.deadline_s - self._timers.read_monotonic(), 3
+                ),
+            },
+        )
+
     def note_served(self, flow: flows.Flow, place: placers.Place) -> None:
-        """Takes in a whole answer; only a late one is worth a line."""
+        """Takes in a whole answer."""
         exchange = flow.exchange
         self._budget(exchange).record_success()
         self._metrics.count("exchange.served")
         first_s = flow.progress.first_s or 0.0
         self._metrics.observe("exchange.first", _name_kind(exchange), first_s)
-        if not flow.progress.is_late(exchange):
-            return
-        self._metrics.count("exchange.late")
-        now_s = self._timers.read_monotonic()
-        _logger.info(
-            "served late",
+        is_late = flow.progress.is_late(exchange)
+        if is_late:
+            self._metrics.count("exchange.late")
+        _logger.log(
+            logging.INFO if is_late else logging.DEBUG,
+            "served late" if is_late else "served",
             extra={
-                "request": exchange.request_id,
-                "route": exchange.route.name,
-                "endpoint": place.endpoint.endpoint_id,
+                **self._describe(flow, place),
                 "prompt_tokens": exchange.prompt_tokens,
-                "parts": 1 + len(place.helpers),
-                "expected_s": round(place.expected_s, 3),
                 "first_s": round(first_s, 3),
                 "longest_pause_s": round(flow.progress.longest_pause_s, 3),
-                "total_s": round(now_s - exchange.arrived_s, 3),
                 "failed_attempts": flow.history.attempts,
             },
         )
@@ -188,24 +199,33 @@
         outcome: str,
     ) -> None:
         """Writes why an attempt did not give its answer."""
-        now_s = self._timers.read_monotonic()
-        exchange = flow.exchange
         _logger.info(
             "attempt ended",
             extra={
-                "request": exchange.request_id,
-                "route": exchange.route.name,
-                "endpoint": place.endpoint.endpoint_id,
-                "data_centre": place.endpoint.data_centre,
-                "parts": 1 + len(place.helpers),
-                "expected_s": round(place.expected_s, 3),
-                "since_arrival_s": round(now_s - exchange.arrived_s, 3),
+                **self._describe(flow, place),
                 "outcome": outcome,
                 "verdict": failure.verdict.value,
                 "reason": failure.message,
             },
         )
 
+    def _describe(
+        self, flow: flows.Flow, place: placers.Place
+    ) -> dict[str, object]:
+        """Returns what each line about an attempt tells."""
+        exchange = flow.exchange
+        now_s = self._timers.read_monotonic()
+        return {
+            "request": exchange.request_id,
+            "route": exchange.route.name,
+            "workspace": exchange.workspace,
+            "endpoint": place.endpoint.endpoint_id,
+            "data_centre": place.endpoint.data_centre,
+            "parts": 1 + len(place.helpers),
+            "expected_s": round(place.expected_s, 3),
+            "since_arrival_s": round(now_s - exchange.arrived_s, 3),
+        }
+
 
 def _name_kind(exchange: exchanges.Exchange) -> str:
     """Returns the kind of an exchange, with a band of its prompt's length."""
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -100,6 +100,7 @@
         with self._placer.hold(flow.exchange, avoid, flow.sink.begun) as place:
             if place is None:
                 raise _give_up(flow, "no endpoint has room")
+            self._outcomes.note_placed(flow, place)
 
             def may_leave(reason: silence.Reason) -> bool:
                 return self._may_leave(flow, place, reason)
--- a/rhubarblock/kernel/logs.py
+++ b/rhubarblock/kernel/logs.py
@@ -1,20 +1,60 @@
 """Structured logs: one JSON object a line.
 
-Counters come first; a line is written only when something changes its state,
-so the volume of logs does not grow with the load.
+A line is written for each decision that touches a request and for each change
+of what a process believes. Their number is bounded, and writing them keeps
+nobody waiting.
 """
 
 import logging
+import time
 from typing import Any
 from typing import TextIO
 
 from pythonjsonlogger import json as jsonlogger
 
+from rhubarblock.kernel import linebudget
+from rhubarblock.kernel import logwriter
+
 ROOT_LOGGER = "rhubarblock"
 _FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
 _RENAMED = {"asctime": "time", "levelname": "level", "name": "logger"}
 
 
+class BoundedHandler(logging.Handler):
+    """Writes lines within a budget, through a queue."""
+
+    def __init__(
+        self, writer: logwriter.LogWriter, budget: linebudget.LineBudget
+    ):
+        """Creates a handler.
+
+        Args:
+          writer: writes the lines; it is closed with the handler.
+          budget: how many there may be.
+        """
+        super().__init__()
+        self._writer = writer
+        self._budget = budget
+        self.setFormatter(
+            jsonlogger.JsonFormatter(_FIELDS, rename_fields=_RENAMED)
+        )
+
+    def emit(self, record: logging.LogRecord) -> None:
+        left_out = self._budget.take_left_out()
+        if left_out:
+            self._put(_make_left_out(left_out))
+        if self._budget.take(record.levelno, str(record.msg)):
+            self._put(record)
+
+    def close(self) -> None:
+        self._writer.close()
+        super().close()
+
+    def _put(self, record: logging.LogRecord) -> None:
+        if not self._writer.put(self.format(record) + "\n"):
+            self._budget.count_left_out(str(record.msg))
+
+
 def configure(level: str, stream: TextIO) -> logging.Logger:
     """Sends the project's log lines to a stream as JSON.
 
@@ -25,11 +65,13 @@
     Returns:
       The root logger of the project.
     """
-    handler = logging.StreamHandler(stream)
-    handler.setFormatter(
-        jsonlogger.JsonFormatter(_FIELDS, rename_fields=_RENAMED)
-    )
     logger = logging.getLogger(ROOT_LOGGER)
+    for handler in logger.handlers:
+        handler.close()
+    handler = BoundedHandler(
+        logwriter.LogWriter(logwriter.make_write(stream)),
+        linebudget.LineBudget(time.monotonic),
+    )
     logger.handlers = [handler]
     logger.setLevel(level.upper())
     logger.propagate = False
@@ -54,3 +96,16 @@
     """
     fields.update(subject=subject, before=before, after=after)
     logger.info("state changed", extra=fields)
+
+
+def _make_left_out(left_out: dict[str, int]) -> logging.LogRecord:
+    """Returns the line that tells which lines were left out."""
+    return logging.makeLogRecord(
+        {
+            "name": f"{ROOT_LOGGER}.kernel.logs",
+            "levelno": logging.WARNING,
+            "levelname": "WARNING",
+            "msg": "lines left out",
+            "by_message": left_out,
+        }
+    )
--- a/rhubarblock/scripts/edge.py
+++ b/rhubarblock/scripts/edge.py
@@ -44,7 +44,7 @@
     path = path or settings_loader.find_path()
     if check:
         sys.exit(check_settings(path))
-    logs.configure("INFO", sys.stdout)
+    logs.configure("DEBUG", sys.stdout)
     asyncio.run(serve(wait_for_settings(path)))
 
 
--- a/rhubarblock/scripts/explain.py
+++ b/rhubarblock/scripts/explain.py
@@ -79,7 +79,8 @@
     if not own:
         return [
             f"no line names request {request_id}: "
-            "it was answered in time, or never arrived"
+            "it never arrived, or its lines were left out (see "
+            "lines that say so)"
         ]
     first_s, last_s = own[0].at_s - BEFORE_S, own[-1].at_s + AFTER_S
     instances = {line.instance for line in own}
@@ -108,15 +109,25 @@
 
 def _find_cause(own: list[Line]) -> str:
     last = own[-1]
+    if last.message == "served":
+        return f"served in time, first after {last.fields.get('first_s')} s"
     if last.message == "served late":
-        moved = [str(line.fields.get("reason")) for line in own[:-1]]
+        moved = [
+            str(line.fields["reason"])
+            for line in own[:-1]
+            if "reason" in line.fields
+        ]
         late = (
             f"first after {last.fields.get('first_s')} s "
             f"({last.fields.get('expected_s')} s were predicted), "
             f"longest pause {last.fields.get('longest_pause_s')} s"
         )
         return "; ".join([*moved, late])
-    reasons = [str(line.fields.get("reason", line.message)) for line in own]
+    reasons = [
+        str(line.fields.get("reason", line.message))
+        for line in own
+        if line.message != "placed"
+    ] or ["it was placed, and its end was not told"]
     return "; then ".join(dict.fromkeys(reasons))
 
 
--- a/rhubarblock/scripts/explain_test.py
+++ b/rhubarblock/scripts/explain_test.py
@@ -54,3 +54,26 @@
         "cause: first after 0.5 s (0.1 s were predicted), longest pause 0.2 s"
     )
     assert " all " in result.output
+
+
+def test_request_that_was_served_has_no_failure_as_its_cause(tmp_path):
+    text = (
+        '1.0 edge-1 {"message": "placed", "request": "q4", "endpoint": "e1"}\n'
+        '1.2 edge-1 {"message": "served", "request": "q4", "endpoint": "e1", '
+        '"first_s": 0.15}\n'
+    )
+    result = run("q4", tmp_path, text)
+    assert result.output.splitlines()[-1] == (
+        "cause: served in time, first after 0.15 s"
+    )
+
+
+def test_places_are_no_causes(tmp_path):
+    text = (
+        '1.0 edge-1 {"message": "placed", "request": "q5", "endpoint": "e1"}\n'
+        '1.2 edge-1 {"message": "attempt ended", "request": "q5", '
+        '"reason": "the endpoint kept silent"}\n'
+        '1.3 edge-1 {"message": "placed", "request": "q5", "endpoint": "e2"}\n'
+    )
+    result = run("q5", tmp_path, text)
+    assert result.output.splitlines()[-1] == "cause: the endpoint kept silent"
