Use a part of a large pool; forget what a lost start of a peer ran

Ruled out: reading of the store, which grew little. And after a kill the jobs of the lost start stayed in the peers' books for up to 30 s, so that idle engines looked full, while the new start knew of nothing.

Change: an instance uses 96 engines of a larger pool, drawn by rendezvous hashing (exchange/subset.py), and placements are told only to peers that use one of their engines; endpoints are kept by service; greetings go to far peers each eighth second; a large data centre has a reader for each 32 instances. A greeting names the start: peers forget the jobs of the one before it and tell the new one what they run.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -29,6 +29,7 @@
 from rhubarblock.exchange import relay as relays
 from rhubarblock.exchange import statebook
 from rhubarblock.exchange import statefeed
+from rhubarblock.exchange import subset as subsets
 from rhubarblock.exchange import transport as transports
 from rhubarblock.kernel import exposition
 from rhubarblock.kernel import life as lives
@@ -92,6 +93,7 @@
         self.timers = timer_service.LoopTimers()
         self.authority = authorities.Authority(settings.bounds.revoke_s)
         self.directory = directories.Directory(self.timers)
+        self.subsets = subsets.Subsets(self.directory)
         self.state = statebook.StateBook(
             dialect, self.authority, self.directory, self.timers
         )
@@ -127,6 +129,7 @@
             settings.data_centre,
             self.book,
             self.health,
+            self.subsets,
             self.timers,
         )
         await stack.enter_async_context(
@@ -151,6 +154,8 @@
             self.book,
             self.health,
             news,
+            self.subsets,
+            self.settings.instance_id,
             self.settings.data_centre,
             self.timers,
         )
--- a/rhubarblock/exchange/directory.py
+++ b/rhubarblock/exchange/directory.py
@@ -38,12 +38,14 @@
 class Directory:
     """Endpoints by id."""
 
-    __slots__ = ("_endpoints", "_timers")
+    __slots__ = ("_endpoints", "_services", "_timers")
 
     def __init__(self, timers: timer_service.Timers):
         """Starts empty."""
         self._timers = timers
         self._endpoints: dict[str, Endpoint] = {}
+        # The same endpoints by service, as each request asks for one service.
+        self._services: dict[str, dict[str, Endpoint]] = {}
 
     def replace(self, listing: list[lists.ListedEndpoint]) -> None:
         """Takes in a whole listing."""
@@ -61,8 +63,14 @@
     def update(self, entry: lists.ListedEndpoint) -> None:
         """Takes in one entry of the list."""
         known = self._endpoints.get(entry.endpoint_id)
+        if known is not None and known.listed.service != entry.service:
+            self.remove(entry.endpoint_id)
+            known = None
         if known is None:
-            self._endpoints[entry.endpoint_id] = Endpoint(entry, entry.draining)
+            endpoint = Endpoint(entry, entry.draining)
+            self._endpoints[entry.endpoint_id] = endpoint
+            pool = self._services.setdefault(entry.service, {})
+            pool[entry.endpoint_id] = endpoint
             self._log(entry, "unknown", entry.draining)
             return
         known.listed = entry
@@ -75,6 +83,7 @@
         """Forgets an endpoint whose entry was removed."""
         gone = self._endpoints.pop(endpoint_id, None)
         if gone is not None:
+            del self._services[gone.listed.service][endpoint_id]
             logs.log_state_change(
                 _logger, f"endpoint {endpoint_id}", "listed", "gone"
             )
@@ -96,6 +105,10 @@
         """Returns the ids of all endpoints that are known."""
         return set(self._endpoints)
 
+    def count(self, service: str) -> int:
+        """Returns how many endpoints of a service are known."""
+        return len(self._services.get(service, ()))
+
     def list_usable(self, service: str) -> list[lists.ListedEndpoint]:
         """Returns the endpoints of a service that take new work.
 
@@ -106,8 +119,8 @@
         """
         usable = [
             endpoint
-            for endpoint in self._endpoints.values()
-            if endpoint.listed.service == service and not endpoint.draining
+            for endpoint in self._services.get(service, {}).values()
+            if not endpoint.draining
         ]
         present = [e for e in usable if e.missing_since_s is None]
         chosen = present if 2 * len(present) >= len(usable) else usable
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -20,6 +20,7 @@
 from rhubarblock.exchange import outcomes
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
+from rhubarblock.exchange import subset as subsets
 from rhubarblock.exchange import transport as transports
 from rhubarblock.kernel import life as lives
 from rhubarblock.kernel import metrics as metric_store
@@ -220,14 +221,23 @@
         self.listed = asyncio.Event()
         self.listed.set()
         self.authority = authorities.Authority(BOUNDS.revoke_s)
+        self.subsets = subsets.Subsets(self.directory)
         self.news = news_lib.News(
-            "i1", "s1", "osu-hall", self.book, self.health, self.timers
+            "i1",
+            "s1",
+            "osu-hall",
+            self.book,
+            self.health,
+            self.subsets,
+            self.timers,
         )
         self.placer = placers.Placer(
             self.directory,
             self.book,
             self.health,
             self.news,
+            self.subsets,
+            "i1",
             "osu-hall",
             self.timers,
         )
--- a/rhubarblock/exchange/news.py
+++ b/rhubarblock/exchange/news.py
@@ -15,6 +15,8 @@
 import logging
 from typing import Any
 
+from rhubarblock.exchange import subset as subsets
+from rhubarblock.fleet import rendezvous
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import enginebook
 from rhubarblock.routing import health as healths
@@ -32,8 +34,14 @@
 TELL_AGAIN_S = 0.4
 # Most peers that are asked for state while the store can't be reached.
 MOST_ASKED = 4
-# Seconds between two signs of life of an instance that has nothing to tell.
+# Seconds between two signs of life of an instance that has nothing to tell, to
+# peers of its data centre, and how many of these go by between two to others,
+# which only need to know that it is there.
 GREETING_S = 2.0
+FAR_GREETINGS = 4
+# Most instances that ask one reader of the store. Each asks two or three times
+# a second, and an answer takes it half a millisecond.
+READER_PEERS = 32
 
 _PLACED = "p"
 _ENDED = "e"
@@ -51,18 +59,22 @@
     Attributes:
       heard_s: when it last spoke, in monotonic seconds.
       instance_id: its name; empty before it told.
+      source: names the start of it that spoke last; empty before it told.
       data_centre: where it runs; empty before it told.
       distrusted_until_s: until when its state is not relied on.
     """
 
     heard_s: float
     instance_id: str = ""
+    source: str = ""
     data_centre: str = ""
     distrusted_until_s: float = 0.0
 
-    def is_alive(self, now_s: float) -> bool:
-        """Says whether it spoke lately."""
-        return now_s - self.heard_s <= ALIVE_S
+    def is_alive(self, now_s: float, data_centre: str) -> bool:
+        """Says whether it spoke lately, as seen from a data centre."""
+        is_far = self.data_centre != data_centre
+        greetings = FAR_GREETINGS if is_far else 1
+        return now_s - self.heard_s <= ALIVE_S * greetings
 
 
 class News(asyncio.DatagramProtocol):
@@ -75,6 +87,7 @@
         data_centre: str,
         book: enginebook.EngineBook,
         health: healths.Health,
+        subsets_: subsets.Subsets,
         timers: timer_service.Timers,
     ):
         """Creates an end that is not open yet.
@@ -85,15 +98,20 @@
           data_centre: data centre of this instance.
           book: takes what peers placed.
           health: takes what peers of the same data centre met.
+          subsets_: which peers use which engines.
           timers: the clock.
         """
         self._own_id = own_id
         self._prefix = f"{own_id}.{start_id}"
         self._data_centre = data_centre
-        self._greeting = [_GREETING, own_id, data_centre]
+        self._greeting = [_GREETING, own_id, data_centre, self._prefix]
+        # Jobs of this instance that have not ended, and when they were placed.
+        self._own_jobs: dict[str, tuple[enginebook.Job, float]] = {}
         self._book = book
         self._health = health
+        self._subsets = subsets_
         self._timers = timers
+        self._greetings = 0
         self._peers: dict[tuple[str, int], _Peer] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._own: tuple[str, int] = ("", 0)
@@ -139,18 +157,24 @@
     def find_reader(self) -> str | None:
         """Returns the address of the peer that reads the store for this one.
 
-        It is the first by name of those in this data centre that are alive;
-        None says that this instance is the first itself.
+        It is the first by name of those in this data centre that are alive,
+        in a large one of the group that this instance belongs to; None says
+        that this instance is the first itself.
         """
         now_s = self._timers.read_monotonic()
-        best: tuple[str, tuple[str, int]] | None = None
-        for address, peer in self._peers.items():
-            if peer.data_centre != self._data_centre:
-                continue
-            if not peer.is_alive(now_s) or now_s < peer.distrusted_until_s:
-                continue
-            if best is None or peer.instance_id < best[0]:
-                best = (peer.instance_id, address)
+        near = [
+            (peer.instance_id, address)
+            for address, peer in self._peers.items()
+            if peer.data_centre == self._data_centre
+            and peer.is_alive(now_s, self._data_centre)
+            and now_s >= peer.distrusted_until_s
+        ]
+        groups = 1 + len(near) // READER_PEERS
+        own_group = _find_group(self._own_id, groups)
+        best = min(
+            (p for p in near if _find_group(p[0], groups) == own_group),
+            default=None,
+        )
         if best is None or best[0] > self._own_id:
             return None
         return "{}:{}".format(*best[1])
@@ -164,44 +188,64 @@
             peer.distrusted_until_s = now_s + DISTRUST_S
 
     def list_peers(self) -> list[str]:
-        """Returns addresses of live peers, those of this data centre first."""
+        """Returns addresses of live peers.
+
+        Those of this data centre come first, and then those that spoke last.
+        """
         now_s = self._timers.read_monotonic()
         alive = [
-            (peer.data_centre != self._data_centre, "{}:{}".format(*address))
+            (
+                peer.data_centre != self._data_centre,
+                -peer.heard_s,
+                "{}:{}".format(*address),
+            )
             for address, peer in self._peers.items()
-            if peer.is_alive(now_s)
+            if peer.is_alive(now_s, self._data_centre)
         ]
-        return [address for _, address in sorted(alive)][:MOST_ASKED]
+        return [address for _, _, address in sorted(alive)][:MOST_ASKED]
 
     async def greet(self) -> None:
-        """Gives a sign of life."""
-        self._send(self._greeting)
+        """Gives a sign of life, to peers that are far not each time."""
+        is_for_all = self._greetings % FAR_GREETINGS == 0
+        self._greetings += 1
+        self._send(
+            self._greeting,
+            lambda peer: is_for_all or self._is_near(peer),
+        )
 
     def tell_placed(self, job: enginebook.Job) -> None:
-        """Tells peers of a job that was placed."""
-        read_us = round(job.parts[0].read_s * 1e6)
-        ids = [part.endpoint_id for part in job.parts]
-        pause_ms = round(job.pause_s * 1e3)
-        tokens = [part.tokens for part in job.parts]
-        while tokens[-1:] == [0]:
-            tokens.pop()
-        self._send([_PLACED, job.job_id, ids, read_us, tokens, pause_ms])
-
-    def tell_ended(self, job_id: str) -> None:
-        """Tells peers that a job ended."""
-        self._send([_ENDED, job_id])
+        """Tells peers that use its engines of a job that was placed."""
+        now_s = self._timers.read_monotonic()
+        self._own_jobs[job.job_id] = (job, now_s)
+        self._send(
+            _describe_job(job, job.parts[0].read_s),
+            lambda peer: self._uses_any(peer, job),
+        )
+
+    def tell_ended(self, job: enginebook.Job) -> None:
+        """Tells the same peers that the job ended."""
+        self._own_jobs.pop(job.job_id, None)
+        self._send([_ENDED, job.job_id], lambda peer: self._uses_any(peer, job))
 
     def tell_broken(self, endpoint_id: str, data_centre: str) -> None:
-        """Tells peers of an endpoint that broke a connection or kept silent."""
-        self._send([_BROKEN, self._data_centre, endpoint_id, data_centre])
+        """Tells peers of an endpoint that broke a connection or kept silent.
+
+        Only those of this data centre hear of it, as they use the same way.
+        """
+        self._send(
+            [_BROKEN, self._data_centre, endpoint_id, data_centre],
+            self._is_near,
+        )
 
     def tell_crash(self, endpoint_id: str, ages: dict[str, float]) -> None:
         """Tells peers under which requests, by age, an endpoint crashed."""
         rounded = {digest: round(age_s, 2) for digest, age_s in ages.items()}
         fields = [_CRASH, endpoint_id, rounded]
         # A datagram may be lost, and this one must not be.
-        self._send(fields)
-        self._timers.call_later(TELL_AGAIN_S, lambda: self._send(fields))
+        self._send(fields, _is_any)
+        self._timers.call_later(
+            TELL_AGAIN_S, lambda: self._send(fields, _is_any)
+        )
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         now_s = self._timers.read_monotonic()
@@ -232,13 +276,44 @@
         elif fields[0] == _ENDED:
             self._book.remove(fields[1])
         elif fields[0] == _GREETING:
-            _, peer.instance_id, peer.data_centre = fields
+            self._take_greeting(fields, peer, now_s)
         elif fields[0] == _CRASH:
             self.on_crash(fields[1], fields[2])
         elif fields[0] == _BROKEN and fields[1] == self._data_centre:
             self._health.note_broken(fields[2], fields[3], now_s)
 
-    def _send(self, fields: list[Any]) -> None:
+    def _take_greeting(
+        self, fields: list[Any], peer: _Peer, now_s: float
+    ) -> None:
+        """Learns who speaks; a new start of it runs none of the old jobs."""
+        _, peer.instance_id, peer.data_centre, source = fields
+        if source == peer.source:
+            return
+        if peer.source:
+            self._book.remove_source(peer.source)
+        peer.source = source
+        for job, placed_s in self._own_jobs.values():
+            left_s = max(0.0, job.parts[0].read_s - (now_s - placed_s))
+            self._send(
+                _describe_job(job, left_s),
+                lambda other: other is peer,
+            )
+
+    def _is_near(self, peer: _Peer) -> bool:
+        """Whether a peer runs in this data centre; one unknown may."""
+        return peer.data_centre in ("", self._data_centre)
+
+    def _uses_any(self, peer: _Peer, job: enginebook.Job) -> bool:
+        """Whether a peer uses an engine of a job; one unknown may."""
+        return not peer.instance_id or any(
+            self._subsets.uses(peer.instance_id, part.endpoint_id)
+            for part in job.parts
+        )
+
+    def _send(
+        self, fields: list[Any], is_told: Callable[[_Peer], bool]
+    ) -> None:
+        """Sends a datagram to those peers that are to be told."""
         if self._transport is None:
             return
         data = _encode(fields)
@@ -247,8 +322,31 @@
             if peer.heard_s < oldest_s:
                 del self._peers[address]
                 continue
-            self._transport.sendto(data, address)
+            if is_told(peer):
+                self._transport.sendto(data, address)
 
 
 def _encode(fields: list[Any]) -> bytes:
     return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def _describe_job(job: enginebook.Job, read_s: float) -> list[Any]:
+    """Returns what is told of a job, with the reading that is left of it."""
+    ids = [part.endpoint_id for part in job.parts]
+    tokens = [part.tokens for part in job.parts]
+    while tokens[-1:] == [0]:
+        tokens.pop()
+    read_us = round(read_s * 1e6)
+    return [_PLACED, job.job_id, ids, read_us, tokens, round(job.pause_s * 1e3)]
+
+
+def _find_group(instance_id: str, groups: int) -> int:
+    """Returns the group of an instance among those that ask one reader."""
+    if groups == 1:
+        return 0
+    return int(groups * rendezvous.compute_share("reader", instance_id))
+
+
+def _is_any(peer: _Peer) -> bool:
+    del peer
+    return True
--- a/rhubarblock/exchange/news_test.py
+++ b/rhubarblock/exchange/news_test.py
@@ -1,6 +1,9 @@
 import asyncio
 
+from rhubarblock.core import listed as lists
+from rhubarblock.exchange import directory as directories
 from rhubarblock.exchange import news as news_lib
+from rhubarblock.exchange import subset as subsets
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import enginebook
 from rhubarblock.routing import health as healths
@@ -15,19 +18,23 @@
     ),
     0.2,
 )
+ENGINES_EACH = 5
 
 
 class End:
     def __init__(self, name, data_centre="osu"):
+        timers = timer_service.LoopTimers()
         self.book = enginebook.EngineBook()
         self.health = healths.Health(data_centre)
+        self.directory = directories.Directory(timers)
         self.news = news_lib.News(
             name,
             "s1",
             data_centre,
             self.book,
             self.health,
-            timer_service.LoopTimers(),
+            subsets.Subsets(self.directory, ENGINES_EACH),
+            timers,
         )
 
     @property
@@ -60,7 +67,7 @@
         await wait_for(lambda: second.book.find("a").jobs)
         job = second.book.find("a").jobs["i1.s1.1"]
         held = second.book.find("c").tokens
-        first.news.tell_ended("i1.s1.1")
+        first.news.tell_ended(JOB)
         await wait_for(lambda: not second.book.find("a").jobs)
         return job, held, second.book.find("c").tokens
 
@@ -106,3 +113,112 @@
         return end.news.count_instances()
 
     assert asyncio.run(main()) == 1
+
+
+async def meet(first, second):
+    """Makes two instances known to each other by name."""
+    await first.news.greet()
+    peer = first.news._peers[second.address]
+    await wait_for(lambda: peer.instance_id == "i2")
+
+
+def list_engines(end, count):
+    for number in range(count):
+        end.directory.update(
+            lists.ListedEndpoint(f"e{number}", "a:1", "osu", "pool", 8, False)
+        )
+
+
+def make_job(number):
+    part = enginebook.Part(f"e{number}", 0.1)
+    return enginebook.Job(f"i1.s1.e{number}", (part,), 0.2)
+
+
+def test_peer_hears_only_of_engines_that_it_uses():
+    async def step(first, second):
+        for end in (first, second):
+            list_engines(end, 50)
+        await meet(first, second)
+        for number in range(50):
+            first.news.tell_placed(make_job(number))
+        # Engines that are not listed are everybody's, so this is heard last.
+        first.news.tell_placed(JOB)
+        await wait_for(lambda: second.book.find("a").jobs)
+        heard = [n for n in range(50) if second.book.find(f"e{n}").jobs]
+        used = [
+            n
+            for n in range(50)
+            if subsets.Subsets(second.directory, ENGINES_EACH).uses(
+                "i2", f"e{n}"
+            )
+        ]
+        return heard, used
+
+    heard, used = run(step)
+    assert heard == used
+    assert 0 < len(used) < 25
+
+
+def test_far_peer_gets_each_fourth_greeting():
+    async def step(first, second):
+        await meet(first, second)
+        heard = []
+        second.news._take = lambda fields, peer, now_s: heard.append(fields[0])
+        for _ in range(5):
+            await first.news.greet()
+        first.news.tell_placed(JOB)
+        await wait_for(lambda: "p" in heard)
+        return heard
+
+    assert run(step) == ["g", "g", "g", "g", "g", "p"]
+    assert run(step, "tema") == ["g", "p"]
+
+
+def test_instances_of_a_large_data_centre_have_several_readers():
+    async def find_readers(count):
+        readers = set()
+        for own in range(count):
+            end = End(f"i{own:03}")
+            for peer in range(count):
+                if peer == own:
+                    continue
+                state = news_lib._Peer(
+                    float("inf"), f"i{peer:03}", data_centre="osu"
+                )
+                end.news._peers[("10.0.0.1", peer)] = state
+            reader = end.news.find_reader()
+            readers.add(f"10.0.0.1:{own}" if reader is None else reader)
+        return readers
+
+    assert asyncio.run(find_readers(1)) == {"10.0.0.1:0"}
+    assert asyncio.run(find_readers(31)) == {"10.0.0.1:0"}
+    assert 3 <= len(asyncio.run(find_readers(110))) <= 4
+
+
+def test_new_start_of_a_peer_runs_none_of_the_old_jobs():
+    async def step(first, second):
+        await meet(first, second)
+        first.news.tell_placed(JOB)
+        await wait_for(lambda: second.book.find("a").jobs)
+        first.news._greeting[-1] = "i1.s2"
+        await first.news.greet()
+        await wait_for(lambda: not second.book.find("a").jobs)
+
+    run(step)
+
+
+def test_instance_that_starts_hears_what_runs():
+    async def main():
+        first, second = End("i1"), End("i2")
+        async with first.news.open("127.0.0.1", 0):
+            first.news.tell_placed(JOB)
+            ended = enginebook.Job("i1.s1.2", JOB.parts, 0.2)
+            first.news.tell_placed(ended)
+            first.news.tell_ended(ended)
+            async with second.news.open("127.0.0.1", 0):
+                second.news.add_peer(*first.address)
+                await second.news.greet()
+                await wait_for(lambda: second.book.find("a").jobs)
+                return list(second.book.find("a").jobs)
+
+    assert asyncio.run(main()) == ["i1.s1.1"]
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -13,6 +13,7 @@
 from rhubarblock.exchange import flow as flows
 from rhubarblock.exchange import leases
 from rhubarblock.exchange import news as news_lib
+from rhubarblock.exchange import subset as subsets
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import enginebook
 from rhubarblock.routing import health as healths
@@ -68,7 +69,9 @@
         "_health",
         "_news",
         "_numbers",
+        "_own_id",
         "_parter",
+        "_subsets",
         "_timers",
     )
 
@@ -78,6 +81,8 @@
         book: enginebook.EngineBook,
         health: healths.Health,
         news: news_lib.News,
+        subsets_: subsets.Subsets,
+        instance_id: str,
         data_centre: str,
         timers: timer_service.Timers,
     ):
@@ -88,6 +93,8 @@
           book: what each engine has before it.
           health: endpoints to leave alone.
           news: tells peers what was placed.
+          subsets_: which engines of a large pool this instance uses.
+          instance_id: name of this instance.
           data_centre: where this instance runs.
           timers: the clock.
         """
@@ -95,6 +102,8 @@
         self._book = book
         self._health = health
         self._news = news
+        self._subsets = subsets_
+        self._own_id = instance_id
         self._timers = timers
         self._data_centre = data_centre
         self._parter = parting.Parter(book, data_centre)
@@ -251,9 +260,10 @@
         time, so that a long prompt does not depend on its coming back.
         """
         now_s = self._timers.read_monotonic()
+        listed = self._directory.list_usable(exchange.service.name)
         usable = [
             endpoint
-            for endpoint in self._directory.list_usable(exchange.service.name)
+            for endpoint in self._subsets.select(self._own_id, listed)
             if endpoint.endpoint_id not in avoid
         ]
         sound = [
@@ -320,7 +330,7 @@
             yield _make_place(choice)
         finally:
             self._book.remove(choice.job.job_id)
-            self._news.tell_ended(choice.job.job_id)
+            self._news.tell_ended(choice.job)
 
 
 def _find_model(exchange: exchanges.Exchange) -> routes.EngineModel | None:
--- /dev/null
+++ b/rhubarblock/exchange/subset_test.py
@@ -0,0 +1,58 @@
+from rhubarblock.core import listed as lists
+from rhubarblock.exchange import directory as directories
+from rhubarblock.exchange import subset as subsets
+from rhubarblock.kernel import timers as timer_service
+
+
+def make_subsets(count, engines_each):
+    directory = directories.Directory(timer_service.LoopTimers())
+    engines = [
+        lists.ListedEndpoint(f"e{n}", f"10.0.0.{n}:1", "osu", "pool", 8, False)
+        for n in range(count)
+    ]
+    for engine in engines:
+        directory.update(engine)
+    return subsets.Subsets(directory, engines_each), engines
+
+
+def test_small_pool_is_used_whole():
+    made, engines = make_subsets(5, 5)
+    assert made.select("i1", engines) == engines
+    assert all(made.uses("i1", e.endpoint_id) for e in engines)
+
+
+def test_instance_uses_as_many_of_a_large_pool_as_asked():
+    made, engines = make_subsets(400, 40)
+    sizes = [len(made.select(f"i{n}", engines)) for n in range(20)]
+    assert 25 < min(sizes) <= max(sizes) < 60
+
+
+def test_each_engine_is_used_by_some_instances():
+    made, engines = make_subsets(400, 40)
+    users = [
+        sum(made.uses(f"i{n}", engine.endpoint_id) for n in range(370))
+        for engine in engines
+    ]
+    assert min(users) >= 15
+
+
+def test_engine_that_leaves_changes_nothing_for_the_others():
+    made, engines = make_subsets(400, 40)
+    before = made.select("i1", engines)
+    after = made.select("i1", engines[1:])
+    assert [e for e in before if e is not engines[0]] == after
+
+
+def test_instance_without_an_engine_of_its_own_uses_all():
+    made, engines = make_subsets(60, 1)
+    lonely = next(
+        n
+        for n in range(100)
+        if not any(made.uses(f"i{n}", e.endpoint_id) for e in engines)
+    )
+    assert made.select(f"i{lonely}", engines) == engines
+
+
+def test_endpoint_that_is_not_listed_is_used_by_all():
+    made, _ = make_subsets(400, 40)
+    assert made.uses("i1", "unheard")
--- a/rhubarblock/experiments/claimcost.py
+++ b/rhubarblock/experiments/claimcost.py
@@ -19,7 +19,7 @@
 from returns import result
 
 from rhubarblock.core import request as requests
-from rhubarblock.fleet import duties
+from rhubarblock.fleet import rendezvous
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
 from rhubarblock.relay import claimroute
@@ -313,7 +313,7 @@
         ids = [f"i{n}" for n in range(self.plan.instances)]
 
         def find(duty: str) -> str | None:
-            scores = [duties.compute_score(duty, i) for i in ids]
+            scores = [rendezvous.compute_score(duty, i) for i in ids]
             holder = scores.index(max(scores))
             return f"10.0.0.{holder}:1" if holder != number else None
 
--- a/rhubarblock/fleet/duties.py
+++ b/rhubarblock/fleet/duties.py
@@ -6,23 +6,10 @@
 """
 
 from collections.abc import Iterable
-import functools
-import hashlib
 import heapq
 
 from rhubarblock.fleet import member as members
-
-_SCORE_BYTES = 8
-_CACHED_SCORES = 65_536
-
-
-@functools.lru_cache(maxsize=_CACHED_SCORES)
-def compute_score(key: str, instance_id: str) -> int:
-    """Returns the score of an instance for a key; the highest one holds it."""
-    digest = hashlib.blake2b(
-        instance_id.encode(), digest_size=_SCORE_BYTES, key=_shorten_key(key)
-    )
-    return int.from_bytes(digest.digest(), "big")
+from rhubarblock.fleet import rendezvous
 
 
 def choose_coordinator(
@@ -61,9 +48,4 @@
 
 
 def _rank(key: str, member: members.Member) -> tuple[int, str]:
-    return compute_score(key, member.instance_id), member.instance_id
-
-
-def _shorten_key(key: str) -> bytes:
-    # The keyed mode of blake2b takes at most 64 bytes.
-    return hashlib.blake2b(key.encode(), digest_size=32).digest()
+    return rendezvous.compute_score(key, member.instance_id), member.instance_id
--- a/rhubarblock/fleet/probing.py
+++ b/rhubarblock/fleet/probing.py
@@ -7,8 +7,8 @@
 import abc
 import random
 
-from rhubarblock.fleet import duties
 from rhubarblock.fleet import member as members
+from rhubarblock.fleet import rendezvous
 
 _RING_KEY = "membership/ring"
 
@@ -101,5 +101,5 @@
 
 
 def _order_ring(member: members.Member) -> tuple[int, str]:
-    score = duties.compute_score(_RING_KEY, member.instance_id)
+    score = rendezvous.compute_score(_RING_KEY, member.instance_id)
     return score, member.instance_id
--- a/rhubarblock/fleet/roleplan.py
+++ b/rhubarblock/fleet/roleplan.py
@@ -6,7 +6,7 @@
 
 from rhubarblock.core import catalogue as catalogues
 from rhubarblock.core import endpoint as endpoints
-from rhubarblock.fleet import duties
+from rhubarblock.fleet import rendezvous
 from rhubarblock.fleet import roles
 from rhubarblock.kernel import timers as timers_lib
 
@@ -61,7 +61,7 @@
             self._follow_load(count)
         ranked = sorted(
             (report.endpoint_id for report in reports),
-            key=lambda name: duties.compute_score(service.name, name),
+            key=lambda name: rendezvous.compute_score(service.name, name),
         )
         self._decoders = set(ranked[: self._decode])
 
--- a/rhubarblock/routing/enginebook.py
+++ b/rhubarblock/routing/enginebook.py
@@ -153,6 +153,15 @@
         for part in job.parts:
             self.find(part.endpoint_id).tokens -= part.tokens
 
+    def remove_source(self, source: str) -> None:
+        """Takes in that what placed jobs is no more, and so are they.
+
+        Args:
+          source: what the ids of its jobs begin with, before the last dot.
+        """
+        for job_id in [j for j in self._jobs if j.rpartition(".")[0] == source]:
+            self.remove(job_id)
+
     def expire(self, now_s: float) -> None:
         """Forgets jobs whose end was never told."""
         for job_id in [j for j, end_s in self._ends.items() if end_s <= now_s]:
--- a/rhubarblock/routing/lendingentry.py
+++ b/rhubarblock/routing/lendingentry.py
@@ -4,7 +4,7 @@
 import functools
 
 from rhubarblock.core import catalogue as catalogues
-from rhubarblock.fleet import duties
+from rhubarblock.fleet import rendezvous
 from rhubarblock.routing import lending_pb2
 from rhubarblock.routing import lendingholding
 from rhubarblock.routing import limitshare
@@ -161,5 +161,5 @@
 
 def _choose_owner(slot: str, holders: Iterable[str]) -> str:
     return max(
-        holders, key=lambda name: (duties.compute_score(slot, name), name)
+        holders, key=lambda name: (rendezvous.compute_score(slot, name), name)
     )
--- a/rhubarblock/routing/quarantine.py
+++ b/rhubarblock/routing/quarantine.py
@@ -25,8 +25,8 @@
 
 from rhubarblock.core import failure as failures
 from rhubarblock.core import verdict as verdicts
-from rhubarblock.fleet import duties
 from rhubarblock.fleet import peertransport
+from rhubarblock.fleet import rendezvous
 from rhubarblock.kernel import timers as timers_lib
 from rhubarblock.routing import quarantine_pb2
 from rhubarblock.routing import quarantinebook
@@ -485,6 +485,8 @@
     """Chooses the endpoints for suspects; all instances choose the same."""
     names = sorted(
         endpoint_ids,
-        key=lambda name: duties.compute_score(f"quarantine/{service}", name),
+        key=lambda name: rendezvous.compute_score(
+            f"quarantine/{service}", name
+        ),
     )
     return names[: max(1, len(names) // KEPT_ONE_IN)]
