Pass on to an instance only the endpoints that it uses

Change: of a list that is long a peer gets what it uses (exchange/subset.py) and the sizes of all services; after that all changes, so that nothing leaves unnoticed. Whoever holds a part passes it on as changes and takes nothing away from others. A peer that is behind brings back nothing that was removed.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -202,7 +202,13 @@
             self.metrics,
             self._rng,
         )
-        feed = statefeed.StateServer(self.state, self.authority, news.source)
+        feed = statefeed.StateServer(
+            self.state,
+            self.authority,
+            self.directory,
+            self.subsets,
+            news.source,
+        )
         self._callers = await stack.enter_async_context(
             listeners.open_listener(door.handle, settings.callers, KEEPALIVE_S)
         )
@@ -223,7 +229,12 @@
     ) -> followers.StoreFollower:
         """Returns what keeps the state up to date."""
         client = statefeed.StateClient(
-            session, self.state, self.authority, self.timers
+            session,
+            self.settings.instance_id,
+            self.state,
+            self.directory,
+            self.authority,
+            self.timers,
         )
         return followers.StoreFollower(
             store,
--- a/rhubarblock/exchange/directory.py
+++ b/rhubarblock/exchange/directory.py
@@ -5,6 +5,7 @@
 again until the list names it anew.
 """
 
+from collections.abc import Mapping
 import dataclasses
 import logging
 
@@ -38,7 +39,7 @@
 class Directory:
     """Endpoints by id."""
 
-    __slots__ = ("_endpoints", "_services", "_timers")
+    __slots__ = ("_endpoints", "_services", "_sizes", "_timers")
 
     def __init__(self, timers: timer_service.Timers):
         """Starts empty."""
@@ -46,6 +47,8 @@
         self._endpoints: dict[str, Endpoint] = {}
         # The same endpoints by service, as each request asks for one service.
         self._services: dict[str, dict[str, Endpoint]] = {}
+        # Sizes of the services where only a part of the list is known.
+        self._sizes: dict[str, int] = {}
 
     def replace(self, listing: list[lists.ListedEndpoint]) -> None:
         """Takes in a whole listing."""
@@ -106,8 +109,22 @@
         return set(self._endpoints)
 
     def count(self, service: str) -> int:
-        """Returns how many endpoints of a service are known."""
-        return len(self._services.get(service, ()))
+        """Returns how many endpoints a service has, known here or not."""
+        known = len(self._services.get(service, ()))
+        return max(known, self._sizes.get(service, 0))
+
+    def count_services(self) -> dict[str, int]:
+        """Returns how many endpoints each service has."""
+        names = {*self._services, *self._sizes}
+        return {name: self.count(name) for name in names}
+
+    def tell_sizes(self, sizes: Mapping[str, int]) -> None:
+        """Takes in how many endpoints each service has.
+
+        Args:
+          sizes: by service; none where the whole list is known.
+        """
+        self._sizes = dict(sizes)
 
     def list_usable(self, service: str) -> list[lists.ListedEndpoint]:
         """Returns the endpoints of a service that take new work.
--- a/rhubarblock/exchange/statebook.py
+++ b/rhubarblock/exchange/statebook.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import contextlib
 import dataclasses
 import logging
@@ -22,6 +23,9 @@
 # Changes of the list that are kept for peers; one that is further behind gets
 # the whole list. A rolling replacement changes some entries a second.
 KEPT_CHANGES = 256
+# Removed entries that are remembered, so that a peer which is behind does not
+# bring them back: the removals of an hour at the size built for.
+KEPT_REMOVALS = 1024
 
 _logger = logging.getLogger(__name__)
 
@@ -45,6 +49,8 @@
     """The latest state, and the parts that it is put into force in.
 
     Attributes:
+      complete: whether the list is whole, and not only what this instance uses
+        of it.
       listed: set once there was a list of endpoints.
     """
 
@@ -57,8 +63,10 @@
         "_entries",
         "_first",
         "_number",
+        "_removals",
         "_timers",
         "_value",
+        "complete",
         "listed",
     )
 
@@ -85,9 +93,12 @@
         self._entries: dict[str, stores.StoredObject] = {}
         self._changes: list[stores.StoredObject] = []
         self._number = 0
+        # Versions of removed entries by name, the oldest removal first.
+        self._removals: dict[str, int] = {}
         # Number of the oldest change that is kept.
         self._first = 1
         self._changed = asyncio.Event()
+        self.complete = False
         self.listed = asyncio.Event()
 
     @property
@@ -129,9 +140,29 @@
             )
         self._wake()
 
-    def take_listing(self, objects: Iterable[stores.StoredObject]) -> None:
-        """Takes in a whole list of endpoints."""
+    def take_listing(
+        self,
+        objects: Iterable[stores.StoredObject],
+        sizes: Mapping[str, int] | None = None,
+    ) -> None:
+        """Takes in a list of endpoints that replaces the one before.
+
+        Args:
+          objects: its entries.
+          sizes: endpoints of each service where the list may lack some; None
+            says that it is whole.
+        """
         listing = {stored.name: stored for stored in objects}
+        if sizes is None:
+            # The store itself knows best what has come back.
+            for name in listing:
+                self._removals.pop(name, None)
+        else:
+            listing = {
+                name: stored
+                for name, stored in listing.items()
+                if not self._is_outdated(stored)
+            }
         for name in [n for n in self._entries if n not in listing]:
             gone = self._entries.pop(name)
             self._note(dataclasses.replace(gone, value=b"", deleted=True))
@@ -140,6 +171,8 @@
                 self._entries[stored.name] = stored
                 self._note(stored)
         self._directory.replace(self._decode(listing.values()))
+        self._directory.tell_sizes(sizes or {})
+        self.complete = sizes is None or sum(sizes.values()) <= len(listing)
         self._timers.call_later(
             directories.RETURN_S + 0.1, self._directory.expire
         )
@@ -147,17 +180,35 @@
         self._wake()
 
     def take_change(self, stored: stores.StoredObject) -> None:
-        """Takes in one change of the list."""
+        """Takes in one change of the list, unless a later one is known."""
+        if self._is_outdated(stored):
+            return
         self._note(stored)
         if stored.deleted:
             self._entries.pop(stored.name, None)
             self._directory.remove(stored.name.partition("/")[2])
+            self._note_removal(stored)
         else:
             self._entries[stored.name] = stored
             for entry in self._decode([stored]):
                 self._directory.update(entry)
         self._wake()
 
+    def _is_outdated(self, stored: stores.StoredObject) -> bool:
+        """Whether more is known of an entry already."""
+        if stored.deleted:
+            return False
+        if stored.version <= self._removals.get(stored.name, 0):
+            return True
+        known = self._entries.get(stored.name)
+        return known is not None and stored.version < known.version
+
+    def _note_removal(self, stored: stores.StoredObject) -> None:
+        self._removals.pop(stored.name, None)
+        self._removals[stored.name] = stored.version
+        if len(self._removals) > KEPT_REMOVALS:
+            del self._removals[next(iter(self._removals))]
+
     def list_news(self, after: int) -> ListNews:
         """Returns what is new in the list after a change.
 
--- a/rhubarblock/exchange/statefeed.py
+++ b/rhubarblock/exchange/statefeed.py
@@ -4,6 +4,9 @@
 and with the age of its last confirmation. The age travels as a duration and
 the asking instance counts it from the moment at which it asked, so neither the
 way nor a freeze on either side can make the state seem younger than it is.
+
+Of a long list of endpoints only those are passed on that the asking instance
+uses, and after that all changes: one that it uses must not leave unnoticed.
 """
 
 import base64
@@ -16,7 +19,9 @@
 from aiohttp import web
 
 from rhubarblock.exchange import authority as authorities
+from rhubarblock.exchange import directory as directories
 from rhubarblock.exchange import statebook
+from rhubarblock.exchange import subset as subsets
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.store import sendonce
 from rhubarblock.store import store as stores
@@ -51,12 +56,14 @@
 class StateServer:
     """Answers peers."""
 
-    __slots__ = ("_authority", "_book", "_source")
+    __slots__ = ("_authority", "_book", "_directory", "_source", "_subsets")
 
     def __init__(
         self,
         book: statebook.StateBook,
         authority: authorities.Authority,
+        directory: directories.Directory,
+        subsets_: subsets.Subsets,
         source: str,
     ):
         """Creates a server.
@@ -64,10 +71,14 @@
         Args:
           book: the state.
           authority: the age of the configuration.
+          directory: knows the sizes of services.
+          subsets_: which endpoints an instance uses.
           source: names this start of this instance.
         """
         self._book = book
         self._authority = authority
+        self._directory = directory
+        self._subsets = subsets_
         self._source = source
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -87,7 +98,9 @@
         if not self._has_state():
             return web.Response(status=503)
         return web.Response(
-            text=json.dumps(self._describe(version, number)),
+            text=json.dumps(
+                self._describe(version, number, query.get("instance", ""))
+            ),
             content_type="application/json",
         )
 
@@ -101,8 +114,13 @@
             return True
         return number == 0 or self._book.number > number
 
-    def _describe(self, version: int, number: int) -> dict[str, Any]:
+    def _describe(
+        self, version: int, number: int, asker: str
+    ) -> dict[str, Any]:
         news = self._book.list_news(number)
+        objects = news.objects
+        if news.whole:
+            objects = tuple(o for o in objects if self._is_used(asker, o))
         is_new = self._authority.version > version
         return {
             "source": self._source,
@@ -110,20 +128,35 @@
             "version": self._authority.version,
             "configuration": self._book.value.decode() if is_new else None,
             "number": news.number,
-            "whole": news.whole,
-            "objects": [_encode(stored) for stored in news.objects],
+            "whole": news.whole and self._book.complete,
+            "sizes": self._directory.count_services(),
+            "objects": [_encode(stored) for stored in objects],
         }
 
+    def _is_used(self, asker: str, stored: stores.StoredObject) -> bool:
+        endpoint_id = stored.name.rpartition("/")[2]
+        return not asker or self._subsets.uses(asker, endpoint_id)
+
 
 class StateClient:
     """Asks peers."""
 
-    __slots__ = ("_authority", "_book", "_marks", "_session", "_timers")
+    __slots__ = (
+        "_authority",
+        "_book",
+        "_directory",
+        "_marks",
+        "_own_id",
+        "_session",
+        "_timers",
+    )
 
     def __init__(
         self,
         session: aiohttp.ClientSession,
+        instance_id: str,
         book: statebook.StateBook,
+        directory: directories.Directory,
         authority: authorities.Authority,
         timers: timer_service.Timers,
     ):
@@ -131,10 +164,14 @@
 
         Args:
           session: HTTP session to use.
+          instance_id: name of this instance.
           book: takes the state.
+          directory: takes the sizes of services.
           authority: clock and version of the configuration.
           timers: the clock.
         """
+        self._own_id = instance_id
+        self._directory = directory
         self._session = session
         self._book = book
         self._authority = authority
@@ -171,6 +208,7 @@
             "source": mark.source,
             "number": str(mark.number),
             "wait_ms": str(round(wait_s * 1e3)),
+            "instance": self._own_id,
         }
         timeout = aiohttp.ClientTimeout(
             total=wait_s + ANSWER_S, sock_connect=CONNECT_S
@@ -194,10 +232,9 @@
     ) -> None:
         objects = [_decode(entry) for entry in fields["objects"]]
         if fields["whole"]:
-            self._book.take_listing(objects)
+            self._book.take_listing(objects, fields["sizes"])
         else:
-            for stored in objects:
-                self._book.take_change(stored)
+            self._take_changes(objects, fields["sizes"])
         mark.source = fields["source"]
         mark.number = fields["number"]
         if fields["configuration"] is not None:
@@ -206,6 +243,17 @@
         else:
             self._authority.confirm(fields["version"], confirmed_s)
 
+    def _take_changes(
+        self, objects: list[stores.StoredObject], sizes: dict[str, int]
+    ) -> None:
+        """Takes in changes, or a list that may lack what is used here."""
+        for stored in objects:
+            self._book.take_change(stored)
+        if not self._book.complete:
+            self._directory.tell_sizes(sizes)
+        if objects:
+            self._book.listed.set()
+
 
 def _encode(stored: stores.StoredObject) -> list[Any]:
     value = base64.b64encode(stored.value).decode()
--- a/rhubarblock/exchange/statefeed_test.py
+++ b/rhubarblock/exchange/statefeed_test.py
@@ -14,10 +14,13 @@
 from rhubarblock.exchange import directory as directories
 from rhubarblock.exchange import statebook
 from rhubarblock.exchange import statefeed
+from rhubarblock.exchange import subset as subsets
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.platform import dialect as dialects
 from rhubarblock.store import store as stores
 
+ENGINES_EACH = 5
+
 
 class Dialect(dialects.PlatformDialect):
     """A table is its version and its keys; an entry is its state."""
@@ -46,7 +49,10 @@
         self.book = statebook.StateBook(
             Dialect(), self.authority, self.directory, timers
         )
-        self.server = statefeed.StateServer(self.book, self.authority, name)
+        self.subsets = subsets.Subsets(self.directory, ENGINES_EACH)
+        self.server = statefeed.StateServer(
+            self.book, self.authority, self.directory, self.subsets, name
+        )
         self.timers = timers
 
     def usable(self):
@@ -62,8 +68,8 @@
     return json.dumps({"version": version, "keys": keys}).encode()
 
 
-def entry(name, value=b"ready", deleted=False):
-    return stores.StoredObject(f"servers/{name}", 1, value, deleted)
+def entry(name, value=b"ready", deleted=False, version=1):
+    return stores.StoredObject(f"servers/{name}", version, value, deleted)
 
 
 @contextlib.asynccontextmanager
@@ -82,7 +88,12 @@
     port = listener.sockets[0].getsockname()[1]
     async with aiohttp.ClientSession() as session:
         client = statefeed.StateClient(
-            session, asker.book, asker.authority, asker.timers
+            session,
+            "a",
+            asker.book,
+            asker.directory,
+            asker.authority,
+            asker.timers,
         )
         yield reader, asker, client, f"127.0.0.1:{port}", asked
     listener.close()
@@ -153,7 +164,12 @@
                 return fields
 
         frozen = Frozen(
-            client._session, asker.book, asker.authority, asker.timers
+            client._session,
+            "a",
+            asker.book,
+            asker.directory,
+            asker.authority,
+            asker.timers,
         )
         await frozen.ask(address, 0.0)
         return asker.authority.find_valid()
@@ -230,3 +246,83 @@
 
     kept = statebook.KEPT_CHANGES
     assert asyncio.run(main()) == (True, kept + 5, False, 5)
+
+
+def make_pool(count):
+    return [entry(f"e{number:02}") for number in range(count)]
+
+
+def test_of_a_long_list_only_what_the_asker_uses_is_passed_on():
+    async def step(reader, asker, client, address, asked):
+        reader.book.take_configuration(table(3, "k"), 100.0)
+        reader.book.take_listing(make_pool(50))
+        await client.ask(address, 0.0)
+        used = [
+            f"e{number:02}"
+            for number in range(50)
+            if reader.subsets.uses("a", f"e{number:02}")
+        ]
+        return asker, used
+
+    asker, used = run(step)
+    assert asker.usable() == used
+    assert 0 < len(used) < 20
+    assert asker.directory.count("pool") == 50
+    assert not asker.book.complete
+
+
+def test_endpoint_that_leaves_is_told_whoever_uses_it():
+    # The pool grew since the list was passed on, so the parts were drawn anew.
+    async def step(reader, asker, client, address, asked):
+        reader.book.take_configuration(table(3, "k"), 100.0)
+        reader.book.take_listing(make_pool(50))
+        await client.ask(address, 0.0)
+        for number in range(50, 300):
+            reader.directory.update(
+                listed.ListedEndpoint(f"n{number}", "a", "o", "pool", 8, False)
+            )
+        for endpoint_id in asker.usable():
+            reader.book.take_change(entry(endpoint_id, b"draining"))
+        await client.ask(address, 0.0)
+        return asker.usable()
+
+    assert run(step) == []
+
+
+def test_instance_with_a_part_of_the_list_takes_nothing_away_from_another():
+    async def step(reader, asker, client, address, asked):
+        reader.book.take_configuration(table(3, "k"), 100.0)
+        reader.book.take_listing(make_pool(30), {"pool": 50})
+        asker.book.take_listing([entry("b")])
+        await client.ask(address, 0.0)
+        return asker.usable(), reader.subsets
+
+    usable, used = run(step)
+    taken = [f"e{n:02}" for n in range(30) if used.uses("a", f"e{n:02}")]
+    assert usable == ["b", *taken]
+    assert taken
+
+
+def test_peer_that_is_behind_brings_nothing_back_that_was_removed():
+    async def step(reader, asker, client, address, asked):
+        reader.book.take_configuration(table(3, "k"), 100.0)
+        reader.book.take_listing([entry("a", version=4), entry("b", version=4)])
+        asker.book.take_listing([entry("a", version=4), entry("b", version=4)])
+        asker.book.take_change(entry("b", b"", deleted=True, version=5))
+        asker.book.take_change(entry("a", b"draining", version=6))
+        await client.ask(address, 0.0)
+        return asker.usable()
+
+    assert run(step) == []
+
+
+def test_entry_that_came_back_in_the_store_is_used_again():
+    async def step(reader, asker, client, address, asked):
+        reader.book.take_configuration(table(3, "k"), 100.0)
+        asker.book.take_listing([entry("b", version=4)])
+        asker.book.take_change(entry("b", b"", deleted=True, version=5))
+        reader.book.take_listing([entry("b", version=7)])
+        await client.ask(address, 0.0)
+        return asker.usable()
+
+    assert run(step) == ["b"]
