--- a/features/soak_test.py
+++ b/features/soak_test.py
@@ -58,6 +58,56 @@
     assert seen.faults == ["q9 ran and nobody sent it"]
 
 
+def test_key_that_a_process_takes_again_is_a_fault():
+    seen = make_evidence(process_id=5)
+    seen.sent["q1"].status = 401
+    seen.note_answer(seen.sent["q1"], 5)
+    later = evidences.Sent("q2", "again", "k", evidences.read_clock() + 1.0)
+    seen.sent["q2"] = later
+    later.process_id = 6
+    seen.note_run("q2", "e1")
+    assert seen.faults == []
+    later.process_id = 5
+    seen.note_run("q2", "e1")
+    assert seen.faults == [
+        "q2 ran with a key that process 5 had refused before"
+    ]
+
+
+def test_refusal_by_a_process_that_was_replaced_proves_nothing():
+    seen = make_evidence(process_id=5, status=401)
+    seen.note_answer(seen.sent["q1"], 6)
+    assert seen.refused_s == {}
+
+
+def test_request_that_is_cut_or_late_in_calm_times_is_a_fault():
+    for overdue, fault in (
+        (False, "q1 was cut in calm times"),
+        (True, "q1 had no answer in its time"),
+    ):
+        seen = make_evidence(overdue=overdue)
+        seen.note_answer(seen.sent["q1"], 5)
+        assert seen.faults == []
+        seen.calm_s = REMOVED_S
+        seen.note_answer(seen.sent["q1"], 5)
+        assert seen.faults == [fault]
+
+
+def test_work_for_an_endpoint_that_left_is_a_fault_in_calm_times():
+    now_s = evidences.read_clock()
+    seen = make_evidence("again")
+    seen.left_s["e1"] = now_s - 3.0
+    seen.note_run("q1", "e1")
+    assert seen.faults == []
+    seen.calm_s = now_s - 4.0
+    seen.note_run("q1", "e1")
+    assert len(seen.faults) == 1
+    assert seen.faults[0].startswith("q1 reached e1 3.")
+    seen.left_s["e1"] = now_s - 1.0
+    seen.note_run("q1", "e1")
+    assert len(seen.faults) == 1
+
+
 def test_short_seed_breaks_no_rule():
     seen = asyncio.run(run.play_seed(7, 4.0))
     assert seen.faults == []
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -10,7 +10,7 @@
 from tools.soak import evidence as evidences
 from tools.soak import fleet
 
-# Seconds that a caller waits.
+# Seconds that a caller waits; its routes give up after five.
 WAIT_S = 6.0
 # Seconds between two requests of a caller.
 PAUSE_S = 0.15
@@ -53,7 +53,8 @@
             evidences.read_clock(),
         )
         self._evidence.sent[sent.request_id] = sent
-        instance = self._rng.choice(self._instances)
+        instance = self._rng.choice(self._choose_instances())
+        sent.process_id = instance.process_id
         try:
             async with session.post(
                 f"http://{instance.ip}:{instance.front}{PATHS[kind]}",
@@ -64,9 +65,18 @@
                 body = await answer.read()
                 sent.status = answer.status
                 sent.whole = self._is_own(sent, answer, body)
+        except TimeoutError:
+            sent.status = 0
+            sent.overdue = True
         except (aiohttp.ClientError, OSError):
             # No answer, or one that broke off and did not look whole.
             sent.status = 0
+        self._evidence.note_answer(sent, instance.process_id)
+
+    def _choose_instances(self) -> list[fleet.SoakInstance]:
+        """Returns the instances that a balancer would choose from."""
+        ready = [i for i in self._instances if not i.is_leaving]
+        return ready or self._instances
 
     def _make_headers(self, sent: evidences.Sent) -> dict[str, str]:
         headers = {
--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -53,6 +53,7 @@
                 await _wait_any(self._ended, stop)
                 if self.mode == "drain":
                     self._list("draining")
+                    self._evidence.left_s[self.id] = evidences.read_clock()
                     await asyncio.sleep(DRAIN_S)
                 self._store.remove(f"servers/{self.id}")
             self.mode = ""
--- a/tools/soak/evidence.py
+++ b/tools/soak/evidence.py
@@ -3,6 +3,9 @@
 import dataclasses
 import time
 
+# Seconds after which a leaving endpoint gets no new work.
+DRAIN_S = 2.0
+
 
 @dataclasses.dataclass(slots=True)
 class Sent:
@@ -13,16 +16,20 @@
       kind: ``stream``, ``once`` or ``again`` (may run more than once).
       key: the key that it bore.
       at_s: when it was sent.
+      process_id: the process that it was sent to; 0 where none ran.
       status: status of the answer; 0 without one.
       whole: whether the answer was whole and the request's own.
+      overdue: whether its caller gave up waiting.
     """
 
     request_id: str
     kind: str
     key: str
     at_s: float
+    process_id: int = 0
     status: int = 0
     whole: bool = False
+    overdue: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,12 +40,20 @@
       sent: requests by id.
       runs: endpoints that ran a request, by its id.
       revoked_s: when the removal of a key was acknowledged, by key.
+      refused_s: when a process first refused a key, by process id and key.
+      left_s: when the leaving of an endpoint was acknowledged, by its id.
+      calm_s: since when nothing is disturbed; None while something is.
       faults: rules that were broken, in words.
     """
 
     sent: dict[str, Sent] = dataclasses.field(default_factory=dict)
     runs: dict[str, list[str]] = dataclasses.field(default_factory=dict)
     revoked_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    refused_s: dict[tuple[int, str], float] = dataclasses.field(
+        default_factory=dict
+    )
+    left_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    calm_s: float | None = None
     faults: list[str] = dataclasses.field(default_factory=list)
 
     def note_run(self, request_id: str, endpoint_id: str) -> None:
@@ -50,6 +65,48 @@
             self.faults.append(f"{request_id} ran and nobody sent it")
         elif sent.kind == "once" and len(runs) > 1:
             self.faults.append(f"{request_id} ran twice: {runs}")
+        if sent is not None:
+            self._check_refused(sent)
+        self._check_left(request_id, endpoint_id)
+
+    def note_answer(self, sent: Sent, process_id: int) -> None:
+        """Takes in the end of a request.
+
+        Args:
+          sent: the request, with what its caller got.
+          process_id: the process that now runs where it was sent.
+        """
+        stayed = sent.process_id == process_id and process_id != 0
+        if sent.status == 401 and stayed:
+            self.refused_s.setdefault((process_id, sent.key), read_clock())
+        if sent.overdue and self._was_calm(sent.at_s):
+            self.faults.append(f"{sent.request_id} had no answer in its time")
+        if not sent.status and not sent.overdue and self._was_calm(sent.at_s):
+            self.faults.append(f"{sent.request_id} was cut in calm times")
+
+    def _was_calm(self, since_s: float) -> bool:
+        return self.calm_s is not None and self.calm_s <= since_s
+
+    def _check_refused(self, sent: Sent) -> None:
+        """Checks that a process did not go back to an older configuration."""
+        refused_s = self.refused_s.get((sent.process_id, sent.key))
+        if refused_s is not None and sent.at_s > refused_s:
+            self.faults.append(
+                f"{sent.request_id} ran with a key that process "
+                f"{sent.process_id} had refused before"
+            )
+
+    def _check_left(self, request_id: str, endpoint_id: str) -> None:
+        """Checks that a leaving endpoint gets no new work in calm times."""
+        left_s = self.left_s.get(endpoint_id)
+        if left_s is None or not self._was_calm(left_s):
+            return
+        late_s = read_clock() - left_s
+        if late_s > DRAIN_S:
+            self.faults.append(
+                f"{request_id} reached {endpoint_id} {late_s:.2f} s after it "
+                "said that it leaves"
+            )
 
     def check_revoked(self, request_id: str, revoke_s: float) -> None:
         """Checks that a request's key was still good when it was sent."""
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -40,6 +40,7 @@
     Attributes:
       front: port for callers.
       process: the present process.
+      is_leaving: whether callers saw that it is about to stop.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         self.ip = f"127.{network}.7.{number + 1}"
         self.front, ready, peers = (_find_port(self.ip) for _ in range(3))
         self.process: asyncio.subprocess.Process | None = None
+        self.is_leaving = False
         self._path = folder / f"{number}.toml"
         self._log = folder / f"{number}.log"
         self._path.write_text(
@@ -81,7 +83,7 @@
                 self.process = await asyncio.create_subprocess_exec(
                     sys.executable,
                     "-m",
-                    "rhubarblock.scripts.edge",
+                    "rhubarblock.scripts.edgestart",
                     stdout=log,
                     stderr=log,
                     env=env,
@@ -93,6 +95,13 @@
                     self.send(signal.SIGKILL)
                 await asyncio.sleep(0.2)
 
+    @property
+    def process_id(self) -> int:
+        """Id of the present process; 0 where none runs."""
+        if self.process is None or self.process.returncode is not None:
+            return 0
+        return self.process.pid
+
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the present process."""
         if self.process is not None and self.process.returncode is None:
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -24,8 +24,18 @@
 CALLERS = 10
 ENGINES = 6
 DESKS = 3
-# Seconds for which all may come up, and be quiet at the end.
+# Seconds for which all may come up.
 START_S = 60.0
+# Seconds after the last fault in which all must have settled, and of the
+# planned work that follows, in which nothing may be lost.
+SETTLE_S = 6.0
+PLANNED_S = 8.0
+# Seconds between two steps of planned work.
+STEP_S = 1.0
+# Seconds for which callers still come to an instance that was told to stop: a
+# balancer that asks once a second needs two refusals to see it.
+SEEN_S = 2.0
+# Seconds of quiet at the end, in which memory must come free.
 QUIET_S = 5.0
 
 ENGINE = {
@@ -90,10 +100,18 @@
             self._write_configuration()
             await self._start(stack, group, store_port)
             await self._wait_ready()
+            self._start_callers()
             faulting = group.create_task(self._inject_faults())
             await asyncio.sleep(length_s)
             faulting.cancel()
             self._heal()
+            await self._wait_ready()
+            await asyncio.sleep(SETTLE_S)
+            self.evidence.calm_s = evidences.read_clock()
+            await self._work_as_planned()
+            self.evidence.calm_s = None
+            for task in self.calling:
+                task.cancel()
             await asyncio.sleep(QUIET_S)
             self._check_memory()
             self.stop.set()
@@ -156,6 +174,8 @@
                             if answer.status == 200:
                                 break
                     await asyncio.sleep(0.1)
+
+    def _start_callers(self) -> None:
         self.callers = [
             callers.SoakCaller(
                 f"c{n}",
@@ -231,6 +251,9 @@
         endpoint.end(self.rng.choice(["crash", "drain"]))
 
     async def _revoke(self) -> None:
+        self._revoke_one()
+
+    def _revoke_one(self) -> None:
         if len(self.keys) > 2:
             key = self.keys.pop(self.rng.randrange(len(self.keys)))
             self._write_configuration()
@@ -246,8 +269,19 @@
                 endpoint.mode = ""
         for instance in self.instances:
             instance.send(signal.SIGCONT)
-        for task in self.calling:
-            task.cancel()
+
+    async def _work_as_planned(self) -> None:
+        """Stops an instance and drains endpoints while callers go on."""
+        leaving = self.rng.choice(self.instances)
+        leaving.send(signal.SIGTERM)
+        await asyncio.sleep(SEEN_S)
+        leaving.is_leaving = True
+        for service in ("pool", "desk"):
+            own = [e for e in self.endpoints if e.service == service]
+            self.rng.choice(own).end("drain")
+            await asyncio.sleep(STEP_S)
+        self._revoke_one()
+        await asyncio.sleep(PLANNED_S - SEEN_S - 2 * STEP_S)
 
     def _check_memory(self) -> None:
         held = sum(endpoint.count_leases() for endpoint in self.endpoints)
