--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 # Real processes under random faults: `make soak SEEDS=1..50`.
 SEEDS ?= 1..5
 soak: $(STAMP)
-	$(BIN)/python -m tools.soak.run --seeds $(SEEDS)
+	$(BIN)/python -m tools.soak.run --again tools/soak/seeds.txt --seeds $(SEEDS)
 
 check: $(STAMP)
 	$(BIN)/ruff format --check .
--- a/features/soak_test.py
+++ b/features/soak_test.py
@@ -108,6 +108,15 @@
     assert len(seen.faults) == 1
 
 
+def test_seeds_that_broke_a_rule_are_read_from_their_file(tmp_path):
+    path = tmp_path / "seeds.txt"
+    path.write_text("# Seeds.\n17 a stop that cut streams\n\n4 a lost lease\n")
+    assert run.read_seeds(path) == [17, 4]
+    assert list(run.parse_seeds("3..5")) == [3, 4, 5]
+    assert list(run.parse_seeds("8")) == [8]
+    assert list(run.parse_seeds("")) == []
+
+
 def test_short_seed_breaks_no_rule():
     seen = asyncio.run(run.play_seed(7, 4.0))
     assert seen.faults == []
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -18,6 +18,7 @@
 from rhubarblock.routing import enginebook
 from rhubarblock.routing import health as healths
 from rhubarblock.routing import parting
+from rhubarblock.routing import prompt as prompts
 
 # Seconds that an answer of a plain service is expected to take at first.
 SERVICE_S = 0.1
@@ -340,8 +341,8 @@
 
 def _describe(
     exchange: exchanges.Exchange, job_id: str, hurried: bool
-) -> parting.Prompt:
-    return parting.Prompt(
+) -> prompts.Prompt:
+    return prompts.Prompt(
         job_id,
         exchange.prompt_tokens,
         exchange.answer_tokens,
@@ -351,7 +352,7 @@
     )
 
 
-def _make_place(choice: parting.Choice) -> Place:
+def _make_place(choice: prompts.Choice) -> Place:
     """Returns the place of a choice, with the memory that helpers hold."""
     helpers = []
     held = []
--- a/rhubarblock/exchange/subset.py
+++ b/rhubarblock/exchange/subset.py
@@ -47,17 +47,31 @@
         endpoint = self._directory.find(endpoint_id)
         if endpoint is None:
             return True
-        size = self._directory.count(endpoint.service)
-        if size <= self._engines_each:
-            return True
-        share = rendezvous.compute_share(endpoint_id, instance_id)
-        return share * size < self._engines_each
+        part = self._find_part(endpoint.service)
+        return part >= 1.0 or _is_drawn(instance_id, endpoint_id, part)
 
     def select(
         self, instance_id: str, endpoints: list[lists.ListedEndpoint]
     ) -> list[lists.ListedEndpoint]:
-        """Returns the endpoints that an instance uses, all if it has none."""
-        if len(endpoints) <= self._engines_each:
+        """Returns those endpoints of one service that an instance uses.
+
+        All are returned if it uses none.
+        """
+        if not endpoints:
+            return endpoints
+        part = self._find_part(endpoints[0].service)
+        if part >= 1.0:
             return endpoints
-        chosen = [e for e in endpoints if self.uses(instance_id, e.endpoint_id)]
+        chosen = [
+            e for e in endpoints if _is_drawn(instance_id, e.endpoint_id, part)
+        ]
         return chosen or endpoints
+
+    def _find_part(self, service: str) -> float:
+        """Returns which part of a service an instance uses, 1 for all."""
+        size = self._directory.count(service)
+        return self._engines_each / size if size else 1.0
+
+
+def _is_drawn(instance_id: str, endpoint_id: str, part: float) -> bool:
+    return rendezvous.compute_share(endpoint_id, instance_id) < part
--- /dev/null
+++ b/rhubarblock/plugins/least_requests.py
@@ -0,0 +1,77 @@
+"""The baseline for prompts: the engine with the fewest requests reads it whole.
+
+It is kept as the other side of measurements. A prompt larger than an engine is
+read in as few parts as hold it.
+"""
+
+from rhubarblock.core import listed as lists
+from rhubarblock.core import route as routes
+from rhubarblock.routing import enginebook
+from rhubarblock.routing import parting
+from rhubarblock.routing import prompt as prompts
+from rhubarblock.routing import promptpolicy
+
+__plugins__ = ("LeastRequests",)
+
+
+class LeastRequests(promptpolicy.PromptPolicy):
+    """Counts requests and nothing else."""
+
+    plugin_name = "least_requests"
+
+    def choose(
+        self,
+        prompt: prompts.Prompt,
+        engines: list[lists.ListedEndpoint],
+        model: routes.EngineModel,
+        now_s: float,
+    ) -> prompts.Choice | None:
+        count = count_holders(prompt, model)
+        chosen = choose_least(self._book, engines, model, count)
+        if not chosen:
+            return None
+        return make_choice(prompt, chosen, model)
+
+
+def count_holders(prompt: prompts.Prompt, model: routes.EngineModel) -> int:
+    """Returns how many engines must hold a prompt together."""
+    needed = prompt.prompt_tokens + prompt.answer_tokens
+    if needed <= parting.MEMORY_PART * model.memory_tokens:
+        return 1
+    return -(-needed // parting.LEASE_TOKENS)
+
+
+def choose_least(
+    book: enginebook.EngineBook,
+    engines: list[lists.ListedEndpoint],
+    model: routes.EngineModel,
+    count: int,
+) -> list[lists.ListedEndpoint]:
+    """Returns the engines with the fewest requests, the first with a slot.
+
+    It is empty if none has a slot, or if there are too few.
+    """
+    ranked = sorted(
+        engines, key=lambda e: (len(book.find(e.endpoint_id).jobs), e.address)
+    )
+    if len(ranked) < count:
+        return []
+    if len(book.find(ranked[0].endpoint_id).jobs) >= model.slots:
+        return []
+    return ranked[:count]
+
+
+def make_choice(
+    prompt: prompts.Prompt,
+    engines: list[lists.ListedEndpoint],
+    model: routes.EngineModel,
+) -> prompts.Choice:
+    """Returns the choice that reads a prompt in even parts."""
+    count = len(engines)
+    read_s = model.predict_read(prompt.prompt_tokens, count)
+    held = -(-(prompt.prompt_tokens + prompt.answer_tokens) // count)
+    parts = tuple(
+        enginebook.Part(engine.endpoint_id, read_s, held) for engine in engines
+    )
+    job = enginebook.Job(prompt.job_id, parts, prompt.pause_s)
+    return prompts.Choice(job, tuple(engines), read_s)
--- a/rhubarblock/routing/parting.py
+++ b/rhubarblock/routing/parting.py
@@ -12,6 +12,8 @@
 from rhubarblock.core import listed as lists
 from rhubarblock.core import route as routes
 from rhubarblock.routing import enginebook
+from rhubarblock.routing import prompt as prompts
+from rhubarblock.routing import promptpolicy
 
 # Most engines that read one prompt: the one that is asked and 16 helpers.
 MAX_PARTS = 17
@@ -53,43 +55,6 @@
 LEASE_TOKENS = 200_000
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Prompt:
-    """What is to be placed.
-
-    Attributes:
-      job_id: unique over all instances.
-      prompt_tokens: length.
-      answer_tokens: most tokens of its answer.
-      pause_s: longest pause that is on time, in seconds; 0 where any is.
-      objective_s: time to the first event that is on time, in seconds.
-      hurried: whether its caller is within a stream already, so that each
-        hundredth of a second counts.
-    """
-
-    job_id: str
-    prompt_tokens: int
-    answer_tokens: int
-    pause_s: float
-    objective_s: float
-    hurried: bool = False
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Choice:
-    """Where a prompt goes.
-
-    Attributes:
-      job: what the book is told.
-      engines: the engines of the job's parts, in the same order.
-      expected_s: seconds until its first event, as predicted.
-    """
-
-    job: enginebook.Job
-    engines: tuple[lists.ListedEndpoint, ...]
-    expected_s: float
-
-
 @dataclasses.dataclass(slots=True)
 class _Candidate:
     endpoint: lists.ListedEndpoint
@@ -119,40 +84,22 @@
     expected_s: float
 
 
-class Parter:
-    """Places prompts by what the book of engines predicts."""
-
-    __slots__ = ("_book", "_data_centre")
+class Parter(promptpolicy.PromptPolicy):
+    """Places prompts by what the book of engines predicts.
 
-    def __init__(self, book: enginebook.EngineBook, data_centre: str):
-        """Creates a parter over a book.
+    Short prompts stay in the data centre of the instance if there is room: a
+    stream within it outlasts a cut between data centres.
+    """
 
-        Args:
-          book: what each engine has before it.
-          data_centre: where short prompts are kept if there is room: a stream
-            within it outlasts a cut between data centres.
-        """
-        self._book = book
-        self._data_centre = data_centre
+    plugin_name = "parted"
 
     def choose(
         self,
-        prompt: Prompt,
+        prompt: prompts.Prompt,
         engines: list[lists.ListedEndpoint],
         model: routes.EngineModel,
         now_s: float,
-    ) -> Choice | None:
-        """Chooses the engines of a prompt.
-
-        Args:
-          prompt: what is to be placed.
-          engines: engines that may be used.
-          model: what their steps cost.
-          now_s: monotonic seconds.
-
-        Returns:
-          The choice, or None if no engine has room for it.
-        """
+    ) -> prompts.Choice | None:
         candidates = [
             self._examine(endpoint, model, now_s) for endpoint in engines
         ]
@@ -166,7 +113,7 @@
             enginebook.Part(part.endpoint.endpoint_id, best.read_s, tokens)
             for part, tokens in zip(best.parts, best.tokens, strict=True)
         )
-        return Choice(
+        return prompts.Choice(
             enginebook.Job(prompt.job_id, parts, prompt.pause_s),
             tuple(part.endpoint for part in best.parts),
             best.expected_s,
@@ -192,7 +139,7 @@
 
 
 def _plan(
-    prompt: Prompt,
+    prompt: prompts.Prompt,
     candidates: list[_Candidate],
     model: routes.EngineModel,
     count: int,
@@ -244,7 +191,7 @@
 
 
 def _list_counts(
-    prompt: Prompt, model: routes.EngineModel, engines: int
+    prompt: prompts.Prompt, model: routes.EngineModel, engines: int
 ) -> list[int]:
     """Returns the numbers of parts that are worth looking at.
 
--- a/rhubarblock/routing/parting_test.py
+++ b/rhubarblock/routing/parting_test.py
@@ -6,6 +6,7 @@
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.routing import enginebook
 from rhubarblock.routing import parting
+from rhubarblock.routing import prompt as prompts
 
 MODEL = fakes.MODEL
 
@@ -20,7 +21,7 @@
 
 
 def make_prompt(tokens, pause_s=0.2, objective_s=0.3, hurried=False):
-    return parting.Prompt("new", tokens, 1_600, pause_s, objective_s, hurried)
+    return prompts.Prompt("new", tokens, 1_600, pause_s, objective_s, hurried)
 
 
 DRAFT = make_prompt(5_000)
--- a/rhubarblock/scripts/measure.py
+++ b/rhubarblock/scripts/measure.py
@@ -15,10 +15,14 @@
 from rhubarblock.experiments import limits
 from rhubarblock.experiments import mixed
 from rhubarblock.experiments import neighbour
+from rhubarblock.experiments import platformmix
+from rhubarblock.experiments import platformplay
 from rhubarblock.experiments import quarantine
 from rhubarblock.experiments import retrystorm
 from rhubarblock.experiments import simulation
+from rhubarblock.kernel import registry as registries
 from rhubarblock.kernel import virtualloop
+from rhubarblock.routing import parting
 from rhubarblock.scripts import measurecosts
 
 DEFAULT_LOAD = 0.7
@@ -72,6 +76,35 @@
 add_mixed("mixed-hofbauer", mixed.HOFBAUER)
 
 
+def add_platform(plan: platformmix.Plan) -> None:
+    """Adds the command of one deployment on the users' platform."""
+
+    @measure_group.command(plan.name)
+    @click.option(
+        "--policy", default=parting.Parter.plugin_name, show_default=True
+    )
+    @seed_option
+    @click.option(
+        "--load",
+        default=1.0,
+        show_default=True,
+        help="Factor of the rates of the sheet.",
+    )
+    @json_option
+    def run(policy: str, seed: int, load: float, as_json: bool) -> None:
+        try:
+            figures = platformplay.measure(plan, policy, seed, load)
+        except registries.RegistryError as error:
+            raise click.UsageError(str(error)) from error
+        print_result(figures, as_json)
+
+    run.help = "Prompts on modelled engines of the users' platform."
+
+
+add_platform(platformmix.ADWOA)
+add_platform(platformmix.HOFBAUER)
+
+
 @measure_group.command("noisy-neighbour")
 @policy_option
 @seed_option
--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -9,6 +9,7 @@
 
 from rhubarblock.platform import names
 from tools.soak import evidence as evidences
+from tools.soak import proxy as proxies
 from tools.soak import store as stores
 
 # Seconds between two events of a stream.
@@ -22,7 +23,13 @@
 
 
 class SoakEndpoint:
-    """One endpoint over all its starts."""
+    """One endpoint over all its starts, each behind a way that may break.
+
+    Attributes:
+      service: the service that it belongs to.
+      mode: how it behaves; empty is sound.
+      way: the proxy that instances reach it by.
+    """
 
     def __init__(
         self,
@@ -35,6 +42,7 @@
     ):
         self.service = service
         self.mode = ""
+        self.way = proxies.SoakProxy()
         self._data_centre = data_centre
         self._store = store
         self._evidence = evidence
@@ -47,7 +55,11 @@
         while not stop.is_set():
             self.id = f"i-{self._rng.getrandbits(32):08x}"
             self._ended = asyncio.Event()
-            async with stores.serve(self._handle) as (_, port):
+            async with (
+                stores.serve(self._handle) as (_, target),
+                self.way.open() as port,
+            ):
+                self.way.target = target
                 self._port = port
                 self._list("ready")
                 await _wait_any(self._ended, stop)
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -1,10 +1,14 @@
-"""A loopback proxy between an instance and the store that a test can break."""
+"""A loopback proxy before the store or an endpoint that a test can break."""
 
 import asyncio
 import contextlib
 
 # Bytes that are passed on at once.
 _PIECE = 1 << 16
+# Seconds by which each piece is late on a slow way.
+_LATE_S = 0.15
+
+MODES = ("silent", "reset", "deaf", "mute", "slow")
 
 
 class SoakProxy:
@@ -13,12 +17,13 @@
     Attributes:
       mode: empty passes on; ``silent`` keeps everything; ``reset`` breaks each
         connection; ``deaf`` keeps what comes back, so that calls are done and
-        not answered.
+        not answered; ``mute`` keeps what goes there; ``slow`` is late.
+      target: port that connections are passed on to.
     """
 
-    def __init__(self, target: int):
+    def __init__(self, target: int = 0):
         self.mode = ""
-        self._target = target
+        self.target = target
 
     @contextlib.asynccontextmanager
     async def open(self):  # type: ignore[no-untyped-def]
@@ -33,7 +38,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         try:
-            far = await asyncio.open_connection("127.0.0.1", self._target)
+            far = await asyncio.open_connection("127.0.0.1", self.target)
         except OSError:
             writer.close()
             return
@@ -57,7 +62,15 @@
         while data := await reader.read(_PIECE):
             if self.mode == "reset":
                 return
-            while self.mode == "silent" or (self.mode == "deaf" and is_back):
+            if self.mode == "slow":
+                await asyncio.sleep(_LATE_S)
+            while self._is_kept(is_back):
                 await asyncio.sleep(0.05)
             writer.write(data)
             await writer.drain()
+
+    def _is_kept(self, is_back: bool) -> bool:
+        """Whether bytes of one way stay here at present."""
+        if self.mode == "silent":
+            return True
+        return self.mode == ("deaf" if is_back else "mute")
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -196,7 +196,7 @@
             self._kill,
             self._freeze,
             self._terminate,
-            self._break_proxy,
+            self._break_way,
             self._break_store,
             self._break_endpoint,
             self._end_endpoint,
@@ -222,11 +222,13 @@
         instance = self.rng.choice(self.instances)
         instance.send(self.rng.choice([signal.SIGTERM, signal.SIGHUP]))
 
-    async def _break_proxy(self) -> None:
-        proxy = self.rng.choice(self.proxies)
-        proxy.mode = self.rng.choice(["silent", "reset", "deaf"])
+    async def _break_way(self) -> None:
+        """Breaks the way from one instance to the store or to an endpoint."""
+        ways = [*self.proxies, *(e.way for e in self.endpoints)]
+        way = self.rng.choice(ways)
+        way.mode = self.rng.choice(proxies.MODES)
         await asyncio.sleep(self.rng.uniform(0.5, REVOKE_S + 2.0))
-        proxy.mode = ""
+        way.mode = ""
 
     async def _break_store(self) -> None:
         step = self.rng.choice(["refuses", "slow", "forgets"])
@@ -265,6 +267,7 @@
         self.store.refuses = False
         self.store.delay_s = 0.0
         for endpoint in self.endpoints:
+            endpoint.way.mode = ""
             if endpoint.mode != "drain":
                 endpoint.mode = ""
         for instance in self.instances:
@@ -295,16 +298,36 @@
         return await Soak(seed, pathlib.Path(folder)).play(length_s)
 
 
+def parse_seeds(text: str) -> range:
+    """Reads ``first..last`` or a single seed; an empty text is none."""
+    if not text:
+        return range(0)
+    first, _, last = text.partition("..")
+    return range(int(first), int(last or first) + 1)
+
+
+def read_seeds(path: pathlib.Path | None) -> list[int]:
+    """Reads a file with a seed at the begin of each line, then its cause."""
+    if path is None:
+        return []
+    lines = path.read_text().splitlines()
+    return [int(line.split()[0]) for line in lines if line and line[0] != "#"]
+
+
 @click.command()
 @click.option("--seeds", default="1..3", help="first..last")
+@click.option(
+    "--again",
+    type=click.Path(path_type=pathlib.Path),
+    help="file of seeds that once broke a rule; they are played first",
+)
 @click.option("--seconds", default=12.0, help="length of the faults")
-def main(seeds: str, seconds: float) -> None:
+def main(seeds: str, again: pathlib.Path | None, seconds: float) -> None:
     """Plays seeds and says which broke a rule."""
     # A signal to end is an interrupt, so that every process is ended too.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
-    first, _, last = seeds.partition("..")
     broken = 0
-    for seed in range(int(first), int(last or first) + 1):
+    for seed in [*read_seeds(again), *parse_seeds(seeds)]:
         seen = asyncio.run(play_seed(seed, seconds))
         served = seen.count(200)
         click.echo(
