Part the table of peers from what is told to them

Change: exchange/peers.py has the table, its groups and the choice of a reader; news.py the datagrams. The follower of the store gets the table. Behaviour is as it was; the tests of readers moved and gained silence, distrust and order.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -25,6 +25,7 @@
 from rhubarblock.exchange import leases
 from rhubarblock.exchange import news as news_lib
 from rhubarblock.exchange import outcomes
+from rhubarblock.exchange import peers as peer_table
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
 from rhubarblock.exchange import statebook
@@ -97,6 +98,9 @@
         self.state = statebook.StateBook(
             dialect, self.authority, self.directory, self.timers
         )
+        self.peers = peer_table.PeerTable(
+            settings.instance_id, settings.data_centre, self.timers
+        )
         self.book = enginebook.EngineBook()
         self.health = healths.Health(settings.data_centre)
         self._dialect = dialect
@@ -130,6 +134,7 @@
             self.book,
             self.health,
             self.subsets,
+            self.peers,
             self.timers,
         )
         await stack.enter_async_context(
@@ -137,7 +142,7 @@
         )
         relay = await self._open_relay(stack, session, news)
         await self._listen(stack, relay, news)
-        follower = self._make_follower(session, store, news)
+        follower = self._make_follower(session, store)
         following = asyncio.create_task(self._follow(store, news, follower))
         stack.callback(following.cancel)
 
@@ -176,7 +181,7 @@
         outcome = outcomes.Outcomes(
             self.health,
             news,
-            news.count_instances,
+            self.peers.count_instances,
             bounds,
             self.timers,
             self.metrics,
@@ -225,7 +230,6 @@
         self,
         session: aiohttp.ClientSession,
         store: stores.ObjectStore,
-        news: news_lib.News,
     ) -> followers.StoreFollower:
         """Returns what keeps the state up to date."""
         client = statefeed.StateClient(
@@ -242,7 +246,7 @@
             self.state,
             self.authority,
             client,
-            news,
+            self.peers,
             followers.Pace(self.settings.bounds.apply_s),
             self.timers,
             self._rng,
@@ -290,7 +294,7 @@
         for stored in page.objects:
             peer = instances.decode_instance(stored.value)
             host, _, port = peer.address.rpartition(":")
-            news.add_peer(host, int(port), peer.instance_id, peer.data_centre)
+            self.peers.add(host, int(port), peer.instance_id, peer.data_centre)
         await news.greet()
 
     async def _become_ready(self, stop: asyncio.Event) -> None:
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -18,6 +18,7 @@
 from rhubarblock.exchange import leases
 from rhubarblock.exchange import news as news_lib
 from rhubarblock.exchange import outcomes
+from rhubarblock.exchange import peers as peer_table
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
 from rhubarblock.exchange import subset as subsets
@@ -229,6 +230,7 @@
             self.book,
             self.health,
             self.subsets,
+            peer_table.PeerTable("i1", "osu-hall", self.timers),
             self.timers,
         )
         self.placer = placers.Placer(
--- a/rhubarblock/exchange/follower.py
+++ b/rhubarblock/exchange/follower.py
@@ -14,7 +14,7 @@
 
 from rhubarblock.exchange import authority as authorities
 from rhubarblock.exchange import dialect as dialects
-from rhubarblock.exchange import news as news_lib
+from rhubarblock.exchange import peers as peer_table
 from rhubarblock.exchange import statebook
 from rhubarblock.exchange import statefeed
 from rhubarblock.kernel import timers as timer_service
@@ -76,7 +76,7 @@
         "_book",
         "_client",
         "_dialect",
-        "_news",
+        "_peers",
         "_pace",
         "_reachable",
         "_reads_store",
@@ -92,7 +92,7 @@
         book: statebook.StateBook,
         authority: authorities.Authority,
         client: statefeed.StateClient,
-        news: news_lib.News,
+        peers: peer_table.PeerTable,
         pace: Pace,
         timers: timer_service.Timers,
         rng: random.Random,
@@ -105,7 +105,7 @@
           book: takes the state.
           authority: age of the state.
           client: asks peers.
-          news: knows peers.
+          peers: the other instances.
           pace: how often the state is looked at.
           timers: clock and sleeps.
           rng: spreads waits.
@@ -115,7 +115,7 @@
         self._book = book
         self._authority = authority
         self._client = client
-        self._news = news
+        self._peers = peers
         self._pace = pace
         self._timers = timers
         self._rng = rng
@@ -139,7 +139,7 @@
     async def _follow_configuration(self) -> None:
         backoff = backoffs.Backoff(self._rng, BACKOFF)
         while True:
-            reader = self._news.find_reader()
+            reader = self._peers.find_reader()
             if reader is not None and await self._ask(reader):
                 self._set_role(False)
                 continue
@@ -163,14 +163,14 @@
                 "a peer gave no state",
                 extra={"peer": address, "reason": str(error)},
             )
-            self._news.distrust(address)
+            self._peers.distrust(address)
             return False
         return self._authority.age_s < self._pace.old_s
 
     async def _ask_anybody(self) -> None:
         """Asks peers, near ones first, until one has younger state."""
         before_s = self._authority.age_s
-        for address in self._news.list_peers():
+        for address in self._peers.list_peers():
             with contextlib.suppress(statefeed.FeedError):
                 await self._client.ask(address, 0.0)
                 if self._authority.age_s < min(before_s, self._pace.old_s):
--- a/rhubarblock/exchange/follower_test.py
+++ b/rhubarblock/exchange/follower_test.py
@@ -76,7 +76,7 @@
         pass
 
 
-class News:
+class Peers:
     def __init__(self, reader, *peers):
         self.reader = reader
         self.peers = peers
@@ -102,7 +102,7 @@
             side.book,
             side.authority,
             client,
-            News(reader, *peers),
+            Peers(reader, *peers),
             followers.Pace(2.0),
             side.timers,
             random.Random(1),
--- a/rhubarblock/exchange/news.py
+++ b/rhubarblock/exchange/news.py
@@ -1,48 +1,27 @@
 """What instances tell each other of the work that they placed.
 
 Datagrams, sent once and never confirmed: what is lost makes a prediction
-worse for a moment and nothing else. Peers are found through the store's list
-of instances, and each datagram names its sender, so that an instance which
-started later is known as soon as it speaks.
+worse for a moment and nothing else. An instance that started later is known as
+soon as it speaks, and hears then what runs.
 """
 
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
-import dataclasses
 import json
 import logging
 from typing import Any
 
+from rhubarblock.exchange import peers as peer_table
 from rhubarblock.exchange import subset as subsets
-from rhubarblock.fleet import rendezvous
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import enginebook
 from rhubarblock.routing import health as healths
 
-# Seconds after which an instance that has been silent is not told any more:
-# longer than any cut that is to heal without a new listing.
-SILENT_S = 60.0
-# Seconds after its last sign from which a peer counts as alive no more: two
-# signs and some delay.
-ALIVE_S = 4.5
-# Seconds for which a peer is not asked again that gave no state.
-DISTRUST_S = 3.0
 # Seconds after which a crash is told once more; told twice within two seconds
 # it counts once.
 TELL_AGAIN_S = 0.4
-# Most peers that are asked for state while the store can't be reached.
-MOST_ASKED = 4
-# Seconds between two signs of life of an instance that has nothing to tell, to
-# peers that may choose it as their reader, and how many of these go by between
-# two to others, which only need to know that it is there.
-GREETING_S = 2.0
-FAR_GREETINGS = 8
-# Most instances that ask one reader of the store. Each asks two or three times
-# a second, and an answer takes it half a millisecond.
-READER_PEERS = 32
-
 _PLACED = "p"
 _ENDED = "e"
 _GREETING = "g"
@@ -52,37 +31,6 @@
 _logger = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(slots=True)
-class _Peer:
-    """Another instance.
-
-    Attributes:
-      heard_s: when it last spoke, in monotonic seconds.
-      instance_id: its name; empty before it told.
-      source: names the start of it that spoke last; empty before it told.
-      data_centre: where it runs; empty before it told.
-      distrusted_until_s: until when its state is not relied on.
-    """
-
-    heard_s: float
-    instance_id: str = ""
-    source: str = ""
-    data_centre: str = ""
-    distrusted_until_s: float = 0.0
-
-    def is_alive(self, now_s: float, greetings: int = 1) -> bool:
-        """Says whether it spoke lately.
-
-        Args:
-          now_s: monotonic seconds.
-          greetings: how many greetings of others go by between two of it.
-        """
-        return now_s - self.heard_s <= ALIVE_S * greetings
-
-
-_Filter = Callable[[tuple[str, int], _Peer], bool]
-
-
 class News(asyncio.DatagramProtocol):
     """Tells peers of placed work and hears of theirs."""
 
@@ -94,6 +42,7 @@
         book: enginebook.EngineBook,
         health: healths.Health,
         subsets_: subsets.Subsets,
+        peers: peer_table.PeerTable,
         timers: timer_service.Timers,
     ):
         """Creates an end that is not open yet.
@@ -105,6 +54,7 @@
           book: takes what peers placed.
           health: takes what peers of the same data centre met.
           subsets_: which peers use which engines.
+          peers: the other instances; it learns of them here.
           timers: the clock.
         """
         self._own_id = own_id
@@ -118,9 +68,8 @@
         self._subsets = subsets_
         self._timers = timers
         self._greetings = 0
-        self._peers: dict[tuple[str, int], _Peer] = {}
+        self._peers = peers
         self._transport: asyncio.DatagramTransport | None = None
-        self._own: tuple[str, int] = ("", 0)
         self.on_crash: Callable[[str, dict[str, float]], None] = (
             lambda endpoint_id, ages: None
         )
@@ -142,107 +91,22 @@
             lambda: self, local_addr=(host, port)
         )
         self._transport = transport
-        self._own = (host, port)
+        self._peers.set_own((host, port))
         try:
-            with self._timers.subscribe(GREETING_S, self.greet):
+            with self._timers.subscribe(peer_table.GREETING_S, self.greet):
                 yield self
         finally:
             self._transport = None
             transport.close()
 
-    def add_peer(
-        self, host: str, port: int, instance_id: str = "", data_centre: str = ""
-    ) -> None:
-        """Takes in an instance that the store lists.
-
-        It counts as alive at first, so that instances which start together
-        agree on who reads the store before they heard of each other.
-
-        Args:
-          host: its address.
-          port: its port.
-          instance_id: its name, if that is known.
-          data_centre: where it runs, if that is known.
-        """
-        if (host, port) == self._own or (host, port) in self._peers:
-            return
-        now_s = self._timers.read_monotonic()
-        self._peers[host, port] = _Peer(
-            now_s, instance_id, data_centre=data_centre
-        )
-
-    def count_instances(self) -> int:
-        """Returns how many instances there are, this one included."""
-        return len(self._peers) + 1
-
-    def find_reader(self) -> str | None:
-        """Returns the address of the peer that reads the store for this one.
-
-        It is the first by name of those in this data centre that are alive,
-        in a large one of the group that this instance belongs to; None says
-        that this instance is the first itself.
-        """
-        now_s = self._timers.read_monotonic()
-        candidates = [
-            (peer.instance_id, address)
-            for address, peer in self._list_group()
-            if peer.is_alive(now_s) and now_s >= peer.distrusted_until_s
-        ]
-        best = min(candidates, default=None)
-        if best is None or best[0] > self._own_id:
-            return None
-        return "{}:{}".format(*best[1])
-
-    def _list_group(self) -> list[tuple[tuple[str, int], _Peer]]:
-        """Returns the peers among which one reads the store for all."""
-        now_s = self._timers.read_monotonic()
-        near = [
-            (address, peer)
-            for address, peer in self._peers.items()
-            if peer.data_centre == self._data_centre
-            and peer.is_alive(now_s, FAR_GREETINGS)
-        ]
-        groups = 1 + len(near) // READER_PEERS
-        own = _find_group(self._own_id, groups)
-        return [
-            (address, peer)
-            for address, peer in near
-            if _find_group(peer.instance_id, groups) == own
-        ]
-
-    def distrust(self, address: str) -> None:
-        """Does not rely on a peer's state for a while."""
-        host, _, port = address.rpartition(":")
-        peer = self._peers.get((host, int(port)))
-        if peer is not None:
-            now_s = self._timers.read_monotonic()
-            peer.distrusted_until_s = now_s + DISTRUST_S
-
-    def list_peers(self) -> list[str]:
-        """Returns addresses of live peers.
-
-        Those of this data centre come first, and then those that spoke last.
-        """
-        now_s = self._timers.read_monotonic()
-        alive = [
-            (
-                peer.data_centre != self._data_centre,
-                -peer.heard_s,
-                "{}:{}".format(*address),
-            )
-            for address, peer in self._peers.items()
-            if peer.is_alive(now_s, FAR_GREETINGS)
-        ]
-        return [address for _, _, address in sorted(alive)][:MOST_ASKED]
-
     async def greet(self) -> None:
         """Gives a sign of life, each time only to those that may rely on it."""
-        is_for_all = self._greetings % FAR_GREETINGS == 0
+        is_for_all = self._greetings % peer_table.FAR_GREETINGS == 0
         self._greetings += 1
         if is_for_all:
             self._send(self._greeting, _is_any)
             return
-        group = {address for address, _ in self._list_group()}
+        group = {address for address, _ in self._peers.list_group()}
         self._send(
             self._greeting,
             lambda address, peer: address in group or not peer.instance_id,
@@ -282,9 +146,9 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         now_s = self._timers.read_monotonic()
-        peer = self._peers.get(addr)
+        peer = self._peers.find(addr)
         if peer is None:
-            peer = self._peers[addr] = _Peer(now_s)
+            peer = self._peers.note_unknown(addr)
             if self._transport is not None:
                 self._transport.sendto(_encode(self._greeting), addr)
         peer.heard_s = now_s
@@ -296,7 +160,9 @@
     def error_received(self, exc: Exception) -> None:
         _logger.debug("a datagram could not be sent: %s", exc)
 
-    def _take(self, fields: list[Any], peer: _Peer, now_s: float) -> None:
+    def _take(
+        self, fields: list[Any], peer: peer_table.Peer, now_s: float
+    ) -> None:
         if fields[0] == _PLACED:
             _, job_id, ids, read_us, tokens, pause_ms = fields
             held = tokens + [0] * (len(ids) - len(tokens))
@@ -316,7 +182,7 @@
             self._health.note_broken(fields[2], fields[3], now_s)
 
     def _take_greeting(
-        self, fields: list[Any], peer: _Peer, now_s: float
+        self, fields: list[Any], peer: peer_table.Peer, now_s: float
     ) -> None:
         """Learns who speaks; a new start of it runs none of the old jobs."""
         _, peer.instance_id, peer.data_centre, source = fields
@@ -332,12 +198,14 @@
                 lambda address, other: other is peer,
             )
 
-    def _is_near(self, address: tuple[str, int], peer: _Peer) -> bool:
+    def _is_near(
+        self, address: peer_table.Address, peer: peer_table.Peer
+    ) -> bool:
         """Whether a peer runs in this data centre; one unknown may."""
         del address
         return peer.data_centre in ("", self._data_centre)
 
-    def _make_filter(self, job: enginebook.Job) -> _Filter:
+    def _make_filter(self, job: enginebook.Job) -> peer_table.Filter:
         """Returns what says whether a peer uses an engine of a job.
 
         One that is unknown may.
@@ -347,18 +215,13 @@
             not peer.instance_id or uses(peer.instance_id)
         )
 
-    def _send(self, fields: list[Any], is_told: _Filter) -> None:
+    def _send(self, fields: list[Any], is_told: peer_table.Filter) -> None:
         """Sends a datagram to those peers that are to be told."""
         if self._transport is None:
             return
         data = _encode(fields)
-        oldest_s = self._timers.read_monotonic() - SILENT_S
-        for address, peer in list(self._peers.items()):
-            if peer.heard_s < oldest_s:
-                del self._peers[address]
-                continue
-            if is_told(address, peer):
-                self._transport.sendto(data, address)
+        for address in self._peers.list_told(is_told):
+            self._transport.sendto(data, address)
 
 
 def _encode(fields: list[Any]) -> bytes:
@@ -375,13 +238,6 @@
     return [_PLACED, job.job_id, ids, read_us, tokens, round(job.pause_s * 1e3)]
 
 
-def _find_group(instance_id: str, groups: int) -> int:
-    """Returns the group of an instance among those that ask one reader."""
-    if groups == 1:
-        return 0
-    return int(groups * rendezvous.compute_share("reader", instance_id))
-
-
-def _is_any(address: tuple[str, int], peer: _Peer) -> bool:
+def _is_any(address: peer_table.Address, peer: peer_table.Peer) -> bool:
     del address, peer
     return True
--- a/rhubarblock/exchange/news_test.py
+++ b/rhubarblock/exchange/news_test.py
@@ -3,6 +3,7 @@
 from rhubarblock.core import listed as lists
 from rhubarblock.exchange import directory as directories
 from rhubarblock.exchange import news as news_lib
+from rhubarblock.exchange import peers as peer_table
 from rhubarblock.exchange import subset as subsets
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import enginebook
@@ -27,6 +28,7 @@
         self.book = enginebook.EngineBook()
         self.health = healths.Health(data_centre)
         self.directory = directories.Directory(timers)
+        self.peers = peer_table.PeerTable(name, data_centre, timers)
         self.news = news_lib.News(
             name,
             "s1",
@@ -34,6 +36,7 @@
             self.book,
             self.health,
             subsets.Subsets(self.directory, ENGINES_EACH),
+            self.peers,
             timers,
         )
 
@@ -49,7 +52,7 @@
             first.news.open("127.0.0.1", 0),
             second.news.open("127.0.0.1", 0),
         ):
-            first.news.add_peer(*second.address)
+            first.peers.add(*second.address)
             return await step(first, second)
 
     return asyncio.run(main())
@@ -77,7 +80,7 @@
 def test_sender_is_known_from_its_first_datagram():
     async def step(first, second):
         await first.news.greet()
-        await wait_for(lambda: second.news.count_instances() == 2)
+        await wait_for(lambda: second.peers.count_instances() == 2)
         second.news.tell_placed(JOB)
         await wait_for(lambda: first.book.find("b").busy_until_s)
 
@@ -110,7 +113,7 @@
         end = End("i1")
         end.news.tell_placed(JOB)
         await end.news.greet()
-        return end.news.count_instances()
+        return end.peers.count_instances()
 
     assert asyncio.run(main()) == 1
 
@@ -118,7 +121,7 @@
 async def meet(first, second):
     """Makes two instances known to each other by name."""
     await first.news.greet()
-    peer = first.news._peers[second.address]
+    peer = first.peers.find(second.address)
     await wait_for(lambda: peer.instance_id == "i2")
 
 
@@ -174,37 +177,6 @@
     assert run(step, "tema") == ["g", "p"]
 
 
-def test_instances_that_start_together_agree_on_a_reader_by_the_list():
-    async def main():
-        end = End("i2")
-        end.news.add_peer("10.0.0.1", 7, "i1", "osu")
-        end.news.add_peer("10.0.0.2", 7, "i0", "tema")
-        return end.news.find_reader()
-
-    assert asyncio.run(main()) == "10.0.0.1:7"
-
-
-def test_instances_of_a_large_data_centre_have_several_readers():
-    async def find_readers(count):
-        readers = set()
-        for own in range(count):
-            end = End(f"i{own:03}")
-            for peer in range(count):
-                if peer == own:
-                    continue
-                state = news_lib._Peer(
-                    float("inf"), f"i{peer:03}", data_centre="osu"
-                )
-                end.news._peers[("10.0.0.1", peer)] = state
-            reader = end.news.find_reader()
-            readers.add(f"10.0.0.1:{own}" if reader is None else reader)
-        return readers
-
-    assert asyncio.run(find_readers(1)) == {"10.0.0.1:0"}
-    assert asyncio.run(find_readers(31)) == {"10.0.0.1:0"}
-    assert 3 <= len(asyncio.run(find_readers(110))) <= 4
-
-
 def test_new_start_of_a_peer_runs_none_of_the_old_jobs():
     async def step(first, second):
         await meet(first, second)
@@ -226,7 +198,7 @@
             first.news.tell_placed(ended)
             first.news.tell_ended(ended)
             async with second.news.open("127.0.0.1", 0):
-                second.news.add_peer(*first.address)
+                second.peers.add(*first.address)
                 await second.news.greet()
                 await wait_for(lambda: second.book.find("a").jobs)
                 return list(second.book.find("a").jobs)
--- /dev/null
+++ b/rhubarblock/exchange/peers_test.py
@@ -0,0 +1,103 @@
+import asyncio
+
+from rhubarblock.exchange import peers as peer_table
+from rhubarblock.kernel import timers as timer_service
+from rhubarblock.kernel import virtualloop
+
+FIRST = ("10.0.0.1", 7)
+SECOND = ("10.0.0.2", 7)
+
+
+def run(step):
+    return virtualloop.run(step())
+
+
+def make_table(own="i2", data_centre="osu"):
+    return peer_table.PeerTable(own, data_centre, timer_service.LoopTimers(0.0))
+
+
+def test_instances_that_start_together_agree_on_a_reader_by_the_list():
+    async def step():
+        table = make_table()
+        table.add(*FIRST, "i1", "osu")
+        table.add(*SECOND, "i0", "tema")
+        return table.find_reader()
+
+    assert run(step) == "10.0.0.1:7"
+
+
+def test_first_by_name_reads_itself():
+    async def step():
+        table = make_table("i0")
+        table.add(*FIRST, "i1", "osu")
+        return table.find_reader()
+
+    assert run(step) is None
+
+
+def test_silent_peer_is_no_reader_and_then_forgotten():
+    async def step():
+        table = make_table()
+        table.add(*FIRST, "i1", "osu")
+        seen = []
+        for wait_s in (4.0, 1.0, 60.0):
+            await asyncio.sleep(wait_s)
+            told = list(table.list_told(lambda address, peer: True))
+            seen.append((table.find_reader(), told))
+        return seen, table.count_instances()
+
+    assert run(step) == (
+        [("10.0.0.1:7", [FIRST]), (None, [FIRST]), (None, [])],
+        1,
+    )
+
+
+def test_distrusted_peer_is_asked_again_after_a_while():
+    async def step():
+        table = make_table()
+        table.add(*FIRST, "i1", "osu")
+        table.distrust("10.0.0.1:7")
+        before = table.find_reader()
+        await asyncio.sleep(peer_table.DISTRUST_S)
+        return before, table.find_reader()
+
+    assert run(step) == (None, "10.0.0.1:7")
+
+
+def test_near_peers_are_asked_first_and_then_who_spoke_last():
+    async def step():
+        table = make_table()
+        table.add("10.0.0.3", 7, "i3", "tema")
+        await asyncio.sleep(1.0)
+        table.add("10.0.0.4", 7, "i4", "tema")
+        table.add(*FIRST, "i1", "osu")
+        return table.list_peers()
+
+    assert run(step) == ["10.0.0.1:7", "10.0.0.4:7", "10.0.0.3:7"]
+
+
+def test_own_address_is_no_peer():
+    async def step():
+        table = make_table()
+        table.set_own(FIRST)
+        table.add(*FIRST, "i2", "osu")
+        return table.count_instances()
+
+    assert run(step) == 1
+
+
+def test_instances_of_a_large_data_centre_have_several_readers():
+    async def find_readers(count):
+        readers = set()
+        for own in range(count):
+            table = make_table(f"i{own:03}")
+            for peer in range(count):
+                if peer != own:
+                    table.add("10.0.0.1", peer, f"i{peer:03}", "osu")
+            reader = table.find_reader()
+            readers.add(f"10.0.0.1:{own}" if reader is None else reader)
+        return readers
+
+    assert virtualloop.run(find_readers(1)) == {"10.0.0.1:0"}
+    assert virtualloop.run(find_readers(31)) == {"10.0.0.1:0"}
+    assert 3 <= len(virtualloop.run(find_readers(110))) <= 4
