Let entries that only a listing lacked come back as they were

Cause: found by reading: an entry that a new listing lacked was passed on to peers as removed at its version, so that a peer would have ignored it for good when the next listing had it again unchanged.

Change: such a removal bears no version; only one that the store told does.

Figures: the test fails before (b is never used again) and passes after.

--- a/rhubarblock/exchange/statebook.py
+++ b/rhubarblock/exchange/statebook.py
@@ -165,7 +165,10 @@
             }
         for name in [n for n in self._entries if n not in listing]:
             gone = self._entries.pop(name)
-            self._note(dataclasses.replace(gone, value=b"", deleted=True))
+            # Nobody said that it was removed, so it may come back as it was.
+            self._note(
+                dataclasses.replace(gone, version=0, value=b"", deleted=True)
+            )
         for stored in listing.values():
             if self._entries.get(stored.name) != stored:
                 self._entries[stored.name] = stored
--- a/rhubarblock/exchange/statefeed_test.py
+++ b/rhubarblock/exchange/statefeed_test.py
@@ -326,3 +326,18 @@
         return asker.usable()
 
     assert run(step) == ["b"]
+
+
+def test_entry_that_only_a_listing_lacked_may_come_back_as_it_was():
+    async def step(reader, asker, client, address, asked):
+        reader.book.take_configuration(table(3, "k"), 100.0)
+        reader.book.take_listing([entry("a", version=4), entry("b", version=4)])
+        await client.ask(address, 0.0)
+        reader.book.take_listing([entry("a", version=4)])
+        await client.ask(address, 0.0)
+        between = asker.usable()
+        reader.book.take_listing([entry("a", version=4), entry("b", version=4)])
+        await client.ask(address, 0.0)
+        return between, asker.usable()
+
+    assert run(step) == (["a"], ["a", "b"])
