Tell a new start of a peer directly; say once who uses an endpoint

Cause: found by reading the whole change: for each of its jobs an instance searched all peers for the one that had just greeted, whose address it had; and the rule of who uses an endpoint stood twice in exchange/subset.py.

Change: a datagram to one peer has a method of its own, which the first greeting uses too; uses() calls make_filter(). Behaviour is as it was.

--- a/rhubarblock/exchange/news.py
+++ b/rhubarblock/exchange/news.py
@@ -149,11 +149,13 @@
         peer = self._peers.find(addr)
         if peer is None:
             peer = self._peers.note_unknown(addr)
-            if self._transport is not None:
-                self._transport.sendto(_encode(self._greeting), addr)
+            self._send_to(addr, self._greeting)
         peer.heard_s = now_s
         try:
-            self._take(json.loads(data), peer, now_s)
+            fields = json.loads(data)
+            self._take(fields, peer, now_s)
+            if fields[0] == _GREETING:
+                self._take_greeting(fields, peer, addr, now_s)
         except (ValueError, TypeError, IndexError) as error:
             _logger.debug("a datagram of %s can't be read: %s", addr, error)
 
@@ -174,15 +176,17 @@
             self._book.add(job, now_s)
         elif fields[0] == _ENDED:
             self._book.remove(fields[1])
-        elif fields[0] == _GREETING:
-            self._take_greeting(fields, peer, now_s)
         elif fields[0] == _CRASH:
             self.on_crash(fields[1], fields[2])
         elif fields[0] == _BROKEN and fields[1] == self._data_centre:
             self._health.note_broken(fields[2], fields[3], now_s)
 
     def _take_greeting(
-        self, fields: list[Any], peer: peer_table.Peer, now_s: float
+        self,
+        fields: list[Any],
+        peer: peer_table.Peer,
+        address: peer_table.Address,
+        now_s: float,
     ) -> None:
         """Learns who speaks; a new start of it runs none of the old jobs."""
         _, peer.instance_id, peer.data_centre, source = fields
@@ -193,10 +197,7 @@
         peer.source = source
         for job, placed_s in self._own_jobs.values():
             left_s = max(0.0, job.parts[0].read_s - (now_s - placed_s))
-            self._send(
-                _describe_job(job, left_s),
-                lambda address, other: other is peer,
-            )
+            self._send_to(address, _describe_job(job, left_s))
 
     def _is_near(
         self, address: peer_table.Address, peer: peer_table.Peer
@@ -223,6 +224,11 @@
         for address in self._peers.list_told(is_told):
             self._transport.sendto(data, address)
 
+    def _send_to(self, address: peer_table.Address, fields: list[Any]) -> None:
+        """Sends a datagram to one peer."""
+        if self._transport is not None:
+            self._transport.sendto(_encode(fields), address)
+
 
 def _encode(fields: list[Any]) -> bytes:
     return json.dumps(fields, separators=(",", ":")).encode()
--- a/rhubarblock/exchange/subset.py
+++ b/rhubarblock/exchange/subset.py
@@ -47,11 +47,7 @@
           instance_id: name of the instance.
           endpoint_id: an endpoint; every instance uses one that isn't listed.
         """
-        endpoint = self._directory.find(endpoint_id)
-        if endpoint is None:
-            return True
-        part = self._find_part(endpoint.service)
-        return part >= 1.0 or _is_drawn(instance_id, endpoint_id, part)
+        return self.make_filter((endpoint_id,))(instance_id)
 
     def make_filter(self, endpoint_ids: Iterable[str]) -> Callable[[str], bool]:
         """Returns what says whether an instance uses one of some endpoints."""
