Tell starts under one id apart; let no foreign entry name an endpoint

A service that is a list, an address that is a number, negative or infinite slots were believed, and broken the reading of the whole list; a number of thousands of digits or bytes that are no UTF-8 in one object would have spoilt the page of all.

Change: each field of an entry is checked, and what is wrong names no endpoint; a known endpoint whose entry can't be read any more gets no work; one line for each change of such an entry. A later born makes the directory forget the start before, its draining mark too, and tells the book of engines and the health; an earlier born that comes late changes nothing, and no clock is asked.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -103,6 +103,7 @@
         )
         self.book = enginebook.EngineBook()
         self.health = healths.Health(settings.data_centre)
+        self.directory.on_restart = self._forget_start
         self._dialect = dialect
         self._make_store = make_store
         self._make_leases = make_leases
@@ -121,6 +122,11 @@
             await stop.wait()
             await self._drain()
 
+    def _forget_start(self, endpoint_id: str) -> None:
+        """Holds nothing against an endpoint that started again."""
+        self.book.remove_engine(endpoint_id)
+        self.health.forget(endpoint_id)
+
     async def _start(self, stack: contextlib.AsyncExitStack) -> None:
         """Opens all parts; the stack closes them in the opposite order."""
         settings = self.settings
--- a/rhubarblock/daemon/exchangeinstance_test.py
+++ b/rhubarblock/daemon/exchangeinstance_test.py
@@ -42,7 +42,10 @@
         entry = {
             "service": "desk",
             "address": endpoint.address,
+            "zone": "osu-hall",
+            "slots": 8,
             "state": "ready",
+            "sequence": 1,
         }
         self.objects = {"config/main": {}, "servers/e1": entry}
 
--- a/rhubarblock/exchange/directory.py
+++ b/rhubarblock/exchange/directory.py
@@ -5,6 +5,7 @@
 again until the list names it anew.
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
 import logging
@@ -37,13 +38,19 @@
 
 
 class Directory:
-    """Endpoints by id."""
+    """Endpoints by id.
 
-    __slots__ = ("_endpoints", "_services", "_sizes", "_timers")
+    Attributes:
+      on_restart: called with the id of an endpoint that started again under
+        it, so that nothing known of the earlier start is held against it.
+    """
+
+    __slots__ = ("_endpoints", "_services", "_sizes", "_timers", "on_restart")
 
     def __init__(self, timers: timer_service.Timers):
         """Starts empty."""
         self._timers = timers
+        self.on_restart: Callable[[str], None] = lambda endpoint_id: None
         self._endpoints: dict[str, Endpoint] = {}
         # The same endpoints by service, as each request asks for one service.
         self._services: dict[str, dict[str, Endpoint]] = {}
@@ -64,8 +71,14 @@
         self.expire()
 
     def update(self, entry: lists.ListedEndpoint) -> None:
-        """Takes in one entry of the list."""
+        """Takes in one entry of the list, unless it tells of an older start."""
         known = self._endpoints.get(entry.endpoint_id)
+        if known is not None and entry.born_ms < known.listed.born_ms:
+            return
+        if known is not None and 0 < known.listed.born_ms < entry.born_ms:
+            self.remove(entry.endpoint_id)
+            self.on_restart(entry.endpoint_id)
+            known = None
         if known is not None and known.listed.service != entry.service:
             self.remove(entry.endpoint_id)
             known = None
--- a/rhubarblock/exchange/directory_test.py
+++ b/rhubarblock/exchange/directory_test.py
@@ -77,3 +77,30 @@
     directory.update(dataclasses.replace(A, endpoint_id="c", service="desk"))
     assert usable(directory) == []
     assert directory.find("a") is None
+
+
+def test_new_start_under_the_same_id_is_another_endpoint():
+    directory = directories.Directory(Timers())
+    restarted = []
+    directory.on_restart = restarted.append
+    first = dataclasses.replace(A, born_ms=1_000)
+    directory.update(dataclasses.replace(first, draining=True))
+    assert usable(directory) == []
+    directory.update(dataclasses.replace(A, born_ms=2_000))
+    assert usable(directory) == ["a"]
+    assert restarted == ["a"]
+
+
+def test_entry_of_an_older_start_that_comes_late_changes_nothing():
+    directory = directories.Directory(Timers())
+    directory.update(dataclasses.replace(A, born_ms=2_000))
+    directory.update(dataclasses.replace(A, born_ms=1_000, draining=True))
+    assert usable(directory) == ["a"]
+
+
+def test_same_start_does_not_take_back_that_it_leaves():
+    directory = directories.Directory(Timers())
+    started = dataclasses.replace(A, born_ms=1_000)
+    directory.update(dataclasses.replace(started, draining=True))
+    directory.update(started)
+    assert usable(directory) == []
--- a/rhubarblock/exchange/statebook.py
+++ b/rhubarblock/exchange/statebook.py
@@ -65,6 +65,7 @@
         "_number",
         "_removals",
         "_timers",
+        "_unread",
         "_value",
         "complete",
         "listed",
@@ -95,6 +96,8 @@
         self._number = 0
         # Versions of removed entries by name, the oldest removal first.
         self._removals: dict[str, int] = {}
+        # Versions of entries that can't be read, by name.
+        self._unread: dict[str, int] = {}
         # Number of the oldest change that is kept.
         self._first = 1
         self._changed = asyncio.Event()
@@ -193,10 +196,20 @@
             self._note_removal(stored)
         else:
             self._entries[stored.name] = stored
-            for entry in self._decode([stored]):
-                self._directory.update(entry)
+            self._update_endpoint(stored)
         self._wake()
 
+    def _update_endpoint(self, stored: stores.StoredObject) -> None:
+        """Puts a changed entry into force.
+
+        One that can't be read names no endpoint, whatever it named before.
+        """
+        entries = self._decode([stored])
+        for entry in entries:
+            self._directory.update(entry)
+        if not entries:
+            self._directory.remove(stored.name.partition("/")[2])
+
     def _is_outdated(self, stored: stores.StoredObject) -> bool:
         """Whether more is known of an entry already."""
         if stored.deleted:
@@ -248,9 +261,23 @@
             try:
                 entries.append(self._dialect.decode_endpoint(stored))
             except ValueError as error:
-                _logger.warning("an entry can't be read: %s", error)
+                self._note_unread(stored, error)
         return entries
 
+    def _note_unread(
+        self, stored: stores.StoredObject, error: ValueError
+    ) -> None:
+        """Leaves one line for each change of an entry that can't be read."""
+        if self._unread.get(stored.name) == stored.version:
+            return
+        self._unread[stored.name] = stored.version
+        if len(self._unread) > KEPT_REMOVALS:
+            del self._unread[next(iter(self._unread))]
+        _logger.warning(
+            "an entry names no endpoint",
+            extra={"version": stored.version, "reason": str(error)},
+        )
+
     def _wake(self) -> None:
         # Waiters look again; those that come later wait for the next change.
         self._changed.set()
--- a/rhubarblock/platform/configuration.py
+++ b/rhubarblock/platform/configuration.py
@@ -1,6 +1,7 @@
 """The operator's configuration and the list of endpoints, decoded."""
 
 from collections.abc import Mapping
+import ipaddress
 import json
 from typing import Any
 
@@ -9,6 +10,21 @@
 from rhubarblock.store import store as stores
 
 _MS_PER_S = 1000.0
+# States of an entry.
+_READY = "ready"
+_DRAINING = "draining"
+_STATES = frozenset({_READY, _DRAINING})
+# Longest name of a service or data centre that is believed, in characters; a
+# host name has 253 at the most.
+_LONGEST_TEXT = 255
+# Characters of an unknown word that an error shows.
+_SHOWN_TEXT = 40
+# Most requests at once that are believed of one endpoint; today's take 16.
+_MOST_SLOTS = 10_000
+# Counts and milliseconds beyond it lose digits in other languages' decoders.
+_MOST_COUNT = 2**53
+_MOST_PORT = 65_535
+_PORT_DIGITS = 5
 
 _KINDS = {
     "idempotent": routes.RouteKind.IDEMPOTENT,
@@ -42,22 +58,79 @@
 def decode_endpoint(stored: stores.StoredObject) -> listed.ListedEndpoint:
     """Decodes an entry of the list; its object is named by the endpoint's id.
 
+    Anyone may have written the entry, so each field is checked: what is wrong
+    in one place is not believed in another.
+
     Raises:
-      ValueError: it can't be read.
+      ValueError: it names no endpoint that could be used.
     """
     endpoint_id = stored.name.partition("/")[2]
     try:
-        fields = json.loads(stored.value)
-        return listed.ListedEndpoint(
-            endpoint_id=endpoint_id,
-            address=fields["address"],
-            data_centre=fields.get("zone", ""),
-            service=fields["service"],
-            slots=int(fields.get("slots") or 1),
-            draining=fields.get("state") != "ready",
-        )
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"entry {endpoint_id} lacks {error}") from error
+        return _decode_entry(endpoint_id, json.loads(stored.value))
+    except (ValueError, RecursionError) as error:
+        raise ValueError(f"entry {endpoint_id!r}: {error}") from error
+
+
+def _decode_entry(endpoint_id: str, fields: Any) -> listed.ListedEndpoint:
+    if not isinstance(fields, dict):
+        raise ValueError("it is no table")
+    if not endpoint_id:
+        raise ValueError("it has no id")
+    state = _read_text(fields, "state")
+    if state not in _STATES:
+        raise ValueError(f"its state {state[:_SHOWN_TEXT]!r} is unknown")
+    _read_count(fields, "sequence", _MOST_COUNT)
+    return listed.ListedEndpoint(
+        endpoint_id=endpoint_id,
+        address=_read_address(fields),
+        data_centre=_read_text(fields, "zone"),
+        service=_read_text(fields, "service"),
+        slots=max(1, _read_count(fields, "slots", _MOST_SLOTS)),
+        draining=state == _DRAINING,
+        born_ms=_read_count(fields, "born", _MOST_COUNT)
+        if "born" in fields
+        else 0,
+    )
+
+
+def _read_text(fields: Mapping[str, Any], name: str) -> str:
+    """Returns a text that is there and not overlong.
+
+    Raises:
+      ValueError: it is none.
+    """
+    value = fields.get(name)
+    if not isinstance(value, str) or not 0 < len(value) <= _LONGEST_TEXT:
+        raise ValueError(f"{name} is no name")
+    return value
+
+
+def _read_count(fields: Mapping[str, Any], name: str, most: int) -> int:
+    """Returns a whole number from 0 up to a bound.
+
+    Raises:
+      ValueError: it is none.
+    """
+    value = fields.get(name)
+    if type(value) is not int or not 0 <= value <= most:
+        raise ValueError(f"{name} is no whole number up to {most}")
+    return value
+
+
+def _read_address(fields: Mapping[str, Any]) -> str:
+    """Returns an IP number with a port.
+
+    Raises:
+      ValueError: it is none.
+    """
+    address = _read_text(fields, "address")
+    host, _, port = address.rpartition(":")
+    ipaddress.IPv4Address(host)
+    if not port.isascii() or not port.isdigit() or len(port) > _PORT_DIGITS:
+        raise ValueError(f"{address!r} has no port")
+    if not 0 < int(port) <= _MOST_PORT:
+        raise ValueError(f"{address!r} has no port")
+    return address
 
 
 def _decode_route(fields: Mapping[str, Any]) -> routes.Route:
--- a/rhubarblock/platform/configuration_test.py
+++ b/rhubarblock/platform/configuration_test.py
@@ -1,5 +1,8 @@
+import contextlib
 import json
 
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from rhubarblock.core import listed
@@ -132,23 +135,119 @@
         configuration.decode_table(value)
 
 
+ENTRY = {
+    "service": "pool",
+    "address": "10.128.0.9:8080",
+    "zone": "osu-hall",
+    "slots": 8,
+    "state": "draining",
+    "sequence": 4,
+}
+
+
+def decode_entry(fields):
+    value = json.dumps(fields).encode()
+    stored = stores.StoredObject("servers/i-1", 3, value)
+    return configuration.decode_endpoint(stored)
+
+
 def test_entry_of_the_list_is_decoded():
-    value = {
-        "service": "pool",
-        "address": "10.128.0.9:8080",
-        "zone": "osu-hall",
-        "slots": 8,
-        "state": "draining",
-        "sequence": 4,
-    }
-    stored = stores.StoredObject("servers/i-1", 3, json.dumps(value).encode())
-    assert configuration.decode_endpoint(stored) == listed.ListedEndpoint(
+    assert decode_entry(ENTRY) == listed.ListedEndpoint(
         "i-1", "10.128.0.9:8080", "osu-hall", "pool", 8, True
     )
 
 
-def test_entry_that_cannot_be_read_is_an_error():
+def test_entry_says_when_its_endpoint_started():
+    assert decode_entry({**ENTRY, "born": 1_770_000_000_123}).born_ms == (
+        1_770_000_000_123
+    )
+
+
+@pytest.mark.parametrize("name", sorted(ENTRY))
+def test_entry_that_lacks_a_field_is_an_error(name):
+    with pytest.raises(ValueError):
+        decode_entry({k: v for k, v in ENTRY.items() if k != name})
+
+
+@pytest.mark.parametrize(
+    ("name", "value"),
+    [
+        ("service", ["pool"]),
+        ("service", ""),
+        ("service", "x" * 300),
+        ("address", 17),
+        ("address", "pool.example:80"),
+        ("address", "10.0.0.1"),
+        ("address", "10.0.0.1:0"),
+        ("address", "10.0.0.1:99999"),
+        ("address", "10.0.0.1:\u0663"),
+        ("address", "10.0.0.256:80"),
+        ("zone", 4),
+        ("zone", None),
+        ("slots", -1),
+        ("slots", 1e400),
+        ("slots", 10**30),
+        ("slots", True),
+        ("slots", "8"),
+        ("state", "sleeping"),
+        ("state", {"ready": True}),
+        ("sequence", -4),
+        ("sequence", "4"),
+        ("born", 1.5),
+        ("born", None),
+        ("born", -1),
+    ],
+)
+def test_entry_of_another_writer_names_no_endpoint(name, value):
+    with pytest.raises(ValueError):
+        decode_entry({**ENTRY, name: value})
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"{", b"[]", b"7", b"null", b'"ready"', b"\xff\xfe", b"{}"]
+)
+def test_entry_that_cannot_be_read_is_an_error(value):
     with pytest.raises(ValueError):
         configuration.decode_endpoint(
-            stores.StoredObject("servers/i-1", 3, b"{}")
+            stores.StoredObject("servers/i-1", 3, value)
         )
+
+
+anything = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(strategies.text(), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+@hypothesis.given(
+    strategies.dictionaries(
+        strategies.sampled_from([*ENTRY, "born"]), anything
+    ),
+    anything,
+)
+def test_any_entry_is_decoded_or_refused(changes, whole):
+    for fields in ({**ENTRY, **changes}, whole):
+        try:
+            entry = decode_entry(fields)
+        except ValueError:
+            continue
+        assert isinstance(entry.service, str)
+        assert isinstance(entry.data_centre, str)
+        assert 1 <= entry.slots <= 10_000
+        assert 0 <= entry.born_ms <= 2**53
+        assert hash(entry)
+
+
+@hypothesis.given(strategies.binary())
+def test_any_bytes_are_decoded_or_refused(value):
+    stored = stores.StoredObject("servers/i-1", 3, value)
+    with contextlib.suppress(ValueError):
+        configuration.decode_endpoint(stored)
--- a/rhubarblock/platform/objectstore.py
+++ b/rhubarblock/platform/objectstore.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Mapping
 import json
+import math
 from typing import Any
 import urllib.parse
 
@@ -21,6 +22,8 @@
 # answers that a working store was seen to give.
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.5
+# Longest integer that is decoded, in characters: that of 64 bits.
+_LONGEST_INTEGER = 20
 # Milliseconds for which a watch waits; short, as a connection may go silent.
 WATCH_WAIT_MS = 4_000
 
@@ -129,13 +132,36 @@
                     raise stores.StoreError(
                         kind, f"the store answered {response.status}"
                     )
-                return json.loads(content)
+                return _load(content)
         except aiohttp.ClientConnectorError as error:
             raise stores.StoreError(_Kind.UNAVAILABLE, str(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise stores.StoreError(unknown, str(error)) from error
 
 
+def _load(content: bytes) -> Any:
+    """Decodes a body; what one object holds must not spoil the others.
+
+    Anyone may have written into an object, so texts that are no UTF-8 and
+    numbers of any length are taken in here; who uses them checks them.
+
+    Raises:
+      ValueError: it can't be read as a whole.
+    """
+    text = content.decode("utf-8", "replace")
+    try:
+        return json.loads(text, parse_int=_read_integer)
+    except RecursionError as error:
+        raise ValueError("the body is nested too deeply") from error
+
+
+def _read_integer(digits: str) -> int | float:
+    """Returns a number; one that no field holds becomes infinite."""
+    if len(digits) > _LONGEST_INTEGER:
+        return math.inf
+    return int(digits)
+
+
 def _read_version(fields: Mapping[str, Any]) -> int:
     return int(fields["metadata"]["revision"])
 
--- a/rhubarblock/routing/enginebook.py
+++ b/rhubarblock/routing/enginebook.py
@@ -91,22 +91,24 @@
 
 
 class Read:
-    """What an engine has to read for a job.
+    """What an engine has to read and to hold for a job.
 
     Attributes:
       placed: the job.
       endpoint_id: the engine.
       left_s: seconds of reading that are left.
+      tokens: memory that it holds until the job's end.
       placed_s: when it was placed, in monotonic seconds.
     """
 
-    __slots__ = ("endpoint_id", "left_s", "placed", "placed_s")
+    __slots__ = ("endpoint_id", "left_s", "placed", "placed_s", "tokens")
 
     def __init__(self, placed: PlacedJob, part: Part, placed_s: float):
         """Starts unread."""
         self.placed = placed
         self.endpoint_id = part.endpoint_id
         self.left_s = part.read_s
+        self.tokens = part.tokens
         self.placed_s = placed_s
 
 
@@ -242,9 +244,9 @@
             return
         del self._ends[job_id]
         self.find(placed.job.endpoint_id).jobs.pop(job_id, None)
-        for part in placed.job.parts:
-            load = self.find(part.endpoint_id)
-            load.tokens -= part.tokens
+        for read in placed.reads:
+            load = self.find(read.endpoint_id)
+            load.tokens -= read.tokens
             load.drop(placed)
 
     def remove_source(self, source: str) -> None:
@@ -256,6 +258,24 @@
         for job_id in [j for j in self._jobs if j.rpartition(".")[0] == source]:
             self.remove(job_id)
 
+    def remove_engine(self, endpoint_id: str) -> None:
+        """Takes in that an engine started anew and holds nothing of before.
+
+        What it was writing is over; what it was reading or holding for others
+        is gone, though they may not know it yet.
+        """
+        load = self._loads.get(endpoint_id)
+        if load is None:
+            return
+        for job_id in list(load.jobs):
+            self.remove(job_id)
+        for placed in self._jobs.values():
+            for read in placed.reads:
+                if read.endpoint_id == endpoint_id:
+                    read.left_s = 0.0
+                    read.tokens = 0
+        del self._loads[endpoint_id]
+
     def expire(self, now_s: float) -> None:
         """Forgets jobs whose end was never told."""
         for job_id in [j for j, end_s in self._ends.items() if end_s <= now_s]:
--- a/rhubarblock/routing/enginebook_test.py
+++ b/rhubarblock/routing/enginebook_test.py
@@ -122,3 +122,20 @@
     assert not writer.is_late
     add_job(book, "long", 0.5, ["b", "a"], 0.4)
     assert writer.is_late
+
+
+def test_engine_that_started_anew_holds_nothing_of_before():
+    book = enginebook.EngineBook()
+    part = enginebook.Part("a", 1.0, 5_000)
+    book.add(enginebook.Job("own", (part,), 0.2), 0.0)
+    parts = (enginebook.Part("b", 1.0, 700), enginebook.Part("a", 1.0, 900))
+    book.add(enginebook.Job("helped", parts, 0.8), 0.0)
+    book.remove_engine("a")
+    assert book.find("a").tokens == 0
+    assert not book.find("a").jobs
+    assert book.find("a").predict_wait(0.0) == 0.0
+    assert book.find("b").tokens == 700
+    book.remove("own")
+    book.remove("helped")
+    assert book.find("a").tokens == 0
+    assert book.find("b").tokens == 0
--- a/rhubarblock/routing/health.py
+++ b/rhubarblock/routing/health.py
@@ -128,6 +128,10 @@
         state = self._states.get(endpoint_id)
         return state.share if state else 0.0
 
+    def forget(self, endpoint_id: str) -> None:
+        """Forgets what an earlier start of an endpoint did."""
+        self._states.pop(endpoint_id, None)
+
     def keep_only(self, endpoint_ids: set[str]) -> None:
         """Forgets endpoints that are not there any more."""
         for endpoint_id in [e for e in self._states if e not in endpoint_ids]:
--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import random
+import time
 
 from aiohttp import web
 
@@ -20,6 +21,8 @@
 CALL_S = 0.03
 # Seconds between a notice and the end of a leaving endpoint.
 DRAIN_S = 2.5
+# Share of the starts after a crash that get a new id; the others keep theirs.
+NEW_ID_SHARE = 0.5
 
 
 class SoakEndpoint:
@@ -49,11 +52,17 @@
         self._revoke_s = revoke_s
         self._rng = rng
         self._leases: dict[str, float] = {}
+        self._born_ms = 0
+        # Whether the last start said that it leaves: its id is not used again.
+        self._has_left = True
 
     async def live(self, stop: asyncio.Event) -> None:
         """Starts again and again until it is told to stop."""
         while not stop.is_set():
-            self.id = f"i-{self._rng.getrandbits(32):08x}"
+            if self._rng.random() < NEW_ID_SHARE or self._has_left:
+                self.id = f"i-{self._rng.getrandbits(32):08x}"
+            self._has_left = False
+            self._born_ms = round(time.time() * 1e3)
             self._ended = asyncio.Event()
             async with (
                 stores.serve(self._handle) as (_, target),
@@ -64,6 +73,7 @@
                 self._list("ready")
                 await _wait_any(self._ended, stop)
                 if self.mode == "drain":
+                    self._has_left = True
                     self._list("draining")
                     self._evidence.left_s[self.id] = evidences.read_clock()
                     await asyncio.sleep(DRAIN_S)
@@ -85,6 +95,8 @@
                 "zone": self._data_centre,
                 "slots": 8,
                 "state": state,
+                "sequence": 1,
+                "born": self._born_ms,
             },
         )
 
