Let a long prompt begin later where that spares more than it costs

Change: a long prompt whose best placement now costs more than a short prompt and a half looks at its best placement 0.2 to 2 s later, when what is being read now is read (the book looks ahead). If that is cheaper it waits in its instance, is asked again each 0.1 s, and begins at the latest after three fifths of its objective. A short prompt, a stream that has begun, or one that harms nobody never waits. Plans are a module of their own (partplan); policies that never wait inherit that.

--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -178,6 +178,19 @@
         """Says whether an exchange that is under way has a place to go."""
         return self._foresee(flow, flow.history.failed_endpoints) is not None
 
+    def predict_start(self, flow: flows.Flow) -> float:
+        """Returns the seconds that an exchange had better wait here."""
+        exchange = flow.exchange
+        model = _find_model(exchange)
+        endpoints = self._list_endpoints(
+            exchange, flow.history.failed_endpoints
+        )
+        if model is None or not endpoints:
+            return 0.0
+        now_s = self._timers.read_monotonic()
+        prompt = _describe(exchange, "", flow.sink.begun, now_s)
+        return self._parter.predict_start(prompt, endpoints, model, now_s)
+
     def can_move(self, flow: flows.Flow, place: Place, is_busy: bool) -> bool:
         """Says whether an attempt had better go on elsewhere.
 
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -27,6 +27,9 @@
 # slot is free again within a short stream's length.
 ROOM_TRIES = 30
 ROOM_S = 0.05
+# Longest seconds until it is asked again when a waiting exchange had better
+# begin: some prompts come or end meanwhile in a burst.
+START_S = 0.1
 
 
 class ExchangeRelay:
@@ -97,6 +100,7 @@
         """Makes one attempt and returns why it failed, if it did."""
         avoid = flow.history.failed_endpoints
         await self._wait_for_room(flow)
+        await self._wait_for_start(flow)
         with self._placer.hold(flow.exchange, avoid, flow.sink.begun) as place:
             if place is None:
                 raise _give_up(flow, "no endpoint has room")
@@ -150,6 +154,13 @@
                 return
             await asyncio.sleep(ROOM_S)
 
+    async def _wait_for_start(self, flow: flows.Flow) -> None:
+        """Lets a new exchange begin when that costs all callers least."""
+        if flow.history.attempts:
+            return
+        while (start_s := self._placer.predict_start(flow)) > 0.0:
+            await asyncio.sleep(min(start_s, START_S))
+
     async def _run_noted(
         self,
         flow: flows.Flow,
--- a/rhubarblock/experiments/platformplay.py
+++ b/rhubarblock/experiments/platformplay.py
@@ -14,6 +14,7 @@
 import statistics
 
 from rhubarblock.core import listed as lists
+from rhubarblock.exchange import relay as relays
 from rhubarblock.experiments import platformmix as mixes
 from rhubarblock.kernel import registry as registries
 from rhubarblock.kernel import virtualloop
@@ -231,6 +232,7 @@
         """Serves one request from its arrival to its last event."""
         await asyncio.sleep(arrival.at_s)
         outcome = Outcome(arrival)
+        await self._wait_for_start(arrival)
         choice = self._place(arrival)
         if choice is None:
             await asyncio.sleep(RETRY_S)
@@ -244,16 +246,21 @@
         )
         return outcome
 
+    async def _wait_for_start(self, arrival: mixes.Arrival) -> None:
+        """Waits for as long as the policy wants a request to."""
+        policy = self._policies[arrival.instance]
+        model = self._plan.model
+        while True:
+            prompt = _describe(arrival)
+            now_s = _read_clock()
+            start_s = policy.predict_start(prompt, self._listed, model, now_s)
+            if start_s <= 0.0:
+                return
+            await asyncio.sleep(min(start_s, relays.START_S))
+
     def _place(self, arrival: mixes.Arrival) -> prompts.Choice | None:
         now_s = _read_clock()
-        kind = arrival.kind
-        prompt = prompts.Prompt(
-            f"i.{arrival.number}",
-            arrival.prompt_tokens,
-            arrival.events * mixes.EVENT_TOKENS,
-            kind.pause_s,
-            kind.objective_s,
-        )
+        prompt = _describe(arrival)
         choice = self._policies[arrival.instance].choose(
             prompt, self._listed, self._plan.model, now_s
         )
@@ -319,6 +326,19 @@
     return registry.get(promptpolicy.PLUGIN_GROUP, name)
 
 
+def _describe(arrival: mixes.Arrival) -> prompts.Prompt:
+    """Returns a request as a policy sees it now."""
+    kind = arrival.kind
+    return prompts.Prompt(
+        f"i.{arrival.number}",
+        arrival.prompt_tokens,
+        arrival.events * mixes.EVENT_TOKENS,
+        kind.pause_s,
+        kind.objective_s,
+        waited_s=_read_clock() - arrival.at_s,
+    )
+
+
 def _read_clock() -> float:
     return asyncio.get_running_loop().time()
 
--- a/rhubarblock/plugins/fixed_lanes.py
+++ b/rhubarblock/plugins/fixed_lanes.py
@@ -7,7 +7,7 @@
 from rhubarblock.core import listed as lists
 from rhubarblock.core import route as routes
 from rhubarblock.plugins import least_requests
-from rhubarblock.routing import parting
+from rhubarblock.routing import partplan
 from rhubarblock.routing import prompt as prompts
 from rhubarblock.routing import promptpolicy
 
@@ -41,7 +41,7 @@
         if is_long:
             whole_s = model.predict_read(prompt.prompt_tokens)
             wanted = 1 + int(whole_s / PART_READ_S)
-            most = min(parting.MAX_PARTS, len(lane))
+            most = min(partplan.MAX_PARTS, len(lane))
             count = max(count, min(wanted, most))
         chosen = least_requests.choose_least(self._book, lane, model, count)
         if not chosen:
--- a/rhubarblock/plugins/least_requests.py
+++ b/rhubarblock/plugins/least_requests.py
@@ -7,7 +7,7 @@
 from rhubarblock.core import listed as lists
 from rhubarblock.core import route as routes
 from rhubarblock.routing import enginebook
-from rhubarblock.routing import parting
+from rhubarblock.routing import partplan
 from rhubarblock.routing import prompt as prompts
 from rhubarblock.routing import promptpolicy
 
@@ -36,9 +36,9 @@
 def count_holders(prompt: prompts.Prompt, model: routes.EngineModel) -> int:
     """Returns how many engines must hold a prompt together."""
     needed = prompt.prompt_tokens + prompt.answer_tokens
-    if needed <= parting.MEMORY_PART * model.memory_tokens:
+    if needed <= partplan.MEMORY_PART * model.memory_tokens:
         return 1
-    return -(-needed // parting.LEASE_TOKENS)
+    return -(-needed // partplan.LEASE_TOKENS)
 
 
 def choose_least(
--- a/rhubarblock/routing/enginebook.py
+++ b/rhubarblock/routing/enginebook.py
@@ -149,6 +149,11 @@
             if read.left_s <= 0.0:
                 self.reads.pop()
 
+    def settle_from(self, load: "EngineLoad", now_s: float) -> None:
+        """Settles reading that was copied from another load."""
+        self._settled_s = load._settled_s
+        self.settle(now_s)
+
     def predict_wait(self, now_s: float) -> float:
         """Returns the seconds of reading that lie before it."""
         self.settle(now_s)
@@ -199,6 +204,43 @@
             for callback in list(self._watchers.get(part.endpoint_id, ())):
                 callback()
 
+    def look_ahead(self, at_s: float) -> "EngineBook":
+        """Returns the book as it will be if nothing comes or ends until then.
+
+        Args:
+          at_s: a moment to come, in monotonic seconds.
+        """
+        later = EngineBook()
+        for placed in self._jobs.values():
+            later.copy_job(placed)
+        for endpoint_id, load in self._loads.items():
+            later.copy_reads(endpoint_id, load, at_s)
+        return later
+
+    def copy_job(self, placed: PlacedJob) -> None:
+        """Takes in a job of another book, without its reading."""
+        job = placed.job
+        copied = PlacedJob(job, placed.placed_s)
+        copied.is_late = placed.is_late
+        for read in copied.reads:
+            read.left_s = 0.0
+        self._jobs[job.job_id] = copied
+        self.find(job.endpoint_id).jobs[job.job_id] = copied
+
+    def copy_reads(
+        self, endpoint_id: str, load: EngineLoad, at_s: float
+    ) -> None:
+        """Takes in what an engine of another book will still have to read."""
+        copied = self.find(endpoint_id)
+        copied.tokens = load.tokens
+        for read in load.reads:
+            placed = self._jobs[read.placed.job.job_id]
+            for own in placed.reads:
+                if own.endpoint_id == endpoint_id:
+                    own.left_s = read.left_s
+                    copied.reads.append(own)
+        copied.settle_from(load, at_s)
+
     def predict_finish(self, placed: PlacedJob, now_s: float) -> float:
         """Returns the seconds until a job is read to its end."""
         return max(
--- a/rhubarblock/routing/parting.py
+++ b/rhubarblock/routing/parting.py
@@ -1,66 +1,41 @@
-"""Chooses where a prompt is read, in how many parts, and where it is written.
+"""Places a prompt now, or says that it had better begin a little later.
 
-Reading in parts costs no extra work, so a long prompt starts soonest when many
-engines read it. But each part lengthens a pass of its engine, and those who
-write there pause for as long. So short prompts are packed onto few engines as
-long as their passes stay short, and long ones are read by the others.
+Engines read what came last first, so a long prompt that is placed in the middle
+of a burst pushes back every shorter one that is being read, and is pushed back
+itself by all that come after it. If it waits in its instance until these are
+read, all of them are in time.
 """
 
 import dataclasses
-import math
-import zlib
 
 from rhubarblock.core import listed as lists
 from rhubarblock.core import route as routes
 from rhubarblock.routing import enginebook
-from rhubarblock.routing import engineview
-from rhubarblock.routing import lateness
+from rhubarblock.routing import partplan
 from rhubarblock.routing import prompt as prompts
 from rhubarblock.routing import promptpolicy
 
-# Most engines that read one prompt: the one that is asked and 16 helpers.
-MAX_PARTS = 17
-# Numbers of parts that are compared.
-COUNTS = (1, 2, 3, 4, 6, 8, 10, 12, 14, 17)
-# Parts are not made shorter than this many seconds: about the shortest pass,
-# which each further engine may have to end before it reads its part.
-SMALL_READ_S = 0.06
-# Seconds of waiting that are all the same to a short prompt: about a pass.
-SHORT_WAIT_S = 0.05
-# Seconds of delay that a stream which moves takes to stay within its data
-# centre.
-FAR_S = 0.03
-# Costs within the same step, in short prompts, are alike when engines are
-# ranked: predictions are no better than that.
-COST_STEP = 0.25
 # Least seconds that are left of an objective in what the book is told.
 SHORTEST_OBJECTIVE_S = 0.05
-# What one more engine that reads a part costs, in short prompts.
-PART_COST = 0.005
-# Part of an engine's memory that placed work may fill; the rest takes what
-# other instances place at the same moment.
-MEMORY_PART = 0.95
-# Most tokens of one prompt that an engine holds while others hold more of it:
-# less than half of its memory, so that two such prompts fit side by side.
-LEASE_TOKENS = 200_000
-
-
-@dataclasses.dataclass(slots=True)
-class _Plan:
-    cost: float
-    parts: list[engineview.EngineView]
-    tokens: list[int]
-    read_s: float
-    expected_s: float
-    pause_s: float
+# A later start is looked for if the best one now costs more than this, in short
+# prompts: about one answer in time.
+LATER_FROM_COST = 1.5
+# Shortest prompt, in seconds of reading by one engine, that may wait: others
+# take less from those at their engines than a later start could spare.
+LATER_FROM_READ_S = 0.8
+# Part of its objective up to which a prompt may have waited; what is left is
+# for its reading.
+LATER_PART = 0.6
+# Later starts that are compared, in seconds: from about a part of a prompt to
+# the objective of a long one.
+LATER_S = (0.2, 0.5, 1.0, 2.0)
+# What a later start must gain at least, in short prompts, as all that comes
+# meanwhile goes first.
+LATER_GAIN = 0.5
 
 
 class Parter(promptpolicy.PromptPolicy):
-    """Places prompts by what the book of engines predicts.
-
-    Short prompts stay in the data centre of the instance if there is room: a
-    stream within it outlasts a cut between data centres.
-    """
+    """Places prompts by what the book of engines predicts."""
 
     plugin_name = "parted"
 
@@ -71,193 +46,86 @@
         model: routes.EngineModel,
         now_s: float,
     ) -> prompts.Choice | None:
-        outlook = engineview.Outlook(self._book, now_s)
-        loads = [self._book.find(e.endpoint_id) for e in engines]
-        for load in loads:
-            load.settle(now_s)
-        views = [
-            engineview.view_engine(
-                endpoint, load, outlook, model, self._data_centre, MEMORY_PART
-            )
-            for endpoint, load in zip(engines, loads, strict=True)
-        ]
-        counts = _list_counts(prompt, model, len(views))
-        plans = [_plan(prompt, views, model, n) for n in counts]
-        possible = [plan for plan in plans if plan is not None]
-        if not possible:
-            return None
-        best = min(possible, key=lambda plan: plan.cost)
-        parts = tuple(
-            enginebook.Part(part.endpoint.endpoint_id, best.read_s, tokens)
-            for part, tokens in zip(best.parts, best.tokens, strict=True)
-        )
-        job = enginebook.Job(
-            prompt.job_id,
-            parts,
-            prompt.pause_s,
-            prompt.prompt_tokens,
-            max(SHORTEST_OBJECTIVE_S, prompt.objective_s - prompt.waited_s),
-        )
-        return prompts.Choice(
-            job,
-            tuple(part.endpoint for part in best.parts),
-            best.expected_s,
-            best.pause_s,
+        plan = partplan.choose_plan(
+            self._book, self._data_centre, prompt, engines, model, now_s
         )
+        return _make_choice(prompt, plan) if plan else None
 
-
-def _plan(
-    prompt: prompts.Prompt,
-    views: list[engineview.EngineView],
-    model: routes.EngineModel,
-    count: int,
-) -> _Plan | None:
-    """Plans a number of parts; None if they can't hold the prompt."""
-    read_s = model.predict_read(prompt.prompt_tokens, count)
-    harms = {id(view): view.weigh(read_s) for view in views}
-    value = lateness.weigh_prompt(prompt.prompt_tokens)
-
-    def weigh_first(view: engineview.EngineView) -> float:
-        """Returns what speaks against writing the answer there."""
-        end_s = view.predict_end(read_s)
-        pause_s = view.predict_pause(read_s, end_s)
-        lost = lateness.weigh_pause(pause_s, prompt.pause_s)
-        lost += lateness.weigh_delay(
-            prompt.waited_s + end_s, prompt.objective_s, prompt.pause_s
+    def predict_start(
+        self,
+        prompt: prompts.Prompt,
+        engines: list[lists.ListedEndpoint],
+        model: routes.EngineModel,
+        now_s: float,
+    ) -> float:
+        """Returns the seconds after which a prompt had better begin.
+
+        Answers a burst of long prompts: on calm days with such bursts the worst
+        one of eight plays went from 0.79 of its worth to 0.91, the mean from
+        0.934 to 0.948.
+        """
+        if not _may_wait(prompt, model):
+            return 0.0
+        plan = partplan.choose_plan(
+            self._book, self._data_centre, prompt, engines, model, now_s
+        )
+        if plan is None or plan.cost < LATER_FROM_COST:
+            return 0.0
+        least = plan.cost - LATER_GAIN
+        start_s = 0.0
+        for later_s in LATER_S:
+            plan = self._plan_later(prompt, engines, model, now_s, later_s)
+            if plan is not None and plan.cost < least:
+                least = plan.cost
+                start_s = later_s
+        return start_s
+
+    def _plan_later(
+        self,
+        prompt: prompts.Prompt,
+        engines: list[lists.ListedEndpoint],
+        model: routes.EngineModel,
+        now_s: float,
+        later_s: float,
+    ) -> partplan.Plan | None:
+        """Returns the best plan if nothing else is placed until then."""
+        waited = dataclasses.replace(prompt, waited_s=prompt.waited_s + later_s)
+        at_s = now_s + later_s
+        return partplan.choose_plan(
+            self._book.look_ahead(at_s),
+            self._data_centre,
+            waited,
+            engines,
+            model,
+            at_s,
         )
-        return harms[id(view)] + value * lost
-
-    def rank_first(view: engineview.EngineView) -> tuple[object, ...]:
-        if prompt.hurried:
-            return _rank_hurried(view, harms[id(view)], read_s, prompt.job_id)
-        if count == 1:
-            return _rank_short(view, weigh_first(view))
-        return _rank_long(view, weigh_first(view), read_s)
-
-    needed = prompt.prompt_tokens + prompt.answer_tokens
-    open_ones = [view for view in views if view.has_slot]
-    roomy = [view for view in open_ones if view.room >= needed]
-    if roomy:
-        first = min(roomy, key=rank_first)
-    elif open_ones:
-        first = max(open_ones, key=lambda view: view.room)
-    else:
-        return None
-    others = sorted(
-        (view for view in views if view is not first),
-        key=lambda view: _rank_long(view, harms[id(view)], read_s),
-    )
-    parts = [first, *others[: count - 1]]
-    tokens = _share_memory(parts, needed)
-    if tokens is None:
-        return None
-    expected_s = max(part.predict_end(read_s) for part in parts)
-    lost = lateness.weigh_delay(
-        prompt.waited_s + expected_s, prompt.objective_s, prompt.pause_s
-    )
-    pause_s = first.predict_pause(read_s, expected_s)
-    lost += lateness.weigh_pause(pause_s, prompt.pause_s)
-    cost = value * lost + PART_COST * count
-    cost += sum(part.weigh_pauses(read_s) for part in parts)
-    cost += _weigh_delayed(parts, read_s)
-    return _Plan(cost, parts, tokens, read_s, expected_s, pause_s)
-
-
-def _weigh_delayed(parts: list[engineview.EngineView], read_s: float) -> float:
-    """Returns what parts cost the jobs that they go before, each one once."""
-    ends: dict[str, tuple[enginebook.PlacedJob, float]] = {}
-    for part in parts:
-        for placed, end_s in part.list_delayed(read_s):
-            job_id = placed.job.job_id
-            if job_id not in ends or ends[job_id][1] < end_s:
-                ends[job_id] = (placed, end_s)
-    outlook = parts[0].outlook
-    return sum(
-        outlook.weigh_later(placed, end_s) for placed, end_s in ends.values()
-    )
-
-
-def _share_memory(
-    parts: list[engineview.EngineView], needed: int
-) -> list[int] | None:
-    """Returns the tokens that each engine of a plan holds.
-
-    The first one holds all if it can; else each holds some, the roomiest ones
-    first, as every further holder is one more order.
-    """
-    if parts[0].room >= needed:
-        return [needed, *[0] * (len(parts) - 1)]
-    tokens = [0] * len(parts)
-    tokens[0] = min(parts[0].room, LEASE_TOKENS)
-    rest = needed - tokens[0]
-    by_room = sorted(range(1, len(parts)), key=lambda i: -parts[i].room)
-    for index in by_room:
-        taken = max(0, min(rest, parts[index].room, LEASE_TOKENS))
-        tokens[index] = taken
-        rest -= taken
-    return tokens if rest <= 0 and tokens[0] > 0 else None
-
-
-def _list_counts(
-    prompt: prompts.Prompt, model: routes.EngineModel, engines: int
-) -> list[int]:
-    """Returns the numbers of parts that are worth looking at.
 
-    A prompt that is soon read is not parted much, unless one engine can't hold
-    it.
-    """
-    whole_s = model.predict_read(prompt.prompt_tokens)
-    most = max(1, int(whole_s / SMALL_READ_S))
-    needed = prompt.prompt_tokens + prompt.answer_tokens
-    if needed > MEMORY_PART * model.memory_tokens:
-        most = max(most, 2 * math.ceil(needed / LEASE_TOKENS))
-    most = min(MAX_PARTS, engines, most)
-    return [n for n in COUNTS if n <= most]
 
+def _may_wait(prompt: prompts.Prompt, model: routes.EngineModel) -> bool:
+    """Whether a prompt is long, not begun, and has time left."""
+    if prompt.hurried:
+        return False
+    if model.predict_read(prompt.prompt_tokens) < LATER_FROM_READ_S:
+        return False
+    return prompt.waited_s <= LATER_PART * prompt.objective_s
 
-def _rank_short(view: engineview.EngineView, cost: float) -> tuple[object, ...]:
-    """Prefers near engines that already write for others, up to their slots.
 
-    Steps get only a few hundredths longer with each writer, and every engine
-    that writes for nobody reads for long prompts without making anyone pause:
-    days of long bursts earn 0.852 of their worth packed up to the slots, 0.835
-    packed up to six of eight (means of four plays).
-    """
-    return (
-        int(cost / COST_STEP),
-        int(view.wait_s / SHORT_WAIT_S),
-        view.is_far,
-        -len(view.load.jobs),
-        view.endpoint.endpoint_id,
+def _make_choice(prompt: prompts.Prompt, plan: partplan.Plan) -> prompts.Choice:
+    """Returns a plan as what the book, the peers and the relay are told."""
+    parts = tuple(
+        enginebook.Part(part.endpoint.endpoint_id, plan.read_s, tokens)
+        for part, tokens in zip(plan.parts, plan.tokens, strict=True)
     )
-
-
-def _rank_hurried(
-    view: engineview.EngineView, cost: float, read_s: float, job_id: str
-) -> tuple[object, ...]:
-    """Prefers engines that go on soonest, and spreads those that are alike.
-
-    Many streams leave an engine at the same moment and from several instances,
-    which know nothing of each other's choices yet.
-    """
-    end_s = view.predict_end(read_s)
-    pause_s = view.predict_pause(read_s, end_s)
-    lasts_s = max(end_s, pause_s) + FAR_S * view.is_far
-    endpoint_id = view.endpoint.endpoint_id
-    return (
-        int(cost / COST_STEP),
-        int(lasts_s / SHORT_WAIT_S),
-        zlib.crc32(f"{job_id} {endpoint_id}".encode()),
+    job = enginebook.Job(
+        prompt.job_id,
+        parts,
+        prompt.pause_s,
+        prompt.prompt_tokens,
+        max(SHORTEST_OBJECTIVE_S, prompt.objective_s - prompt.waited_s),
     )
-
-
-def _rank_long(
-    view: engineview.EngineView, cost: float, read_s: float
-) -> tuple[object, ...]:
-    """Prefers engines at which nobody writes and nothing waits."""
-    return (
-        int(cost / COST_STEP),
-        len(view.load.jobs) > 0,
-        view.wait_s,
-        view.endpoint.endpoint_id,
+    return prompts.Choice(
+        job,
+        tuple(part.endpoint for part in plan.parts),
+        plan.expected_s,
+        plan.pause_s,
     )
--- a/rhubarblock/routing/parting_test.py
+++ b/rhubarblock/routing/parting_test.py
@@ -6,6 +6,7 @@
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.routing import enginebook
 from rhubarblock.routing import parting
+from rhubarblock.routing import partplan
 from rhubarblock.routing import prompt as prompts
 
 MODEL = fakes.MODEL
@@ -115,7 +116,7 @@
     choice = choose(make_book(), huge, make_engines(14))
     held = [part.tokens for part in choice.job.parts]
     assert sum(held) == 801_600
-    assert max(held) <= parting.LEASE_TOKENS
+    assert max(held) <= partplan.LEASE_TOKENS
     assert held[0] > 0
 
 
@@ -174,3 +175,57 @@
     writers = {f"e{n:02d}": 6 for n in range(8)}
     choice = choose(make_book(**writers), huge, make_engines(16))
     assert not {f"e{n:02d}" for n in range(8)} & set(names(choice))
+
+
+def predict_start(book, prompt, engines, now_s=0.0):
+    policy = parting.Parter(book, "osu")
+    return policy.predict_start(prompt, engines, MODEL, now_s)
+
+
+def make_reading_book(engines, read_s, tokens=210_000, objective_s=1.0):
+    """Returns a book in which every engine reads for one prompt of its own."""
+    book = enginebook.EngineBook()
+    for number, engine in enumerate(engines):
+        part = enginebook.Part(engine.endpoint_id, read_s)
+        job = enginebook.Job(f"r{number}", (part,), 0.8, tokens, objective_s)
+        book.add(job, 0.0)
+    return book
+
+
+GIANT = make_prompt(640_000, 0.8, 3.0)
+
+
+def test_giant_begins_when_what_is_being_read_is_read():
+    engines = make_engines(12)
+    book = make_reading_book(engines, 0.45)
+    assert 0.2 <= predict_start(book, GIANT, engines) <= 1.0
+    assert predict_start(book, GIANT, engines, now_s=0.5) == 0.0
+
+
+def test_prompt_begins_at_once_where_it_harms_nobody():
+    engines = make_engines(12)
+    assert predict_start(make_book(), GIANT, engines) == 0.0
+    book = make_reading_book(engines[:2], 0.45)
+    assert predict_start(book, CASE_FILE, engines) == 0.0
+
+
+def test_short_prompt_never_waits():
+    engines = make_engines(2)
+    book = make_reading_book(engines, 2.0)
+    assert predict_start(book, DRAFT, engines) == 0.0
+
+
+def test_prompt_that_waited_for_long_begins():
+    engines = make_engines(12)
+    book = make_reading_book(engines, 0.45)
+    waited = dataclasses.replace(GIANT, waited_s=1.9)
+    assert predict_start(book, waited, engines) == 0.0
+
+
+def test_looking_ahead_changes_nothing():
+    engines = make_engines(3)
+    book = make_reading_book(engines, 2.0)
+    later = book.look_ahead(0.5)
+    assert later.find("e00").predict_wait(0.5) == 1.5
+    assert book.find("e00").predict_wait(0.25) == 1.75
+    assert len(later.find("e00").jobs) == 1
--- /dev/null
+++ b/rhubarblock/routing/partplan.py
@@ -0,0 +1,256 @@
+"""Plans where a prompt is read, in how many parts, and where it is written.
+
+Reading in parts costs no extra work, so a long prompt starts soonest when many
+engines read it. But each part lengthens a pass of its engine, and those who
+write there pause for as long. So short prompts are packed onto few engines as
+long as their passes stay short, and long ones are read by the others.
+"""
+
+import dataclasses
+import math
+import zlib
+
+from rhubarblock.core import listed as lists
+from rhubarblock.core import route as routes
+from rhubarblock.routing import enginebook
+from rhubarblock.routing import engineview
+from rhubarblock.routing import lateness
+from rhubarblock.routing import prompt as prompts
+
+# Most engines that read one prompt: the one that is asked and 16 helpers.
+MAX_PARTS = 17
+# Numbers of parts that are compared.
+COUNTS = (1, 2, 3, 4, 6, 8, 10, 12, 14, 17)
+# Parts are not made shorter than this many seconds: about the shortest pass,
+# which each further engine may have to end before it reads its part.
+SMALL_READ_S = 0.06
+# Seconds of waiting that are all the same to a short prompt: about a pass.
+SHORT_WAIT_S = 0.05
+# Seconds of delay that a stream which moves takes to stay within its data
+# centre.
+FAR_S = 0.03
+# Costs within the same step, in short prompts, are alike when engines are
+# ranked: predictions are no better than that.
+COST_STEP = 0.25
+# What one more engine that reads a part costs, in short prompts.
+PART_COST = 0.005
+# Part of an engine's memory that placed work may fill; the rest takes what
+# other instances place at the same moment.
+MEMORY_PART = 0.95
+# Most tokens of one prompt that an engine holds while others hold more of it:
+# less than half of its memory, so that two such prompts fit side by side.
+LEASE_TOKENS = 200_000
+
+
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """Where a prompt would go.
+
+    Attributes:
+      cost: what that costs its caller and all others, in short prompts.
+      parts: the engines, the first of which also writes the answer.
+      tokens: memory that each of them holds.
+      read_s: seconds that each of them reads.
+      expected_s: seconds until the first event.
+      pause_s: seconds between that and the next one.
+    """
+
+    cost: float
+    parts: list[engineview.EngineView]
+    tokens: list[int]
+    read_s: float
+    expected_s: float
+    pause_s: float
+
+
+def choose_plan(
+    book: enginebook.EngineBook,
+    data_centre: str,
+    prompt: prompts.Prompt,
+    engines: list[lists.ListedEndpoint],
+    model: routes.EngineModel,
+    now_s: float,
+) -> Plan | None:
+    """Returns the plan that costs least, or None if no engine has room.
+
+    Args:
+      book: what each engine has before it.
+      data_centre: where the instance runs; streams within it outlast a cut
+        between data centres.
+      prompt: what is to be placed.
+      engines: engines that may be used.
+      model: what their steps cost.
+      now_s: the moment of the placement, in monotonic seconds.
+    """
+    outlook = engineview.Outlook(book, now_s)
+    loads = [book.find(engine.endpoint_id) for engine in engines]
+    # All are settled first, as a view looks at jobs that span several.
+    for load in loads:
+        load.settle(now_s)
+    views = [
+        engineview.view_engine(
+            endpoint, load, outlook, model, data_centre, MEMORY_PART
+        )
+        for endpoint, load in zip(engines, loads, strict=True)
+    ]
+    counts = _list_counts(prompt, model, len(views))
+    plans = [_plan(prompt, views, model, n) for n in counts]
+    possible = [plan for plan in plans if plan is not None]
+    return min(possible, key=lambda plan: plan.cost, default=None)
+
+
+def _plan(
+    prompt: prompts.Prompt,
+    views: list[engineview.EngineView],
+    model: routes.EngineModel,
+    count: int,
+) -> Plan | None:
+    """Plans a number of parts; None if they can't hold the prompt."""
+    read_s = model.predict_read(prompt.prompt_tokens, count)
+    harms = {id(view): view.weigh(read_s) for view in views}
+    value = lateness.weigh_prompt(prompt.prompt_tokens)
+
+    def weigh_first(view: engineview.EngineView) -> float:
+        """Returns what speaks against writing the answer there."""
+        end_s = view.predict_end(read_s)
+        pause_s = view.predict_pause(read_s, end_s)
+        lost = lateness.weigh_pause(pause_s, prompt.pause_s)
+        lost += lateness.weigh_delay(
+            prompt.waited_s + end_s, prompt.objective_s, prompt.pause_s
+        )
+        return harms[id(view)] + value * lost
+
+    def rank_first(view: engineview.EngineView) -> tuple[object, ...]:
+        if prompt.hurried:
+            return _rank_hurried(view, harms[id(view)], read_s, prompt.job_id)
+        if count == 1:
+            return _rank_short(view, weigh_first(view))
+        return _rank_long(view, weigh_first(view), read_s)
+
+    needed = prompt.prompt_tokens + prompt.answer_tokens
+    open_ones = [view for view in views if view.has_slot]
+    roomy = [view for view in open_ones if view.room >= needed]
+    if roomy:
+        first = min(roomy, key=rank_first)
+    elif open_ones:
+        first = max(open_ones, key=lambda view: view.room)
+    else:
+        return None
+    others = sorted(
+        (view for view in views if view is not first),
+        key=lambda view: _rank_long(view, harms[id(view)], read_s),
+    )
+    parts = [first, *others[: count - 1]]
+    tokens = _share_memory(parts, needed)
+    if tokens is None:
+        return None
+    expected_s = max(part.predict_end(read_s) for part in parts)
+    lost = lateness.weigh_delay(
+        prompt.waited_s + expected_s, prompt.objective_s, prompt.pause_s
+    )
+    pause_s = first.predict_pause(read_s, expected_s)
+    lost += lateness.weigh_pause(pause_s, prompt.pause_s)
+    cost = value * lost + PART_COST * count
+    cost += sum(part.weigh_pauses(read_s) for part in parts)
+    cost += _weigh_delayed(parts, read_s)
+    return Plan(cost, parts, tokens, read_s, expected_s, pause_s)
+
+
+def _weigh_delayed(parts: list[engineview.EngineView], read_s: float) -> float:
+    """Returns what parts cost the jobs that they go before, each one once."""
+    ends: dict[str, tuple[enginebook.PlacedJob, float]] = {}
+    for part in parts:
+        for placed, end_s in part.list_delayed(read_s):
+            job_id = placed.job.job_id
+            if job_id not in ends or ends[job_id][1] < end_s:
+                ends[job_id] = (placed, end_s)
+    outlook = parts[0].outlook
+    return sum(
+        outlook.weigh_later(placed, end_s) for placed, end_s in ends.values()
+    )
+
+
+def _share_memory(
+    parts: list[engineview.EngineView], needed: int
+) -> list[int] | None:
+    """Returns the tokens that each engine of a plan holds.
+
+    The first one holds all if it can; else each holds some, the roomiest ones
+    first, as every further holder is one more order.
+    """
+    if parts[0].room >= needed:
+        return [needed, *[0] * (len(parts) - 1)]
+    tokens = [0] * len(parts)
+    tokens[0] = min(parts[0].room, LEASE_TOKENS)
+    rest = needed - tokens[0]
+    by_room = sorted(range(1, len(parts)), key=lambda i: -parts[i].room)
+    for index in by_room:
+        taken = max(0, min(rest, parts[index].room, LEASE_TOKENS))
+        tokens[index] = taken
+        rest -= taken
+    return tokens if rest <= 0 and tokens[0] > 0 else None
+
+
+def _list_counts(
+    prompt: prompts.Prompt, model: routes.EngineModel, engines: int
+) -> list[int]:
+    """Returns the numbers of parts that are worth looking at.
+
+    A prompt that is soon read is not parted much, unless one engine can't hold
+    it.
+    """
+    whole_s = model.predict_read(prompt.prompt_tokens)
+    most = max(1, int(whole_s / SMALL_READ_S))
+    needed = prompt.prompt_tokens + prompt.answer_tokens
+    if needed > MEMORY_PART * model.memory_tokens:
+        most = max(most, 2 * math.ceil(needed / LEASE_TOKENS))
+    most = min(MAX_PARTS, engines, most)
+    return [n for n in COUNTS if n <= most]
+
+
+def _rank_short(view: engineview.EngineView, cost: float) -> tuple[object, ...]:
+    """Prefers near engines that already write for others, up to their slots.
+
+    Steps get only a few hundredths longer with each writer, and every engine
+    that writes for nobody reads for long prompts without making anyone pause:
+    days of long bursts earn 0.852 of their worth packed up to the slots, 0.835
+    packed up to six of eight (means of four plays).
+    """
+    return (
+        int(cost / COST_STEP),
+        int(view.wait_s / SHORT_WAIT_S),
+        view.is_far,
+        -len(view.load.jobs),
+        view.endpoint.endpoint_id,
+    )
+
+
+def _rank_hurried(
+    view: engineview.EngineView, cost: float, read_s: float, job_id: str
+) -> tuple[object, ...]:
+    """Prefers engines that go on soonest, and spreads those that are alike.
+
+    Many streams leave an engine at the same moment and from several instances,
+    which know nothing of each other's choices yet.
+    """
+    end_s = view.predict_end(read_s)
+    pause_s = view.predict_pause(read_s, end_s)
+    lasts_s = max(end_s, pause_s) + FAR_S * view.is_far
+    endpoint_id = view.endpoint.endpoint_id
+    return (
+        int(cost / COST_STEP),
+        int(lasts_s / SHORT_WAIT_S),
+        zlib.crc32(f"{job_id} {endpoint_id}".encode()),
+    )
+
+
+def _rank_long(
+    view: engineview.EngineView, cost: float, read_s: float
+) -> tuple[object, ...]:
+    """Prefers engines at which nobody writes and nothing waits."""
+    return (
+        int(cost / COST_STEP),
+        len(view.load.jobs) > 0,
+        view.wait_s,
+        view.endpoint.endpoint_id,
+    )
--- a/rhubarblock/routing/promptpolicy.py
+++ b/rhubarblock/routing/promptpolicy.py
@@ -45,3 +45,24 @@
         Returns:
           The choice, or None if no engine has room for it.
         """
+
+    def predict_start(
+        self,
+        prompt: prompts.Prompt,
+        engines: list[lists.ListedEndpoint],
+        model: routes.EngineModel,
+        now_s: float,
+    ) -> float:
+        """Returns the seconds after which a prompt had better begin.
+
+        It is asked again after a part of them, as others come and end; 0 says
+        at once, and is what a policy says that never waits.
+
+        Args:
+          prompt: what is to be placed.
+          engines: engines that may be used.
+          model: what their steps cost.
+          now_s: monotonic seconds.
+        """
+        del prompt, engines, model, now_s
+        return 0.0
