Leave a reader that lost the store; take in no state that is too old

Ruled out: the request's way, a lagging processor.

Change: an answer older than is relied on is not taken in; who then reads the store with success leaves that reader for three seconds. In an outage nothing changes.

--- a/rhubarblock/exchange/follower.py
+++ b/rhubarblock/exchange/follower.py
@@ -147,6 +147,10 @@
             # reads it, or there is nobody better to ask.
             self._set_role(True)
             if await self._read_store():
+                if reader is not None:
+                    # It lost the store, which others still reach: until it is
+                    # asked again the next one by name reads for all.
+                    self._peers.distrust(reader)
                 backoff.reset()
                 await self._timers.sleep(self._pace.read_s)
                 continue
@@ -155,9 +159,19 @@
             await self._timers.sleep(others + backoff.take_delay())
 
     async def _ask(self, address: str) -> bool:
-        """Asks a peer; says whether its state is young enough to rely on."""
+        """Asks a peer; says whether its state is young enough to rely on.
+
+        An older one is not taken in: its list may still name endpoints whose
+        leaving this instance has read of itself.
+        """
         try:
-            await self._client.ask(address, self._pace.wait_s)
+            await self._client.ask(address, self._pace.wait_s, self._pace.old_s)
+        except statefeed.OldStateError as error:
+            _logger.info(
+                "a peer's state is too old",
+                extra={"peer": address, "reason": str(error)},
+            )
+            return False
         except statefeed.FeedError as error:
             _logger.info(
                 "a peer gave no state",
@@ -165,7 +179,7 @@
             )
             self._peers.distrust(address)
             return False
-        return self._authority.age_s < self._pace.old_s
+        return True
 
     async def _ask_anybody(self) -> None:
         """Asks peers, near ones first, until one has younger state."""
--- a/rhubarblock/exchange/follower_test.py
+++ b/rhubarblock/exchange/follower_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import random
 
 from rhubarblock.exchange import follower as followers
@@ -62,12 +63,14 @@
         self.age_s = age_s
         self.asked = []
 
-    async def ask(self, address, wait_s=0.7):
+    async def ask(self, address, wait_s=0.7, oldest_s=math.inf):
         self.asked.append(address)
         asked_s = self.side.authority.read_clock()
         await asyncio.sleep(wait_s)
         if self.age_s is None:
             raise statefeed.FeedError("none")
+        if self.age_s + wait_s >= oldest_s:
+            raise statefeed.OldStateError("old")
         self.side.book.take_listing([fakes.entry("a")])
         value = fakes.table(1, "k")
         self.side.book.take_configuration(value, asked_s - self.age_s)
@@ -217,9 +220,9 @@
         lost_s = side.timers.read_monotonic()
         ask = client.ask
 
-        async def ask_older(address, wait_s=0.7):
+        async def ask_older(address, wait_s=0.7, oldest_s=math.inf):
             client.age_s = side.timers.read_monotonic() - lost_s + wait_s
-            await ask(address, wait_s)
+            await ask(address, wait_s, oldest_s)
 
         client.ask = ask_older
         while not store.reads:
@@ -227,3 +230,25 @@
         return side.timers.read_monotonic() - lost_s
 
     assert run(step, "10.0.0.1:1") < 1.9
+
+
+def test_reader_that_lost_the_store_is_not_asked_again_at_once():
+    # Else every instance would read for itself, then ask it again, by turns.
+    async def step(side, store, client):
+        client.age_s = 1.6
+        await asyncio.sleep(2.5)
+        return len(client.asked), store.reads
+
+    asked, reads = run(step, "10.0.0.1:1")
+    assert asked == 1
+    assert reads >= 2
+
+
+def test_reader_stays_the_reader_while_nobody_reaches_the_store():
+    async def step(side, store, client):
+        store.fails = True
+        client.age_s = 9.0
+        await asyncio.sleep(6.0)
+        return len(client.asked)
+
+    assert run(step, "10.0.0.1:1") >= 2
--- a/rhubarblock/exchange/statefeed.py
+++ b/rhubarblock/exchange/statefeed.py
@@ -13,6 +13,7 @@
 import dataclasses
 import json
 import logging
+import math
 from typing import Any
 
 import aiohttp
@@ -40,6 +41,10 @@
     """A peer gave no state."""
 
 
+class OldStateError(FeedError):
+    """A peer answered with a state that is too old to be taken in."""
+
+
 @dataclasses.dataclass(slots=True)
 class Mark:
     """How far an instance has followed a peer.
@@ -178,21 +183,32 @@
         self._timers = timers
         self._marks: dict[str, Mark] = {}
 
-    async def ask(self, address: str, wait_s: float = WAIT_S) -> None:
+    async def ask(
+        self,
+        address: str,
+        wait_s: float = WAIT_S,
+        oldest_s: float = math.inf,
+    ) -> None:
         """Takes in what is new at a peer.
 
         Args:
           address: ``host:port`` of the peer.
           wait_s: seconds that the peer may wait for news.
+          oldest_s: age in seconds from which its state is left alone.
 
         Raises:
+          OldStateError: its state is older.
           FeedError: it gave no state.
         """
         mark = self._marks.setdefault(address, Mark())
         asked_s = self._authority.read_clock()
         fields = await self._fetch(address, mark, wait_s)
         try:
-            self._take(fields, mark, asked_s - float(fields["age_s"]))
+            confirmed_s = asked_s - float(fields["age_s"])
+            age_s = self._authority.read_clock() - confirmed_s
+            if age_s >= oldest_s:
+                raise OldStateError(f"its state is {age_s:.2f} s old")
+            self._take(fields, mark, confirmed_s)
         except (KeyError, TypeError, ValueError) as error:
             raise FeedError(f"the state can't be read: {error}") from error
 
--- a/rhubarblock/exchange/statefeed_test.py
+++ b/rhubarblock/exchange/statefeed_test.py
@@ -177,6 +177,21 @@
     assert run(step) is None
 
 
+def test_state_that_is_too_old_brings_no_endpoint_back():
+    # The reader lost the store before "a" was removed there.
+    async def step(reader, asker, client, address, asked):
+        reader.book.take_configuration(table(3, "k"), 98.0)
+        reader.book.take_listing([entry("a"), entry("b")])
+        asker.book.take_listing([entry("b")])
+        with pytest.raises(statefeed.OldStateError):
+            await client.ask(address, 0.0, 1.3)
+        before = asker.usable()
+        await client.ask(address, 0.0, 2.5)
+        return before, asker.usable(), asker.authority.version
+
+    assert run(step) == (["b"], ["a", "b"], 3)
+
+
 def test_change_wakes_a_question_that_waits():
     async def step(reader, asker, client, address, asked):
         reader.book.take_configuration(table(3, "k"), 100.0)
