--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -75,6 +75,26 @@
         self._metrics.count(name)
         return granted
 
+    def note_waiting(self, flow: flows.Flow, start_s: float) -> None:
+        """Takes in that an exchange had better begin later.
+
+        Args:
+          flow: the exchange.
+          start_s: seconds until then, as predicted now.
+        """
+        self._metrics.count("exchange.waited")
+        exchange = flow.exchange
+        _logger.debug(
+            "waits for a better start",
+            extra={
+                "request": exchange.request_id,
+                "route": exchange.route.name,
+                "workspace": exchange.workspace,
+                "prompt_tokens": exchange.prompt_tokens,
+                "start_s": start_s,
+            },
+        )
+
     def note_placed(self, flow: flows.Flow, place: placers.Place) -> None:
         """Takes in where an attempt goes."""
         _logger.debug(
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -158,8 +158,12 @@
         """Lets a new exchange begin when that costs all callers least."""
         if flow.history.attempts:
             return
-        while (start_s := self._placer.predict_start(flow)) > 0.0:
+        start_s = self._placer.predict_start(flow)
+        if start_s > 0.0:
+            self._outcomes.note_waiting(flow, start_s)
+        while start_s > 0.0:
             await asyncio.sleep(min(start_s, START_S))
+            start_s = self._placer.predict_start(flow)
 
     async def _run_noted(
         self,
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -404,3 +404,41 @@
     sink, arrivals = run_beside_long_reading()
     assert arrivals == [1]
     assert sink.finished
+
+
+def run_giant(busy_s):
+    """Sends a giant to engines that each read for another prompt.
+
+    Returns:
+      How often a start was put off, and whether the answer is whole.
+    """
+
+    async def main():
+        engines = [fakes.ScriptedEndpoint(fakes.events(1)) for _ in range(6)]
+        async with fakes.open_parts(*engines, service="pool") as parts:
+            now_s = asyncio.get_running_loop().time()
+            for number in range(1, 7):
+                part = enginebook.Part(f"e{number}", busy_s)
+                job = enginebook.Job(f"r{number}", (part,), 0.8, 210_000, 1.6)
+                parts.book.add(job, now_s)
+            route = fakes.make_route(
+                routes.RouteKind.STREAMING, objective_s=3.0, pause_s=0.8
+            )
+            exchange = fakes.make_exchange(
+                route, fakes.ENGINES, prompt_tokens=420_000, answer_tokens=100
+            )
+            exchange.deadline_s += 8.0
+            sink = fakes.MemorySink()
+            await parts.relay.serve(exchange, sink)
+            waited = parts.metrics.snapshot().get("exchange.waited", 0)
+            return waited, sink.finished
+
+    return asyncio.run(main())
+
+
+def test_giant_waits_until_what_is_being_read_is_read():
+    assert run_giant(0.9) == (1, True)
+
+
+def test_giant_begins_at_once_where_nothing_is_being_read():
+    assert run_giant(0.0) == (0, True)
