Part the drafting of a plan into steps; try the book in any order

Cause: planning a number of parts was one function of sixty lines with two others inside it.

Change: a draft of one number of parts, whose steps are functions of a few lines; a sum of newer reads belongs to an engine's load. A property test puts jobs, ends, restarts and lost sources into the book in any order and looks ahead after each.

--- a/rhubarblock/routing/enginebook.py
+++ b/rhubarblock/routing/enginebook.py
@@ -160,6 +160,15 @@
         """Returns the seconds of a pass that reads nothing."""
         return model.predict_stride(len(self.jobs), self.tokens)
 
+    def sum_newer(self, read: Read) -> float:
+        """Returns the seconds of a read and of all that goes before it."""
+        total_s = 0.0
+        for other in reversed(self.reads):
+            total_s += other.left_s
+            if other is read:
+                break
+        return total_s
+
     def drop(self, placed: PlacedJob) -> None:
         """Forgets the reading of a job that ended."""
         self.reads = [read for read in self.reads if read.placed is not placed]
@@ -249,8 +258,8 @@
         if read.left_s <= 0.0:
             return 0.0
         if load.writes:
-            return sum(other.left_s for other in load.reads)
-        return sum_newer(load, read)
+            return load.predict_wait(now_s)
+        return load.sum_newer(read)
 
     @contextlib.contextmanager
     def watch(
@@ -325,13 +334,3 @@
             load = self._loads[endpoint_id]
             if not load.jobs and not load.tokens:
                 del self._loads[endpoint_id]
-
-
-def sum_newer(load: EngineLoad, read: Read) -> float:
-    """Returns the seconds until a read ends, with all that goes before it."""
-    total_s = 0.0
-    for other in reversed(load.reads):
-        total_s += other.left_s
-        if other is read:
-            break
-    return total_s
--- a/rhubarblock/routing/enginebook_test.py
+++ b/rhubarblock/routing/enginebook_test.py
@@ -1,3 +1,6 @@
+import hypothesis
+from hypothesis import strategies
+
 from rhubarblock.routing import enginebook
 
 JOB = enginebook.Job(
@@ -130,3 +133,40 @@
     book.remove("helped")
     assert book.find("a").tokens == 0
     assert book.find("b").tokens == 0
+
+
+NAMES = ("a", "b", "c")
+STEPS = strategies.tuples(
+    strategies.sampled_from(["add", "end", "restart", "keep", "source"]),
+    strategies.integers(0, 3),
+    strategies.sets(strategies.sampled_from(NAMES), min_size=1),
+    strategies.floats(0.0, 2.0),
+)
+
+
+@hypothesis.given(strategies.lists(STEPS, max_size=12))
+def test_book_holds_whatever_comes_in_any_order(steps):
+    book = enginebook.EngineBook()
+    now_s = 0.0
+    for verb, number, names, span_s in steps:
+        now_s += span_s / 2
+        job_id = f"i{number % 2}.s.{number}"
+        if verb == "add":
+            parts = tuple(enginebook.Part(n, span_s, 10) for n in sorted(names))
+            book.add(enginebook.Job(job_id, parts, 0.2), now_s)
+        elif verb == "end":
+            book.remove(job_id)
+        elif verb == "restart":
+            book.remove_engine(min(names))
+        elif verb == "keep":
+            book.keep_only(names)
+        else:
+            book.remove_source(job_id.rpartition(".")[0])
+        later = book.look_ahead(now_s + 0.5)
+        for name in NAMES:
+            now_wait_s = book.find(name).predict_wait(now_s)
+            assert book.find(name).tokens >= 0
+            assert later.find(name).predict_wait(now_s + 0.5) >= 0.0
+            assert later.find(name).predict_wait(now_s + 0.5) <= now_wait_s
+            for placed in book.find(name).jobs.values():
+                assert book.predict_finish(placed, now_s) >= 0.0
--- a/rhubarblock/routing/partplan.py
+++ b/rhubarblock/routing/partplan.py
@@ -92,67 +92,98 @@
         for endpoint, load in zip(engines, loads, strict=True)
     ]
     counts = _list_counts(prompt, model, len(views))
-    plans = [_plan(prompt, views, model, n) for n in counts]
+    plans = [_Draft(prompt, views, model, n).plan() for n in counts]
     possible = [plan for plan in plans if plan is not None]
     # Of those that cost the same the first one has the fewest parts.
     return min(possible, key=lambda plan: plan.cost, default=None)
 
 
-def _plan(
-    prompt: prompts.Prompt,
-    views: list[engineview.EngineView],
-    model: routes.EngineModel,
-    count: int,
-) -> Plan | None:
-    """Plans a number of parts; None if they can't hold the prompt."""
-    read_s = model.predict_read(prompt.prompt_tokens, count)
-    harms = {id(view): view.weigh(read_s) for view in views}
-    value = lateness.weigh_prompt(prompt.prompt_tokens)
-
-    def weigh_first(view: engineview.EngineView) -> float:
-        """Returns what speaks against writing the answer there."""
-        end_s = view.predict_end(read_s)
-        pause_s = view.predict_pause(read_s, end_s)
+class _Draft:
+    """One number of parts of a prompt, and what a part costs at each engine."""
+
+    __slots__ = ("_count", "_harms", "_needed", "_prompt", "_read_s", "_views")
+
+    def __init__(
+        self,
+        prompt: prompts.Prompt,
+        views: list[engineview.EngineView],
+        model: routes.EngineModel,
+        count: int,
+    ):
+        self._prompt = prompt
+        self._views = views
+        self._count = count
+        self._needed = prompt.prompt_tokens + prompt.answer_tokens
+        self._read_s = model.predict_read(prompt.prompt_tokens, count)
+        self._harms = {
+            view.endpoint.endpoint_id: view.weigh(self._read_s)
+            for view in views
+        }
+
+    def plan(self) -> Plan | None:
+        """Returns the best plan; None if its engines can't hold the prompt."""
+        first = self._choose_first()
+        if first is None:
+            return None
+        parts = [first, *self._choose_helpers(first)]
+        tokens = _share_memory(parts, self._needed)
+        if tokens is None:
+            return None
+        read_s = self._read_s
+        expected_s = max(part.predict_end(read_s) for part in parts)
+        pause_s = first.predict_pause(read_s, expected_s)
+        cost = self._weigh_own(expected_s, pause_s)
+        cost += sum(part.weigh_pauses(read_s) for part in parts)
+        cost += _weigh_delayed(parts, read_s)
+        return Plan(cost, parts, tokens, read_s, expected_s, pause_s)
+
+    def _choose_first(self) -> engineview.EngineView | None:
+        """Returns the engine that writes the answer, None if none has a slot.
+
+        It holds the whole prompt if one can, else as much as one can.
+        """
+        open_ones = [view for view in self._views if view.has_slot]
+        roomy = [view for view in open_ones if view.room >= self._needed]
+        if roomy:
+            return min(roomy, key=self._rank_first)
+        return max(open_ones, key=lambda view: view.room, default=None)
+
+    def _choose_helpers(
+        self, first: engineview.EngineView
+    ) -> list[engineview.EngineView]:
+        """Returns the engines of the other parts, the best ones there are."""
+        others = [view for view in self._views if view is not first]
+        others.sort(key=lambda view: _rank_long(view, self._find_harm(view)))
+        return others[: self._count - 1]
+
+    def _rank_first(self, view: engineview.EngineView) -> tuple[object, ...]:
+        harm = self._find_harm(view)
+        if self._prompt.hurried:
+            job_id = self._prompt.job_id
+            return _rank_hurried(view, harm, self._read_s, job_id)
+        end_s = view.predict_end(self._read_s)
+        pause_s = view.predict_pause(self._read_s, end_s)
+        cost = harm + self._weigh_own(end_s, pause_s)
+        if self._count == 1:
+            return _rank_short(view, cost)
+        return _rank_long(view, cost)
+
+    def _find_harm(self, view: engineview.EngineView) -> float:
+        return self._harms[view.endpoint.endpoint_id]
+
+    def _weigh_own(self, expected_s: float, pause_s: float) -> float:
+        """Returns what the prompt itself loses, in short prompts.
+
+        Args:
+          expected_s: seconds until its first event.
+          pause_s: seconds between that and the next one.
+        """
+        prompt = self._prompt
         lost = lateness.weigh_pause(pause_s, prompt.pause_s)
         lost += lateness.weigh_delay(
-            prompt.waited_s + end_s, prompt.objective_s, prompt.pause_s
+            prompt.waited_s + expected_s, prompt.objective_s, prompt.pause_s
         )
-        return harms[id(view)] + value * lost
-
-    def rank_first(view: engineview.EngineView) -> tuple[object, ...]:
-        if prompt.hurried:
-            return _rank_hurried(view, harms[id(view)], read_s, prompt.job_id)
-        if count == 1:
-            return _rank_short(view, weigh_first(view))
-        return _rank_long(view, weigh_first(view), read_s)
-
-    needed = prompt.prompt_tokens + prompt.answer_tokens
-    open_ones = [view for view in views if view.has_slot]
-    roomy = [view for view in open_ones if view.room >= needed]
-    if roomy:
-        first = min(roomy, key=rank_first)
-    elif open_ones:
-        first = max(open_ones, key=lambda view: view.room)
-    else:
-        return None
-    others = sorted(
-        (view for view in views if view is not first),
-        key=lambda view: _rank_long(view, harms[id(view)], read_s),
-    )
-    parts = [first, *others[: count - 1]]
-    tokens = _share_memory(parts, needed)
-    if tokens is None:
-        return None
-    expected_s = max(part.predict_end(read_s) for part in parts)
-    lost = lateness.weigh_delay(
-        prompt.waited_s + expected_s, prompt.objective_s, prompt.pause_s
-    )
-    pause_s = first.predict_pause(read_s, expected_s)
-    lost += lateness.weigh_pause(pause_s, prompt.pause_s)
-    cost = value * lost
-    cost += sum(part.weigh_pauses(read_s) for part in parts)
-    cost += _weigh_delayed(parts, read_s)
-    return Plan(cost, parts, tokens, read_s, expected_s, pause_s)
+        return lost * lateness.weigh_prompt(prompt.prompt_tokens)
 
 
 def _weigh_delayed(parts: list[engineview.EngineView], read_s: float) -> float:
@@ -243,9 +274,7 @@
     )
 
 
-def _rank_long(
-    view: engineview.EngineView, cost: float, read_s: float
-) -> tuple[object, ...]:
+def _rank_long(view: engineview.EngineView, cost: float) -> tuple[object, ...]:
     """Prefers engines at which nobody writes and nothing waits."""
     return (
         int(cost / COST_STEP),
