Look at no engine for prompts that never wait; say four things once

Cause: found by reading the whole change. Every exchange, short prompts and plain calls too, had its endpoints listed a second time to learn that it need not wait. What a part delays was summed in two places, versions were remembered by two copies of the same bound, three fields of each log line stood twice, and a policy that never waits repeated a long signature.

Change: whether a prompt may wait is asked before endpoints are listed, and is the one method that parted_at_once overrides; engineview.weigh_delayed serves one engine and a plan; one function remembers versions; one names an exchange in a line; the length of a pass stands beside its only reader. Of unread entries the one that changed longest ago is now forgotten first, as of removed ones.

--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -87,9 +87,7 @@
         _logger.debug(
             "waits for a better start",
             extra={
-                "request": exchange.request_id,
-                "route": exchange.route.name,
-                "workspace": exchange.workspace,
+                **_describe_exchange(exchange),
                 "prompt_tokens": exchange.prompt_tokens,
                 "start_s": start_s,
             },
@@ -236,9 +234,7 @@
         exchange = flow.exchange
         now_s = self._timers.read_monotonic()
         return {
-            "request": exchange.request_id,
-            "route": exchange.route.name,
-            "workspace": exchange.workspace,
+            **_describe_exchange(exchange),
             "endpoint": place.endpoint.endpoint_id,
             "data_centre": place.endpoint.data_centre,
             "parts": 1 + len(place.helpers),
@@ -247,6 +243,15 @@
         }
 
 
+def _describe_exchange(exchange: exchanges.Exchange) -> dict[str, object]:
+    """Returns by what each line names the exchange that it is about."""
+    return {
+        "request": exchange.request_id,
+        "route": exchange.route.name,
+        "workspace": exchange.workspace,
+    }
+
+
 def _name_kind(exchange: exchanges.Exchange) -> str:
     """Returns the kind of an exchange, with a band of its prompt's length."""
     kind = exchange.route.kind.value
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -182,13 +182,17 @@
         """Returns the seconds that an exchange had better wait here."""
         exchange = flow.exchange
         model = _find_model(exchange)
-        endpoints = self._list_endpoints(
-            exchange, flow.history.failed_endpoints
-        )
-        if model is None or not endpoints:
+        if model is None:
             return 0.0
         now_s = self._timers.read_monotonic()
         prompt = _describe(exchange, "", flow.sink.begun, now_s)
+        # Asked first: short prompts are most of all, and have no endpoints
+        # listed for this.
+        if not self._parter.may_wait(prompt, model):
+            return 0.0
+        endpoints = self._list_endpoints(
+            exchange, flow.history.failed_endpoints
+        )
         return self._parter.predict_start(prompt, endpoints, model, now_s)
 
     def can_move(self, flow: flows.Flow, place: Place, is_busy: bool) -> bool:
--- a/rhubarblock/exchange/statebook.py
+++ b/rhubarblock/exchange/statebook.py
@@ -23,9 +23,10 @@
 # Changes of the list that are kept for peers; one that is further behind gets
 # the whole list. A rolling replacement changes some entries a second.
 KEPT_CHANGES = 256
-# Removed entries that are remembered, so that a peer which is behind does not
-# bring them back: the removals of an hour at the size built for.
-KEPT_REMOVALS = 1024
+# Entries whose version is remembered although they are not in the list: removed
+# ones, so that a peer which is behind does not bring them back, and ones that
+# can't be read. It holds the removals of an hour at the size built for.
+KEPT_VERSIONS = 1024
 
 _logger = logging.getLogger(__name__)
 
@@ -193,7 +194,7 @@
         if stored.deleted:
             self._entries.pop(stored.name, None)
             self._directory.remove(stored.name.partition("/")[2])
-            self._note_removal(stored)
+            _remember(self._removals, stored)
         else:
             self._entries[stored.name] = stored
             self._update_endpoint(stored)
@@ -219,12 +220,6 @@
         known = self._entries.get(stored.name)
         return known is not None and stored.version < known.version
 
-    def _note_removal(self, stored: stores.StoredObject) -> None:
-        self._removals.pop(stored.name, None)
-        self._removals[stored.name] = stored.version
-        if len(self._removals) > KEPT_REMOVALS:
-            del self._removals[next(iter(self._removals))]
-
     def list_news(self, after: int) -> ListNews:
         """Returns what is new in the list after a change.
 
@@ -270,9 +265,7 @@
         """Leaves one line for each change of an entry that can't be read."""
         if self._unread.get(stored.name) == stored.version:
             return
-        self._unread[stored.name] = stored.version
-        if len(self._unread) > KEPT_REMOVALS:
-            del self._unread[next(iter(self._unread))]
+        _remember(self._unread, stored)
         _logger.warning(
             "an entry names no endpoint",
             extra={"version": stored.version, "reason": str(error)},
@@ -282,3 +275,11 @@
         # Waiters look again; those that come later wait for the next change.
         self._changed.set()
         self._changed = asyncio.Event()
+
+
+def _remember(versions: dict[str, int], stored: stores.StoredObject) -> None:
+    """Keeps the version of an entry, and forgets the one kept for longest."""
+    versions.pop(stored.name, None)
+    versions[stored.name] = stored.version
+    if len(versions) > KEPT_VERSIONS:
+        del versions[next(iter(versions))]
--- a/rhubarblock/platform/configuration.py
+++ b/rhubarblock/platform/configuration.py
@@ -79,6 +79,7 @@
     state = _read_text(fields, "state")
     if state not in _STATES:
         raise ValueError(f"its state {state[:_SHOWN_TEXT]!r} is unknown")
+    # Not used, but every entry that an endpoint wrote of itself has it.
     _read_count(fields, "sequence", _MOST_COUNT)
     return listed.ListedEndpoint(
         endpoint_id=endpoint_id,
--- a/rhubarblock/plugins/parted_at_once.py
+++ b/rhubarblock/plugins/parted_at_once.py
@@ -4,7 +4,6 @@
 the instance gains.
 """
 
-from rhubarblock.core import listed as lists
 from rhubarblock.core import route as routes
 from rhubarblock.routing import parting
 from rhubarblock.routing import prompt as prompts
@@ -17,12 +16,8 @@
 
     plugin_name = "parted_at_once"
 
-    def predict_start(
-        self,
-        prompt: prompts.Prompt,
-        engines: list[lists.ListedEndpoint],
-        model: routes.EngineModel,
-        now_s: float,
-    ) -> float:
-        del prompt, engines, model, now_s
-        return 0.0
+    def may_wait(
+        self, prompt: prompts.Prompt, model: routes.EngineModel
+    ) -> bool:
+        del prompt, model
+        return False
--- a/rhubarblock/routing/enginebook.py
+++ b/rhubarblock/routing/enginebook.py
@@ -17,9 +17,6 @@
 # Seconds after which a job whose end nobody told is forgotten: twice the
 # longest time that a caller waits in the deployments known today.
 FORGET_S = 30.0
-# Seconds within which what is placed at an engine that writes is read in one
-# pass: about the length of a pass that reads nothing.
-SAME_PASS_S = 0.05
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/rhubarblock/routing/engineview.py
+++ b/rhubarblock/routing/engineview.py
@@ -16,6 +16,9 @@
 # Seconds until an engine that only reads turns to a new part: half of the
 # piece of a long prompt that it reads at once.
 TURN_S = 0.03
+# Seconds within which what is placed at an engine that writes is read in one
+# pass: about the length of a pass that reads nothing.
+SAME_PASS_S = 0.05
 
 
 class Outlook:
@@ -148,10 +151,26 @@
 
     def weigh(self, read_s: float) -> float:
         """Returns what a part costs all who are here, in short prompts."""
-        cost = self.weigh_pauses(read_s)
-        for placed, end_s in self.list_delayed(read_s):
-            cost += self.outlook.weigh_later(placed, end_s)
-        return cost
+        return self.weigh_pauses(read_s) + weigh_delayed([self], read_s)
+
+
+def weigh_delayed(parts: list[EngineView], read_s: float) -> float:
+    """Returns what parts cost the jobs that they go before, each one once.
+
+    Args:
+      parts: the engines that read one part each; at least one.
+      read_s: seconds that a part takes.
+    """
+    ends: dict[str, tuple[enginebook.PlacedJob, float]] = {}
+    for part in parts:
+        for placed, end_s in part.list_delayed(read_s):
+            job_id = placed.job.job_id
+            if job_id not in ends or ends[job_id][1] < end_s:
+                ends[job_id] = (placed, end_s)
+    outlook = parts[0].outlook
+    return sum(
+        outlook.weigh_later(placed, end_s) for placed, end_s in ends.values()
+    )
 
 
 def view_engine(
@@ -167,7 +186,7 @@
     joint_s = sum(
         read.left_s
         for read in load.reads
-        if now_s - read.placed_s < enginebook.SAME_PASS_S
+        if now_s - read.placed_s < SAME_PASS_S
     )
     return EngineView(
         endpoint,
--- a/rhubarblock/routing/parting.py
+++ b/rhubarblock/routing/parting.py
@@ -51,6 +51,19 @@
         )
         return _make_choice(prompt, plan) if plan else None
 
+    def may_wait(
+        self, prompt: prompts.Prompt, model: routes.EngineModel
+    ) -> bool:
+        """Says whether a prompt is long, not begun, and has time left.
+
+        Most are not, and need no look at any engine.
+        """
+        if prompt.hurried:
+            return False
+        if model.predict_read(prompt.prompt_tokens) < LATER_FROM_READ_S:
+            return False
+        return prompt.waited_s <= LATER_PART * prompt.objective_s
+
     def predict_start(
         self,
         prompt: prompts.Prompt,
@@ -64,7 +77,7 @@
         one of eight plays went from 0.79 of its worth to 0.91, the mean from
         0.934 to 0.948.
         """
-        if not _may_wait(prompt, model):
+        if not self.may_wait(prompt, model):
             return 0.0
         plan = partplan.choose_plan(
             self._book, self._data_centre, prompt, engines, model, now_s
@@ -101,15 +114,6 @@
         )
 
 
-def _may_wait(prompt: prompts.Prompt, model: routes.EngineModel) -> bool:
-    """Whether a prompt is long, not begun, and has time left."""
-    if prompt.hurried:
-        return False
-    if model.predict_read(prompt.prompt_tokens) < LATER_FROM_READ_S:
-        return False
-    return prompt.waited_s <= LATER_PART * prompt.objective_s
-
-
 def _make_choice(prompt: prompts.Prompt, plan: partplan.Plan) -> prompts.Choice:
     """Returns a plan as what the book, the peers and the relay are told."""
     parts = tuple(
--- a/rhubarblock/routing/partplan.py
+++ b/rhubarblock/routing/partplan.py
@@ -134,7 +134,7 @@
         pause_s = first.predict_pause(read_s, expected_s)
         cost = self._weigh_own(expected_s, pause_s)
         cost += sum(part.weigh_pauses(read_s) for part in parts)
-        cost += _weigh_delayed(parts, read_s)
+        cost += engineview.weigh_delayed(parts, read_s)
         return Plan(cost, parts, tokens, read_s, expected_s, pause_s)
 
     def _choose_first(self) -> engineview.EngineView | None:
@@ -186,20 +186,6 @@
         return lost * lateness.weigh_prompt(prompt.prompt_tokens)
 
 
-def _weigh_delayed(parts: list[engineview.EngineView], read_s: float) -> float:
-    """Returns what parts cost the jobs that they go before, each one once."""
-    ends: dict[str, tuple[enginebook.PlacedJob, float]] = {}
-    for part in parts:
-        for placed, end_s in part.list_delayed(read_s):
-            job_id = placed.job.job_id
-            if job_id not in ends or ends[job_id][1] < end_s:
-                ends[job_id] = (placed, end_s)
-    outlook = parts[0].outlook
-    return sum(
-        outlook.weigh_later(placed, end_s) for placed, end_s in ends.values()
-    )
-
-
 def _share_memory(
     parts: list[engineview.EngineView], needed: int
 ) -> list[int] | None:
