Count store calls, datagrams, answers and wake-ups; sum them from logs

Cause: nothing said which messages, calls or timers grow with the fleet, so what to mend at two hundred instances could only be guessed. Change: counters at the store client, the news, the feed and the timer service, on the metrics address and once in 5 s in the log; rhubarblock counts sums the logs of all instances. make_store takes the metrics. Before and after: no behaviour changes; one line in 5 s.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -32,6 +32,7 @@
 from rhubarblock.exchange import statefeed
 from rhubarblock.exchange import subset as subsets
 from rhubarblock.exchange import transport as transports
+from rhubarblock.kernel import countlog
 from rhubarblock.kernel import exposition
 from rhubarblock.kernel import life as lives
 from rhubarblock.kernel import metrics as metric_store
@@ -62,7 +63,9 @@
 
 _logger = logging.getLogger(__name__)
 
-StoreFactory = Callable[[aiohttp.ClientSession], stores.ObjectStore]
+StoreFactory = Callable[
+    [aiohttp.ClientSession, metric_store.Metrics], stores.ObjectStore
+]
 LeaseFactory = Callable[[aiohttp.ClientSession], dialects.LeaseClient]
 
 
@@ -130,8 +133,13 @@
     async def _start(self, stack: contextlib.AsyncExitStack) -> None:
         """Opens all parts; the stack closes them in the opposite order."""
         settings = self.settings
+        stack.enter_context(
+            countlog.log_counts(
+                self.metrics, lambda: self.timers.wakeups, self.timers
+            )
+        )
         session = await stack.enter_async_context(aiohttp.ClientSession())
-        store = self._make_store(session)
+        store = self._make_store(session, self.metrics)
         start_id = f"{self._rng.getrandbits(32):08x}"
         news = news_lib.News(
             settings.instance_id,
@@ -142,6 +150,7 @@
             self.subsets,
             self.peers,
             self.timers,
+            self.metrics,
         )
         await stack.enter_async_context(
             news.open(settings.peers.host, settings.peers.port)
@@ -219,6 +228,7 @@
             self.directory,
             self.subsets,
             news.source,
+            self.metrics,
         )
         self._callers = await stack.enter_async_context(
             listeners.open_listener(door.handle, settings.callers, KEEPALIVE_S)
@@ -347,6 +357,7 @@
     ) -> web.StreamResponse:
         del request
         self.metrics.gauge("exchange.in_flight", self.life.in_flight)
+        self.metrics.gauge("timers.wakeups", self.timers.wakeups)
         self.metrics.gauge("configuration.version", self.authority.version)
         self.metrics.gauge("configuration.age_s", self.authority.age_s)
         return web.Response(
--- a/rhubarblock/daemon/exchangeinstance_test.py
+++ b/rhubarblock/daemon/exchangeinstance_test.py
@@ -96,7 +96,7 @@
     instance = exchangeinstance.ExchangeInstance(
         settings,
         FakeDialect(),
-        lambda session: FakeStore(endpoint),
+        lambda session, metrics: FakeStore(endpoint),
         lambda session: fakes.NoLeases(),
         names.ATTEMPT_ID,
         random.Random(1),
@@ -173,7 +173,7 @@
             instance = exchangeinstance.ExchangeInstance(
                 settings,
                 FakeDialect(),
-                lambda session: store,
+                lambda session, metrics: store,
                 lambda session: fakes.NoLeases(),
                 names.ATTEMPT_ID,
                 random.Random(1),
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -232,6 +232,7 @@
             self.subsets,
             peer_table.PeerTable("i1", "osu-hall", self.timers),
             self.timers,
+            self.metrics,
         )
         self.placer = placers.Placer(
             self.directory,
--- a/rhubarblock/exchange/news.py
+++ b/rhubarblock/exchange/news.py
@@ -15,6 +15,7 @@
 
 from rhubarblock.exchange import peers as peer_table
 from rhubarblock.exchange import subset as subsets
+from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import enginebook
 from rhubarblock.routing import health as healths
@@ -27,6 +28,13 @@
 _GREETING = "g"
 _BROKEN = "b"
 _CRASH = "c"
+_COUNTERS = {
+    _PLACED: "placed",
+    _ENDED: "ended",
+    _GREETING: "greeting",
+    _BROKEN: "broken",
+    _CRASH: "crash",
+}
 
 _logger = logging.getLogger(__name__)
 
@@ -44,6 +52,7 @@
         subsets_: subsets.Subsets,
         peers: peer_table.PeerTable,
         timers: timer_service.Timers,
+        metrics: metric_store.Metrics,
     ):
         """Creates an end that is not open yet.
 
@@ -56,7 +65,9 @@
           subsets_: which peers use which engines.
           peers: the other instances; it learns of them here.
           timers: the clock.
+          metrics: counts datagrams by what they tell.
         """
+        self._metrics = metrics
         self._own_id = own_id
         self._prefix = f"{own_id}.{start_id}"
         self._data_centre = data_centre
@@ -151,6 +162,7 @@
             peer = self._peers.note_unknown(addr)
             self._send_to(addr, self._greeting)
         peer.heard_s = now_s
+        self._metrics.count("news.received")
         try:
             fields = json.loads(data)
             self._take(fields, peer, now_s)
@@ -225,11 +237,19 @@
         data = _encode(fields)
         for address in self._peers.list_told(is_told):
             self._transport.sendto(data, address)
+            self._count_sent(fields, data)
+
+    def _count_sent(self, fields: list[Any], data: bytes) -> None:
+        self._metrics.count(f"news.sent.{_COUNTERS[fields[0]]}")
+        self._metrics.count("news.sent_bytes", len(data))
 
     def _send_to(self, address: peer_table.Address, fields: list[Any]) -> None:
         """Sends a datagram to one peer."""
-        if self._transport is not None:
-            self._transport.sendto(_encode(fields), address)
+        if self._transport is None:
+            return
+        data = _encode(fields)
+        self._transport.sendto(data, address)
+        self._count_sent(fields, data)
 
 
 def _encode(fields: list[Any]) -> bytes:
--- a/rhubarblock/exchange/news_test.py
+++ b/rhubarblock/exchange/news_test.py
@@ -5,6 +5,7 @@
 from rhubarblock.exchange import news as news_lib
 from rhubarblock.exchange import peers as peer_table
 from rhubarblock.exchange import subset as subsets
+from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import enginebook
 from rhubarblock.routing import health as healths
@@ -40,6 +41,7 @@
             subsets.Subsets(self.directory, ENGINES_EACH),
             self.peers,
             timers,
+            metric_store.Metrics(),
         )
 
     @property
--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -95,6 +95,7 @@
 
     def note_placed(self, flow: flows.Flow, place: placers.Place) -> None:
         """Takes in where an attempt goes."""
+        self._metrics.count("exchange.placed")
         _logger.debug(
             "placed",
             extra={
--- a/rhubarblock/exchange/statefeed.py
+++ b/rhubarblock/exchange/statefeed.py
@@ -23,6 +23,7 @@
 from rhubarblock.exchange import directory as directories
 from rhubarblock.exchange import statebook
 from rhubarblock.exchange import subset as subsets
+from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.store import sendonce
 from rhubarblock.store import store as stores
@@ -61,7 +62,14 @@
 class StateServer:
     """Answers peers."""
 
-    __slots__ = ("_authority", "_book", "_directory", "_source", "_subsets")
+    __slots__ = (
+        "_authority",
+        "_book",
+        "_directory",
+        "_metrics",
+        "_source",
+        "_subsets",
+    )
 
     def __init__(
         self,
@@ -70,6 +78,7 @@
         directory: directories.Directory,
         subsets_: subsets.Subsets,
         source: str,
+        metrics: metric_store.Metrics,
     ):
         """Creates a server.
 
@@ -79,7 +88,9 @@
           directory: knows the sizes of services.
           subsets_: which endpoints an instance uses.
           source: names this start of this instance.
+          metrics: counts what is answered.
         """
+        self._metrics = metrics
         self._book = book
         self._authority = authority
         self._directory = directory
@@ -102,12 +113,12 @@
         )
         if not self._has_state():
             return web.Response(status=503)
-        return web.Response(
-            text=json.dumps(
-                self._describe(version, number, query.get("instance", ""))
-            ),
-            content_type="application/json",
+        text = json.dumps(
+            self._describe(version, number, query.get("instance", ""))
         )
+        self._metrics.count("feed.answers")
+        self._metrics.count("feed.bytes", len(text))
+        return web.Response(text=text, content_type="application/json")
 
     def _has_state(self) -> bool:
         return self._authority.table is not None and self._book.listed.is_set()
--- a/rhubarblock/exchange/statefeed_test.py
+++ b/rhubarblock/exchange/statefeed_test.py
@@ -15,6 +15,7 @@
 from rhubarblock.exchange import statebook
 from rhubarblock.exchange import statefeed
 from rhubarblock.exchange import subset as subsets
+from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.platform import dialect as dialects
 from rhubarblock.store import store as stores
@@ -51,7 +52,12 @@
         )
         self.subsets = subsets.Subsets(self.directory, ENGINES_EACH)
         self.server = statefeed.StateServer(
-            self.book, self.authority, self.directory, self.subsets, name
+            self.book,
+            self.authority,
+            self.directory,
+            self.subsets,
+            name,
+            metric_store.Metrics(),
         )
         self.timers = timers
 
--- a/rhubarblock/kernel/timers.py
+++ b/rhubarblock/kernel/timers.py
@@ -80,9 +80,14 @@
 
 
 class LoopTimers(Timers):
-    """Timers of the running event loop, real or virtual."""
+    """Timers of the running event loop, real or virtual.
 
-    __slots__ = ("_wall_offset_s",)
+    Attributes:
+      wakeups: sleeps and callbacks that were asked for, each of which wakes
+        the process.
+    """
+
+    __slots__ = ("_wall_offset_s", "wakeups")
 
     def __init__(self, wall_offset_s: float | None = None):
         """Creates the service.
@@ -92,6 +97,7 @@
             reads the machine's wall clock.
         """
         self._wall_offset_s = wall_offset_s
+        self.wakeups = 0
 
     def read_monotonic(self) -> float:
         return asyncio.get_running_loop().time()
@@ -102,9 +108,11 @@
         return self._wall_offset_s + self.read_monotonic()
 
     async def sleep(self, delay_s: float) -> None:
+        self.wakeups += 1
         await asyncio.sleep(delay_s)
 
     def call_later(
         self, delay_s: float, callback: Callable[[], None]
     ) -> asyncio.TimerHandle:
+        self.wakeups += 1
         return asyncio.get_running_loop().call_later(delay_s, callback)
--- a/rhubarblock/platform/objectstore.py
+++ b/rhubarblock/platform/objectstore.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 
+from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.store import sendonce
 from rhubarblock.store import store as stores
 
@@ -40,16 +41,23 @@
 class PlatformStore(stores.ObjectStore):
     """Client of the platform's object API."""
 
-    __slots__ = ("_base_url", "_session")
+    __slots__ = ("_base_url", "_metrics", "_session")
 
-    def __init__(self, session: aiohttp.ClientSession, address: str):
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        metrics: metric_store.Metrics,
+    ):
         """Creates a client; the caller closes the session.
 
         Args:
           session: HTTP session to use.
           address: ``host:port`` of the API.
+          metrics: counts every call, as each one is charged.
         """
         self._session = session
+        self._metrics = metrics
         self._base_url = f"http://{address}/objects/"
 
     async def read(self, name: str) -> stores.StoredObject:
@@ -114,6 +122,7 @@
           store.StoreError: it did not succeed.
         """
         unknown = _Kind.UNAVAILABLE if method == "GET" else _Kind.UNSURE
+        self._metrics.count(_name_call(method, path, query or {}))
         timeout = aiohttp.ClientTimeout(
             total=timeout_s, sock_connect=CONNECT_TIMEOUT_S
         )
@@ -129,16 +138,29 @@
                 content = await response.read()
                 if response.status >= 300:
                     kind = _STATUS_KINDS.get(response.status, unknown)
+                    self._metrics.count(f"store.answers.{kind.value}")
                     raise stores.StoreError(
                         kind, f"the store answered {response.status}"
                     )
                 return _load(content)
         except aiohttp.ClientConnectorError as error:
+            self._metrics.count("store.answers.none")
             raise stores.StoreError(_Kind.UNAVAILABLE, str(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
+            self._metrics.count("store.answers.none")
             raise stores.StoreError(unknown, str(error)) from error
 
 
+def _name_call(method: str, path: str, query: Mapping[str, str]) -> str:
+    """Returns the counter of a call: what it does, and to which kind."""
+    kind, _, name = path.partition("/")
+    if method != "GET":
+        return f"store.write.{kind}"
+    if "watch" in query:
+        return f"store.watch.{kind}"
+    return f"store.read.{kind}" if name else f"store.list.{kind}"
+
+
 def _load(content: bytes) -> Any:
     """Decodes a body; what one object holds must not spoil the others.
 
--- a/rhubarblock/platform/objectstore_test.py
+++ b/rhubarblock/platform/objectstore_test.py
@@ -8,6 +8,7 @@
 import pytest
 
 from rhubarblock.exchange import fakeparts_test as fakes
+from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.platform import objectstore
 from rhubarblock.store import store as stores
 
@@ -41,7 +42,10 @@
     listener = await loop.create_server(server, "127.0.0.1", 0)
     port = listener.sockets[0].getsockname()[1]
     async with fakes.open_plain_session() as session:
-        yield objectstore.PlatformStore(session, f"127.0.0.1:{port}"), calls
+        store = objectstore.PlatformStore(
+            session, f"127.0.0.1:{port}", metric_store.Metrics()
+        )
+        yield store, calls
     listener.close()
     await server.shutdown(0.1)
 
--- a/rhubarblock/scripts/edge.py
+++ b/rhubarblock/scripts/edge.py
@@ -17,6 +17,7 @@
 
 from rhubarblock.daemon import exchangeinstance
 from rhubarblock.kernel import logs
+from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.platform import dialect as dialects
 from rhubarblock.platform import names
 from rhubarblock.platform import objectstore
@@ -94,9 +95,9 @@
     )
 
     def make_store(
-        session: aiohttp.ClientSession,
+        session: aiohttp.ClientSession, metrics: metric_store.Metrics
     ) -> objectstore.PlatformStore:
-        return objectstore.PlatformStore(session, str(settings.store))
+        return objectstore.PlatformStore(session, str(settings.store), metrics)
 
     instance = exchangeinstance.ExchangeInstance(
         settings,
--- a/rhubarblock/scripts/explain.py
+++ b/rhubarblock/scripts/explain.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 import json
 import pathlib
@@ -72,6 +73,19 @@
     return Line(at_s, match[2] or source, message, fields)
 
 
+def read_lines(files: Iterable[pathlib.Path]) -> Iterator[Line]:
+    """Gives the lines of log files, one after the other.
+
+    Lines of other writers are passed over, and those that were cut.
+    """
+    for path in files:
+        with path.open(errors="replace") as texts:
+            for text in texts:
+                line = parse_line(text, path.stem)
+                if line is not None:
+                    yield line
+
+
 def tell_story(request_id: str, lines: Iterable[Line]) -> list[str]:
     """Returns the story of a request, in order, with the cause last."""
     ordered = sorted(lines, key=lambda line: line.at_s)
@@ -150,12 +164,6 @@
 )
 def explain_command(request_id: str, files: tuple[pathlib.Path, ...]) -> None:
     """Says why a request went as it did, from the logs of all instances."""
-    lines = []
-    for path in files:
-        for text in path.read_text(errors="replace").splitlines():
-            line = parse_line(text, path.stem)
-            if line is not None:
-                lines.append(line)
-    story = tell_story(request_id, lines)
+    story = tell_story(request_id, read_lines(files))
     click.echo("\n".join(story))
     sys.exit(0 if len(story) > 1 else 1)
--- a/rhubarblock/scripts/main.py
+++ b/rhubarblock/scripts/main.py
@@ -8,6 +8,7 @@
 from rhubarblock.scripts import catalogue
 from rhubarblock.scripts import check
 from rhubarblock.scripts import compare
+from rhubarblock.scripts import counts
 from rhubarblock.scripts import demo
 from rhubarblock.scripts import drain
 from rhubarblock.scripts import edge
@@ -31,6 +32,7 @@
     catalogue.catalogue_group,
     check.check_command,
     compare.compare_command,
+    counts.counts_command,
     demo.demo_command,
     drain.drain_command,
     edge.edge_command,
