Notice a machine that is gone while memory is held for its request

Cause: the engine that was to write a giant's answer lost its power after it had taken the request. No byte was unacknowledged, so only the patience of the prediction (three times six seconds) ended the attempt, and its leases at other engines were renewed all that time: memory held for 8.3 s where 4 are allowed. Ruled out: the list dropping the engine, as entries of endpoints that go on serving are removed too, and it comes 3.6 s after the last heartbeat; other requests' silence, as a busy engine is silent for as long. Change: connections of exchanges that hold memory elsewhere are probed by the system each second; a machine that answers none is noticed within three seconds, a busy engine never. Others keep their silent connections: a cut may heal. Before and after: a test reads the options that the connection in use has.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -183,12 +183,12 @@
         lease_holder = await stack.enter_async_context(
             leases.open_holder(self._make_leases(session), bounds, self.timers)
         )
-        endpoint_session = await stack.enter_async_context(
-            transports.open_session(self._attempt_header)
+        endpoint_sessions = await stack.enter_async_context(
+            transports.open_sessions(self._attempt_header)
         )
         runner = attempts.AttemptRunner(
             placer,
-            transports.EndpointTransport(endpoint_session, self._dialect),
+            transports.EndpointTransport(endpoint_sessions, self._dialect),
             self.health,
             lease_holder,
             self.timers,
--- a/rhubarblock/exchange/dialect.py
+++ b/rhubarblock/exchange/dialect.py
@@ -69,6 +69,11 @@
     last_event: int = -1
     helpers: tuple[Helper, ...] = ()
 
+    @property
+    def holds_memory(self) -> bool:
+        """Whether memory is held for it at other engines while it runs."""
+        return any(helper.lease_id for helper in self.helpers)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class AnswerFields:
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -211,7 +211,7 @@
 class Parts:
     """An instance's parts around a relay, over real sockets to endpoints."""
 
-    def __init__(self, session):
+    def __init__(self, sessions):
         self.timers = timer_service.LoopTimers()
         self.dialect = platform_dialect.PlatformDialect()
         self.directory = directories.Directory(self.timers)
@@ -244,7 +244,8 @@
             "osu-hall",
             self.timers,
         )
-        self.transport = transports.EndpointTransport(session, self.dialect)
+        self.sessions = sessions
+        self.transport = transports.EndpointTransport(sessions, self.dialect)
         runner = attempts.AttemptRunner(
             self.placer,
             self.transport,
@@ -290,10 +291,10 @@
     async with contextlib.AsyncExitStack() as stack:
         for endpoint in endpoints:
             await stack.enter_async_context(endpoint.open())
-        session = await stack.enter_async_context(
-            transports.open_session(ATTEMPT)
+        sessions = await stack.enter_async_context(
+            transports.open_sessions(ATTEMPT)
         )
-        parts = Parts(session)
+        parts = Parts(sessions)
         parts.add_endpoints(*endpoints, service=service)
         yield parts
 
--- a/rhubarblock/exchange/transport.py
+++ b/rhubarblock/exchange/transport.py
@@ -8,7 +8,9 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
+import dataclasses
 import functools
 import socket
 from typing import Any
@@ -33,6 +35,10 @@
 # Milliseconds after which unacknowledged bytes break a connection, so that a
 # silent one does not hold its request until the deadline.
 SILENT_MS = 2_000
+# Seconds after which, and between which, the system asks a silent connection
+# for a sign. Together with the bound above a machine that is gone is noticed
+# after three seconds, a second before memory held for its request must be free.
+PROBE_S = 1
 # Library errors that mean that nothing was sent.
 _NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 _FAILED = (
@@ -154,16 +160,29 @@
         return not framed
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class EndpointSessions:
+    """The library's sessions for calls to endpoints.
+
+    Attributes:
+      usual: for most exchanges. An engine may be silent for long and sound, and
+        a way that is cut may heal in time, so a silent connection is kept.
+      probed: for exchanges that hold memory at other engines. A connection is
+        broken when the machine at its other end answers no probes.
+    """
+
+    usual: aiohttp.ClientSession
+    probed: aiohttp.ClientSession
+
+
 class EndpointTransport:
     """Sends exchanges to endpoints and gives their answers."""
 
-    __slots__ = ("_dialect", "_session")
+    __slots__ = ("_dialect", "_sessions")
 
-    def __init__(
-        self, session: aiohttp.ClientSession, dialect: dialects.Dialect
-    ):
-        """Creates a transport on a session of ``open_session``."""
-        self._session = session
+    def __init__(self, sessions: EndpointSessions, dialect: dialects.Dialect):
+        """Creates a transport on sessions of ``open_sessions``."""
+        self._sessions = sessions
         self._dialect = dialect
 
     @contextlib.asynccontextmanager
@@ -186,8 +205,10 @@
         Raises:
           AttemptError: it could not be sent, or no answer came.
         """
+        sessions = self._sessions
+        session = sessions.probed if order.holds_memory else sessions.usual
         with translate_errors():
-            response = await self._session.request(
+            response = await session.request(
                 exchange.method,
                 yarl.URL(f"http://{address}{exchange.target}", encoded=True),
                 headers=self._dialect.address(exchange, order),
@@ -226,22 +247,33 @@
 
 
 @contextlib.asynccontextmanager
-async def open_session(
+async def open_sessions(
     attempt_header: str,
-) -> AsyncIterator[aiohttp.ClientSession]:
-    """Opens a session for calls to endpoints.
+) -> AsyncIterator[EndpointSessions]:
+    """Opens sessions for calls to endpoints.
 
     Args:
       attempt_header: name of the field that an answer echoes.
 
     Yields:
-      The session, closed with the context.
+      The sessions, closed with the context.
     """
+    async with (
+        _open_session(attempt_header, _make_socket) as usual,
+        _open_session(attempt_header, _make_probed_socket) as probed,
+    ):
+        yield EndpointSessions(usual, probed)
+
+
+@contextlib.asynccontextmanager
+async def _open_session(
+    attempt_header: str, make_socket: Callable[[Any], socket.socket]
+) -> AsyncIterator[aiohttp.ClientSession]:
     loop = asyncio.get_running_loop()
     connector = aiohttp.TCPConnector(
         limit=0,
         keepalive_timeout=KEEP_S,
-        socket_factory=_make_socket,
+        socket_factory=make_socket,
         happy_eyeballs_delay=None,
     )
     # The library gives no other way to choose the class of its connections.
@@ -270,3 +302,14 @@
     made = socket.socket(family, kind, protocol)
     made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MS)
     return made
+
+
+def _make_probed_socket(address: Any) -> socket.socket:
+    made = _make_socket(address)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_S)
+    made.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_KEEPCNT, SILENT_MS // 1000 // PROBE_S
+    )
+    return made
--- a/rhubarblock/exchange/transport_test.py
+++ b/rhubarblock/exchange/transport_test.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 import socket
 import struct
 
@@ -180,3 +181,57 @@
 
     results, _ = run([garbage], call)
     assert results == [verdicts.Verdict.MAY_HAVE_RUN]
+
+
+HELD = dataclasses.replace(ORDER, helpers=(dialects.Helper("h:1", "lease-1"),))
+LENT = dataclasses.replace(ORDER, helpers=(dialects.Helper("h:1", ""),))
+PROBE_OPTIONS = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT),
+)
+
+
+def find_options(sessions, order):
+    """Returns the options of the only connection in use, whichever it is."""
+    session = sessions.probed if order.holds_memory else sessions.usual
+    (protocol,) = session.connector._acquired
+    used = protocol.transport.get_extra_info("socket")
+    return [used.getsockopt(*option) for option in PROBE_OPTIONS]
+
+
+@pytest.mark.parametrize(
+    ("order", "is_probed", "times"), [(HELD, 1, [1, 1, 2]), (LENT, 0, None)]
+)
+def test_machine_that_is_gone_is_noticed_while_memory_is_held(
+    order, is_probed, times
+):
+    """The engine never answers, as one that reads a giant or lost its power.
+
+    Only the system's own probes tell one from the other.
+    """
+    asked = asyncio.Event()
+
+    async def keep_silent(head, writer):
+        asked.set()
+        await asyncio.sleep(60.0)
+
+    async def send(parts, endpoint):
+        exchange = fakes.make_exchange()
+        async with parts.transport.send(exchange, endpoint.address, order):
+            raise AssertionError("it never answers")
+
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(keep_silent)
+        async with fakes.open_parts(endpoint) as parts:
+            sending = asyncio.create_task(send(parts, endpoint))
+            await asked.wait()
+            options = find_options(parts.sessions, order)
+            sending.cancel()
+            await asyncio.gather(sending, return_exceptions=True)
+            return options
+
+    found = asyncio.run(main())
+    assert found[0] == is_probed
+    assert times is None or found[1:] == times
