Place a short prompt without a look at every engine

Cause: a choice viewed and weighed every engine: 5.9 ms for a short prompt among 195 (benchmarks/placement.py), more than control may take at 84 prompts a second. Change: engines are looked at in the order in which they are preferred where all cost the same, until one costs nothing. Before and after, beside load: 1.61 and 0.22 ms among 48 engines, 3.53 and 0.56 among 96, 5.92 and 0.75 among 195. Longer prompts as before (4 to 40 ms). A test compares 60 drawn books with a look at all: the same engine and cost.

--- a/rhubarblock/routing/partplan.py
+++ b/rhubarblock/routing/partplan.py
@@ -86,24 +86,92 @@
       model: what their steps cost.
       now_s: the moment of the placement, in monotonic seconds.
     """
-    outlook = engineview.Outlook(book, now_s)
-    loads = [book.find(engine.endpoint_id) for engine in engines]
-    # All are settled first, as a view looks at jobs that span several.
-    for load in loads:
-        load.settle(now_s)
-    views = [
-        engineview.view_engine(
-            endpoint, load, outlook, model, data_centre, MEMORY_PART
-        )
-        for endpoint, load in zip(engines, loads, strict=True)
-    ]
-    counts = _list_counts(prompt, model, len(views))
+    look = _Look(book, data_centre, prompt, engines, model, now_s)
+    counts = _list_counts(prompt, model, len(engines))
+    if counts == [1] and not prompt.hurried:
+        return look.plan_short()
+    views = [look.view(engine) for engine in engines]
     plans = [_Draft(prompt, views, model, n).plan() for n in counts]
     possible = [plan for plan in plans if plan is not None]
     # Of those that cost the same the first one has the fewest parts.
     return min(possible, key=lambda plan: plan.cost, default=None)
 
 
+class _Look:
+    """The engines at the moment of one placement."""
+
+    __slots__ = (
+        "_data_centre",
+        "_engines",
+        "_loads",
+        "_model",
+        "_outlook",
+        "_prompt",
+    )
+
+    def __init__(
+        self,
+        book: enginebook.EngineBook,
+        data_centre: str,
+        prompt: prompts.Prompt,
+        engines: list[lists.ListedEndpoint],
+        model: routes.EngineModel,
+        now_s: float,
+    ):
+        """Looks at the engines; see ``choose_plan``."""
+        self._data_centre = data_centre
+        self._prompt = prompt
+        self._engines = engines
+        self._model = model
+        self._outlook = engineview.Outlook(book, now_s)
+        self._loads = {e.endpoint_id: book.find(e.endpoint_id) for e in engines}
+        # All are settled first, as a view looks at jobs that span several.
+        for load in self._loads.values():
+            load.settle(now_s)
+
+    def view(self, engine: lists.ListedEndpoint) -> engineview.EngineView:
+        """Returns an engine as the placement sees it."""
+        return engineview.view_engine(
+            engine,
+            self._loads[engine.endpoint_id],
+            self._outlook,
+            self._model,
+            self._data_centre,
+            MEMORY_PART,
+        )
+
+    def plan_short(self) -> Plan | None:
+        """Returns the best plan of a prompt that one engine reads.
+
+        Engines are looked at in the order in which they are preferred where
+        all cost the same, until one costs nothing: most of the time that is
+        the first, and no other could be better. A choice among 195 engines so
+        takes 0.75 ms instead of 5.9 (benchmarks/placement.py, beside load).
+        """
+        best: Plan | None = None
+        least: tuple[int, int] | None = None
+        for engine in sorted(self._engines, key=self._rank_alike):
+            view = self.view(engine)
+            plan = _Draft(self._prompt, [view], self._model, 1).plan()
+            if plan is None:
+                continue
+            rank = _rank_cost(view, plan.cost)
+            if least is None or rank < least:
+                best, least = plan, rank
+            if least == (0, 0):
+                break
+        return best
+
+    def _rank_alike(self, engine: lists.ListedEndpoint) -> tuple[object, ...]:
+        load = self._loads[engine.endpoint_id]
+        return _rank_alike(
+            engine,
+            engine.data_centre != self._data_centre,
+            self._model.slots - len(load.jobs),
+            self._prompt.job_id,
+        )
+
+
 class _Draft:
     """One number of parts of a prompt, and what a part costs at each engine."""
 
@@ -232,6 +300,20 @@
 
 def _rank_short(
     view: engineview.EngineView, cost: float, job_id: str
+) -> tuple[object, ...]:
+    """Prefers engines that cost little and let a short prompt wait least."""
+    return (
+        *_rank_cost(view, cost),
+        *_rank_alike(view.endpoint, view.is_far, view.free_slots, job_id),
+    )
+
+
+def _rank_cost(view: engineview.EngineView, cost: float) -> tuple[int, int]:
+    return int(cost / COST_STEP), int(view.wait_s / SHORT_WAIT_S)
+
+
+def _rank_alike(
+    endpoint: lists.ListedEndpoint, is_far: bool, free_slots: int, job_id: str
 ) -> tuple[object, ...]:
     """Prefers near engines that already write for others, but for a few slots.
 
@@ -244,18 +326,15 @@
     were in time where all took the fullest engine (engine model, two plays).
     """
     return (
-        int(cost / COST_STEP),
-        int(view.wait_s / SHORT_WAIT_S),
-        view.is_far,
-        view.free_slots <= LAST_SLOTS,
-        max(view.free_slots, FEW_SLOTS),
-        _spread(view, job_id),
+        is_far,
+        free_slots <= LAST_SLOTS,
+        max(free_slots, FEW_SLOTS),
+        _spread(endpoint.endpoint_id, job_id),
     )
 
 
-def _spread(view: engineview.EngineView, job_id: str) -> int:
+def _spread(endpoint_id: str, job_id: str) -> int:
     """Returns a rank among engines that are alike, another for each prompt."""
-    endpoint_id = view.endpoint.endpoint_id
     return zlib.crc32(f"{job_id} {endpoint_id}".encode())
 
 
@@ -273,7 +352,7 @@
     return (
         int(cost / COST_STEP),
         int(lasts_s / SHORT_WAIT_S),
-        _spread(view, job_id),
+        _spread(view.endpoint.endpoint_id, job_id),
     )
 
 
--- /dev/null
+++ b/rhubarblock/routing/partplan_test.py
@@ -0,0 +1,69 @@
+"""The quick way of a short prompt against a look at every engine."""
+
+import random
+
+import pytest
+
+from rhubarblock.core import listed
+from rhubarblock.exchange import fakeparts_test as fakes
+from rhubarblock.routing import enginebook
+from rhubarblock.routing import engineview
+from rhubarblock.routing import partplan
+from rhubarblock.routing import prompt as prompts
+
+MODEL = fakes.MODEL
+ENGINES = [
+    listed.ListedEndpoint(
+        f"e{n}", f"e{n}", "osu" if n % 3 else "tema", "p", 8, False
+    )
+    for n in range(9)
+]
+
+
+def draw_book(rng):
+    """Returns a book of engines that write and read by chance."""
+    book = enginebook.EngineBook()
+    for engine in ENGINES:
+        for number in range(rng.choice((0, 1, 5, 6, 7, 8, 9))):
+            part = enginebook.Part(
+                engine.endpoint_id, 0.0, rng.choice((5_000, 50_000))
+            )
+            job_id = f"{engine.endpoint_id}.{number}"
+            book.add(enginebook.Job(job_id, (part,), 0.2, 5_000, 0.3), 0.0)
+        if rng.random() < 0.5:
+            part = enginebook.Part(engine.endpoint_id, rng.uniform(0.0, 0.5))
+            job_id = f"{engine.endpoint_id}.long"
+            book.add(enginebook.Job(job_id, (part,), 0.8, 90_000, 3.0), 0.0)
+    return book
+
+
+def plan_by_all(book, prompt, now_s):
+    """Returns the plan that a look at every engine prefers."""
+    outlook = engineview.Outlook(book, now_s)
+    for engine in ENGINES:
+        book.find(engine.endpoint_id).settle(now_s)
+    views = [
+        engineview.view_engine(
+            engine,
+            book.find(engine.endpoint_id),
+            outlook,
+            MODEL,
+            "osu",
+            partplan.MEMORY_PART,
+        )
+        for engine in ENGINES
+    ]
+    return partplan._Draft(prompt, views, MODEL, 1).plan()
+
+
+@pytest.mark.parametrize("seed", range(60))
+def test_quick_choice_is_that_of_a_look_at_all(seed):
+    book = draw_book(random.Random(seed))
+    prompt = prompts.Prompt(f"j{seed}", 6_000, 1_600, 0.2, 0.3, False)
+    all_plan = plan_by_all(book, prompt, 0.05)
+    plan = partplan.choose_plan(book, "osu", prompt, ENGINES, MODEL, 0.05)
+    if all_plan is None:
+        assert plan is None
+        return
+    assert plan.parts[0].endpoint == all_plan.parts[0].endpoint
+    assert plan.cost == all_plan.cost
