--- a/features/dropped_connection_test.py
+++ b/features/dropped_connection_test.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import contextlib
-import random
 
 import aiohttp
-from aiohttp import web
 from pytest_bdd import given
 from pytest_bdd import scenarios
 from pytest_bdd import then
@@ -111,16 +109,8 @@
     )
     async with fakes.open_parts() as parts:
         parts.add_endpoints(endpoint)
-        parts.life.mark_ready()
-        parts.authority.install(table, parts.authority.read_clock())
-        door = parts.make_door(random.Random(1))
-        server = web.Server(door.handle, handler_cancellation=True)
-        loop = asyncio.get_running_loop()
-        listener = await loop.create_server(server, "127.0.0.1", 0)
-        port = listener.sockets[0].getsockname()[1]
-        yield f"http://127.0.0.1:{port}/a/x"
-        listener.close()
-        await server.shutdown(0.1)
+        async with fakes.open_callers(parts, table) as url:
+            yield f"{url}/a/x"
 
 
 async def ask(story, url, is_enough):
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -3,8 +3,10 @@
 import asyncio
 import contextlib
 import dataclasses
+import random
 
 import aiohttp
+from aiohttp import web
 
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import listed
@@ -306,6 +308,22 @@
         yield parts
 
 
+@contextlib.asynccontextmanager
+async def open_callers(parts, table, seed=1):
+    """Lets callers in; gives the URL of the instance."""
+    parts.life.mark_ready()
+    if table is not None:
+        parts.authority.install(table, parts.authority.read_clock())
+    door = parts.make_door(random.Random(seed))
+    server = web.Server(door.handle, handler_cancellation=True)
+    loop = asyncio.get_running_loop()
+    listener = await loop.create_server(server, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    yield f"http://127.0.0.1:{port}"
+    listener.close()
+    await server.shutdown(0.1)
+
+
 @contextlib.asynccontextmanager
 async def open_plain_session():
     async with aiohttp.ClientSession() as session:
--- a/rhubarblock/exchange/frontdoor_test.py
+++ b/rhubarblock/exchange/frontdoor_test.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import contextlib
-import random
 
 import aiohttp
-from aiohttp import web
 
 from rhubarblock.core import route as routes
 from rhubarblock.exchange import fakeparts_test as fakes
@@ -28,19 +26,12 @@
 
 @contextlib.asynccontextmanager
 async def open_door(*endpoints, table=TABLE):
-    async with fakes.open_parts(*endpoints) as parts:
-        parts.life.mark_ready()
-        if table is not None:
-            parts.authority.install(table, parts.authority.read_clock())
-        door = parts.make_door(random.Random(1))
-        server = web.Server(door.handle, handler_cancellation=True)
-        loop = asyncio.get_running_loop()
-        listener = await loop.create_server(server, "127.0.0.1", 0)
-        port = listener.sockets[0].getsockname()[1]
-        async with aiohttp.ClientSession() as session:
-            yield parts, session, f"http://127.0.0.1:{port}"
-        listener.close()
-        await server.shutdown(0.1)
+    async with (
+        fakes.open_parts(*endpoints) as parts,
+        fakes.open_callers(parts, table) as url,
+        aiohttp.ClientSession() as session,
+    ):
+        yield parts, session, url
 
 
 def make_headers(**changes):
--- a/rhubarblock/exchange/news.py
+++ b/rhubarblock/exchange/news.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Iterable
 import contextlib
 import json
 import logging
@@ -160,7 +161,7 @@
         peer = self._peers.find(addr)
         if peer is None:
             peer = self._peers.note_unknown(addr)
-            self._send_to(addr, self._greeting)
+            self._send_to([addr], self._greeting)
         peer.heard_s = now_s
         self._metrics.count("news.received")
         try:
@@ -213,7 +214,7 @@
         peer.distrusted_until_s = 0.0
         for job, placed_s in self._own_jobs.values():
             left_s = max(0.0, job.parts[0].read_s - (now_s - placed_s))
-            self._send_to(address, _describe_job(job, left_s))
+            self._send_to([address], _describe_job(job, left_s))
 
     def _is_near(
         self, address: peer_table.Address, peer: peer_table.Peer
@@ -234,24 +235,22 @@
 
     def _send(self, fields: list[Any], is_told: peer_table.Filter) -> None:
         """Sends a datagram to those peers that are to be told."""
-        if self._transport is None:
-            return
-        data = _encode(fields)
-        for address in self._peers.list_told(is_told):
-            self._transport.sendto(data, address)
-            self._count_sent(fields, data)
+        self._send_to(self._peers.list_told(is_told), fields)
 
-    def _count_sent(self, fields: list[Any], data: bytes) -> None:
-        self._metrics.count(f"news.sent.{_COUNTERS[fields[0]]}")
-        self._metrics.count("news.sent_bytes", len(data))
-
-    def _send_to(self, address: peer_table.Address, fields: list[Any]) -> None:
-        """Sends a datagram to one peer."""
+    def _send_to(
+        self, addresses: Iterable[peer_table.Address], fields: list[Any]
+    ) -> None:
+        """Sends a datagram to some peers, counted once for all of them."""
         if self._transport is None:
             return
         data = _encode(fields)
-        self._transport.sendto(data, address)
-        self._count_sent(fields, data)
+        sent = 0
+        for address in addresses:
+            self._transport.sendto(data, address)
+            sent += 1
+        if sent:
+            self._metrics.count(f"news.sent.{_COUNTERS[fields[0]]}", sent)
+            self._metrics.count("news.sent_bytes", sent * len(data))
 
 
 def _encode(fields: list[Any]) -> bytes:
