Pass a configuration on by what changed in it

Ways: whole as text (what stood), and the changes between versions, compressed once for all who ask from the same version, with the whole, compressed too, for who has none, is too far behind or holds other content. Quick successions are taken together: what is passed on is the join of all changes since the asker's version.

A change that does not lead from the content here to the content it names is refused whole, and the whole is asked for next. Routes are found by host and prefix, not by a look at each. The path of the feed got a number, so that instances of two releases never misread each other.

--- a/features/dropped_connection_test.py
+++ b/features/dropped_connection_test.py
@@ -102,7 +102,7 @@
     """Opens an instance whose only endpoint is the engine."""
     table = routes.RoutingTable(
         1,
-        (story.route,),
+        routes.RouteIndex([story.route]),
         {"desk": fakes.SERVICE},
         {"secret": routes.Workspace("members", None)},
         routes.CallerBounds(),
--- a/rhubarblock/core/route.py
+++ b/rhubarblock/core/route.py
@@ -4,6 +4,8 @@
 which format an operator wrote it.
 """
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
 import enum
@@ -170,6 +172,96 @@
     idle_timeout_s: float = 15.0
 
 
+class RouteIndex:
+    """Routes by name, and by the host and path prefix that they serve.
+
+    A look takes as many steps as a path has parts, however many routes there
+    are. Of two routes with the same host and prefix the first by name counts.
+    """
+
+    __slots__ = ("_by_name", "_by_place", "_most_parts")
+
+    def __init__(self, routes: Iterable[Route] = ()):
+        """Takes in routes.
+
+        Args:
+          routes: all of them; their names differ.
+        """
+        self._by_name = {route.name: route for route in routes}
+        self._by_place: dict[tuple[str, str], Route] = {}
+        # Most slashes of a prefix, so that a path of many is not tried whole.
+        self._most_parts = 0
+        self._rebuild()
+
+    def __iter__(self) -> Iterator[Route]:
+        return iter(self._by_name.values())
+
+    def __len__(self) -> int:
+        return len(self._by_name)
+
+    def find_named(self, name: str) -> Route | None:
+        """Returns the route of a name, or None."""
+        return self._by_name.get(name)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Returns the route with the longest prefix of a path, or None.
+
+        Args:
+          host: name in lower case, without a port.
+          path: path of the request, without its query.
+        """
+        ends: list[int] = []
+        end = path.find("/")
+        while end >= 0 and len(ends) < self._most_parts:
+            ends.append(end + 1)
+            end = path.find("/", end + 1)
+        for end in reversed(ends):
+            route = self._by_place.get((host, path[:end]))
+            if route is not None:
+                return route
+        return None
+
+    def change(
+        self, changed: Iterable[Route], removed: Iterable[str]
+    ) -> "RouteIndex":
+        """Returns the index after a change; this one stays as it is.
+
+        Args:
+          changed: new routes, and those that replace one of the same name.
+          removed: names of routes that are gone.
+        """
+        index = RouteIndex()
+        index._by_name = dict(self._by_name)
+        index._by_place = dict(self._by_place)
+        index._most_parts = self._most_parts
+        for name in removed:
+            index._remove(name)
+        for route in changed:
+            index._remove(route.name)
+            index._by_name[route.name] = route
+            index._place(route)
+        doubled = len(index._by_place) != len(index._by_name)
+        if doubled or len(self._by_place) != len(self._by_name):
+            index._rebuild()
+        return index
+
+    def _remove(self, name: str) -> None:
+        gone = self._by_name.pop(name, None)
+        if gone is not None:
+            self._by_place.pop((gone.host, gone.path_prefix), None)
+
+    def _place(self, route: Route) -> None:
+        self._by_place[route.host, route.path_prefix] = route
+        parts = route.path_prefix.count("/")
+        self._most_parts = max(self._most_parts, parts)
+
+    def _rebuild(self) -> None:
+        self._by_place = {}
+        self._most_parts = 0
+        for name in sorted(self._by_name, reverse=True):
+            self._place(self._by_name[name])
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class RoutingTable:
     """One version of the configuration.
@@ -183,7 +275,7 @@
     """
 
     version: int
-    routes: tuple[Route, ...]
+    routes: RouteIndex
     services: Mapping[str, ServiceSpec]
     keys: Mapping[str, Workspace] | None
     bounds: CallerBounds
@@ -195,11 +287,4 @@
           host: value of the host header, with or without a port.
           path: path of the request, without its query.
         """
-        name = host.partition(":")[0].lower()
-        best: Route | None = None
-        for route in self.routes:
-            if route.host != name or not path.startswith(route.path_prefix):
-                continue
-            if best is None or len(route.path_prefix) > len(best.path_prefix):
-                best = route
-        return best
+        return self.routes.find(host.partition(":")[0].lower(), path)
--- a/rhubarblock/daemon/exchangeinstance_test.py
+++ b/rhubarblock/daemon/exchangeinstance_test.py
@@ -10,6 +10,7 @@
 
 from rhubarblock.core import route as routes
 from rhubarblock.daemon import exchangeinstance
+from rhubarblock.exchange import dialect as exchange_dialects
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.platform import dialect as dialects
 from rhubarblock.platform import names
@@ -26,11 +27,15 @@
 class FakeDialect(dialects.PlatformDialect):
     """Decodes what the store of these tests holds."""
 
-    def decode_table(self, value):
+    def split_configuration(self, value):
         del value
+        return exchange_dialects.ConfigurationText(1, {})
+
+    def change_table(self, before, document, difference):
+        route = fakes.make_route(routes.RouteKind.NON_IDEMPOTENT, timeout_s=5.0)
         return routes.RoutingTable(
             1,
-            (fakes.make_route(routes.RouteKind.NON_IDEMPOTENT, timeout_s=5.0),),
+            routes.RouteIndex([route]),
             {"desk": fakes.SERVICE},
             {"secret": routes.Workspace("members", None)},
             routes.CallerBounds(),
--- a/rhubarblock/exchange/dialect.py
+++ b/rhubarblock/exchange/dialect.py
@@ -11,6 +11,7 @@
 import dataclasses
 import enum
 
+from rhubarblock.core import document as documents
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import listed
 from rhubarblock.core import route as routes
@@ -94,6 +95,19 @@
     at_fault: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ConfigurationText:
+    """A configuration as its writer accepted it.
+
+    Attributes:
+      version: rises with each accepted change.
+      pieces: texts by name, in the deployment's spelling.
+    """
+
+    version: int
+    pieces: Mapping[str, str]
+
+
 class LeaseAnswer(enum.Enum):
     """What an engine said to an order about memory."""
 
@@ -176,8 +190,26 @@
         """Decodes the head of an endpoint's answer."""
 
     @abc.abstractmethod
-    def decode_table(self, value: bytes) -> routes.RoutingTable:
-        """Decodes a configuration.
+    def split_configuration(self, value: bytes) -> ConfigurationText:
+        """Splits a configuration into pieces that change by themselves.
+
+        Raises:
+          ValueError: it can't be read.
+        """
+
+    @abc.abstractmethod
+    def change_table(
+        self,
+        before: routes.RoutingTable | None,
+        document: documents.Document,
+        difference: documents.Difference,
+    ) -> routes.RoutingTable:
+        """Decodes what changed in a configuration.
+
+        Args:
+          before: the table before the change; None decodes all.
+          document: the document after it.
+          difference: what led from the one to the other.
 
         Raises:
           ValueError: it can't be read.
--- a/rhubarblock/exchange/frontdoor_test.py
+++ b/rhubarblock/exchange/frontdoor_test.py
@@ -11,12 +11,14 @@
 
 TABLE = routes.RoutingTable(
     1,
-    (
-        fakes.make_route(),
-        fakes.make_route(
-            routes.RouteKind.STREAMING, name="r-2", path_prefix="/s/"
-        ),
-        fakes.make_route(name="r-3", path_prefix="/open/", anonymous=True),
+    routes.RouteIndex(
+        [
+            fakes.make_route(),
+            fakes.make_route(
+                routes.RouteKind.STREAMING, name="r-2", path_prefix="/s/"
+            ),
+            fakes.make_route(name="r-3", path_prefix="/open/", anonymous=True),
+        ]
     ),
     {"desk": fakes.SERVICE},
     {"secret": routes.Workspace("members", None)},
--- a/rhubarblock/exchange/state/authority_test.py
+++ b/rhubarblock/exchange/state/authority_test.py
@@ -18,7 +18,7 @@
     workspace = routes.Workspace("members", None)
     return routes.RoutingTable(
         version,
-        (),
+        routes.RouteIndex(),
         {},
         dict.fromkeys(keys, workspace),
         routes.CallerBounds(),
--- a/rhubarblock/exchange/state/book.py
+++ b/rhubarblock/exchange/state/book.py
@@ -12,10 +12,12 @@
 import dataclasses
 import logging
 
+from rhubarblock.core import document as documents
 from rhubarblock.core import listed as lists
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange.state import authority as authorities
 from rhubarblock.exchange.state import directory as directories
+from rhubarblock.exchange.state import history
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.store import store as stores
 
@@ -60,8 +62,10 @@
         "_changes",
         "_dialect",
         "_directory",
+        "_document",
         "_entries",
         "_first",
+        "_history",
         "_number",
         "_removals",
         "_timers",
@@ -90,7 +94,10 @@
         self._authority = authority
         self._directory = directory
         self._timers = timers
+        # What the store gave last, to see at one look that it gives the same.
         self._value = b""
+        self._document = documents.EMPTY
+        self._history = history.History()
         self._entries: dict[str, stores.StoredObject] = {}
         self._changes: list[stores.StoredObject] = []
         self._number = 0
@@ -105,9 +112,9 @@
         self.listed = asyncio.Event()
 
     @property
-    def value(self) -> bytes:
-        """The configuration as the store gave it; empty without one."""
-        return self._value
+    def identity(self) -> documents.Identity:
+        """Names the configuration that is held here."""
+        return self._document.identity
 
     @property
     def number(self) -> int:
@@ -127,21 +134,82 @@
         if value == self._value:
             self._authority.confirm(self._authority.version, asked_s)
             return
-        table = self._dialect.decode_table(value)
+        text = self._dialect.split_configuration(value)
+        difference = documents.compare(
+            self._document, text.version, text.pieces
+        )
+        if self._put_in_force(difference, asked_s):
+            self._value = value
+
+    def take_difference(
+        self, difference: documents.Difference, confirmed_s: float
+    ) -> None:
+        """Takes in what a peer says has changed in the configuration.
+
+        Args:
+          difference: follows the configuration held here, or is whole.
+          confirmed_s: when the read was sent that found its result, on the
+            lease's clock.
+
+        Raises:
+          ValueError: it does not fit, or can't be read; nothing was changed.
+        """
+        if difference.before == documents.NOTHING:
+            whole = documents.apply(documents.EMPTY, difference)
+            difference = documents.compare(
+                self._document, whole.identity.version, whole.pieces
+            )
+        self._put_in_force(difference, confirmed_s)
+
+    def find_difference(
+        self, known: documents.Identity
+    ) -> documents.Difference:
+        """Returns what leads from a known configuration to the one held here.
+
+        It is the whole one where the other is not known here any more.
+        """
+        return self._history.find(known) or documents.compare(
+            documents.EMPTY, self.identity.version, self._document.pieces
+        )
+
+    def _put_in_force(
+        self, difference: documents.Difference, asked_s: float
+    ) -> bool:
+        """Puts a change of the configuration into force.
+
+        Returns:
+          Whether its version is in force now; False for an older one.
+
+        Raises:
+          ValueError: it does not fit, or can't be read; nothing was changed.
+        """
+        version = difference.after.version
         before = self._authority.version
-        if table.version < before:
+        if version < before:
             _logger.warning(
                 "an older configuration was read",
-                extra={"version": table.version, "in_force": before},
-            )
-            return
-        self._value = value
-        if self._authority.install(table, asked_s):
-            _logger.info(
-                "configuration in force",
-                extra={"version": table.version, "before": before},
+                extra={"version": version, "in_force": before},
             )
+            return False
+        document = documents.apply(self._document, difference)
+        table = self._dialect.change_table(
+            self._authority.table, document, difference
+        )
+        if not self._authority.install(table, asked_s):
+            return True
+        self._document = document
+        self._history.note(difference)
+        _logger.info(
+            "configuration in force",
+            extra={
+                "version": version,
+                "before": before,
+                "changed": len(difference.changed),
+                "removed": len(difference.removed),
+            },
+        )
         self._wake()
+        return True
 
     def take_listing(
         self,
--- /dev/null
+++ b/rhubarblock/exchange/state/differencewire_test.py
@@ -0,0 +1,28 @@
+"""Changes of a configuration on their way between instances."""
+
+import pytest
+
+from rhubarblock.core import document as documents
+from rhubarblock.exchange.state import differencewire
+
+
+def test_text_of_a_difference_is_read_back():
+    change = documents.Difference(
+        documents.Identity(3, 10),
+        documents.Identity(5, 2**127),
+        {"a": "x"},
+        ("b",),
+    )
+    assert differencewire.decode(differencewire.encode(change)) == change
+
+
+@pytest.mark.parametrize("text", ["", "%", "AAAA", "eJyLjgUAARUAuQ=="])
+def test_text_that_is_no_difference_is_an_error(text):
+    with pytest.raises(ValueError):
+        differencewire.decode(text)
+
+
+def test_text_that_was_cut_off_is_an_error():
+    change = documents.compare(documents.EMPTY, 1, {"a": "x" * 100})
+    with pytest.raises(ValueError):
+        differencewire.decode(differencewire.encode(change)[:-8])
--- a/rhubarblock/exchange/state/feed.py
+++ b/rhubarblock/exchange/state/feed.py
@@ -5,6 +5,12 @@
 the asking instance counts it from the moment at which it asked, so neither the
 way nor a freeze on either side can make the state seem younger than it is.
 
+Of the configuration only what changed since the asker's version is passed on,
+compressed once for all who ask from there: a version with thousands of routes
+would else fill the link of a small instance. A change that does not lead from
+the asker's content to the reader's is left out whole and the asker wants the
+whole configuration next time.
+
 Of a long list of endpoints only those are passed on that the asking instance
 uses, and after that all changes: one that it uses must not leave unnoticed.
 """
@@ -19,8 +25,10 @@
 import aiohttp
 from aiohttp import web
 
+from rhubarblock.core import document as documents
 from rhubarblock.exchange.state import authority as authorities
 from rhubarblock.exchange.state import book as statebook
+from rhubarblock.exchange.state import differencewire
 from rhubarblock.exchange.state import directory as directories
 from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.kernel import metrics as metric_store
@@ -28,7 +36,9 @@
 from rhubarblock.store import sendonce
 from rhubarblock.store import store as stores
 
-PATH = "/state"
+# The number rises when the answers change; a peer that knows another one gives
+# no state, so that instances of two releases never misread each other.
+PATH = "/state/2"
 # Seconds for which an answer waits for news: the lease gets older by as much.
 WAIT_S = 0.7
 # Seconds that an answer may take beyond that wait.
@@ -66,6 +76,8 @@
         "_authority",
         "_book",
         "_directory",
+        "_encoded",
+        "_encoded_for",
         "_metrics",
         "_source",
         "_subsets",
@@ -96,12 +108,20 @@
         self._directory = directory
         self._subsets = subsets_
         self._source = source
+        # Encoded changes up to one version, by the version they start from.
+        self._encoded: dict[documents.Identity, str] = {}
+        self._encoded_for = documents.NOTHING
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one question, when there is news or the wait is over."""
+        if request.path != PATH:
+            return web.Response(status=404)
         query = request.query
         try:
-            version = int(query.get("version", "0"))
+            known = documents.Identity(
+                int(query.get("version", "0")),
+                int(query.get("digest", "0"), 16),
+            )
             number = int(query.get("number", "0"))
             wait_s = min(WAIT_S, int(query.get("wait_ms", "0")) / 1e3)
         except ValueError:
@@ -109,13 +129,13 @@
         if query.get("source") != self._source:
             number = 0
         await self._book.wait_news(
-            lambda: self._is_news(version, number), wait_s
+            lambda: self._is_news(known.version, number), wait_s
         )
         if not self._has_state():
             return web.Response(status=503)
         text = json.dumps(
             self._describe(
-                version,
+                known,
                 number,
                 query.get("instance", ""),
                 query.get("data_centre", ""),
@@ -136,7 +156,11 @@
         return number == 0 or self._book.number > number
 
     def _describe(
-        self, version: int, number: int, asker: str, data_centre: str
+        self,
+        known: documents.Identity,
+        number: int,
+        asker: str,
+        data_centre: str,
     ) -> dict[str, Any]:
         news = self._book.list_news(number)
         objects = news.objects
@@ -146,18 +170,29 @@
                 for stored in objects
                 if self._is_used(asker, data_centre, stored)
             )
-        is_new = self._authority.version > version
+        is_new = self._authority.version > known.version
         return {
             "source": self._source,
             "age_s": self._authority.age_s,
             "version": self._authority.version,
-            "configuration": self._book.value.decode() if is_new else None,
+            "configuration": self._encode_changes(known) if is_new else None,
             "number": news.number,
             "whole": news.whole and self._book.complete,
             "sizes": self._directory.count_services(),
             "objects": [_encode(stored) for stored in objects],
         }
 
+    def _encode_changes(self, known: documents.Identity) -> str:
+        """Returns the changes since a version, encoded once for all askers."""
+        if self._encoded_for != self._book.identity:
+            self._encoded_for = self._book.identity
+            self._encoded.clear()
+        text = self._encoded.get(known)
+        if text is None:
+            text = differencewire.encode(self._book.find_difference(known))
+            self._encoded[known] = text
+        return text
+
     def _is_used(
         self, asker: str, data_centre: str, stored: stores.StoredObject
     ) -> bool:
@@ -179,6 +214,7 @@
         "_own_id",
         "_session",
         "_timers",
+        "_wants_whole",
     )
 
     def __init__(
@@ -210,6 +246,8 @@
         self._authority = authority
         self._timers = timers
         self._marks: dict[str, Mark] = {}
+        # Whether the last changes did not fit.
+        self._wants_whole = False
 
     async def ask(
         self,
@@ -247,8 +285,10 @@
     async def _fetch(
         self, address: str, mark: Mark, wait_s: float
     ) -> dict[str, Any]:
+        known = documents.NOTHING if self._wants_whole else self._book.identity
         query = {
-            "version": str(self._authority.version),
+            "version": str(known.version),
+            "digest": f"{known.digest:x}",
             "source": mark.source,
             "number": str(mark.number),
             "wait_ms": str(round(wait_s * 1e3)),
@@ -282,11 +322,24 @@
             self._take_changes(objects, fields["sizes"])
         mark.source = fields["source"]
         mark.number = fields["number"]
-        if fields["configuration"] is not None:
-            value = fields["configuration"].encode()
-            self._book.take_configuration(value, confirmed_s)
-        else:
-            self._authority.confirm(fields["version"], confirmed_s)
+        self._take_configuration(
+            fields["configuration"], fields["version"], confirmed_s
+        )
+
+    def _take_configuration(
+        self, changes: str | None, version: int, confirmed_s: float
+    ) -> None:
+        """Takes in the changes of the configuration, or that there are none.
+
+        Raises:
+          ValueError: the changes don't fit; the whole is asked for next.
+        """
+        if changes is None:
+            self._authority.confirm(version, confirmed_s)
+            return
+        self._wants_whole = True
+        self._book.take_difference(differencewire.decode(changes), confirmed_s)
+        self._wants_whole = False
 
     def _take_changes(
         self, objects: list[stores.StoredObject], sizes: directories.Sizes
--- a/rhubarblock/exchange/state/feed_test.py
+++ b/rhubarblock/exchange/state/feed_test.py
@@ -2,16 +2,21 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import json
+import types
 
 import aiohttp
 from aiohttp import web
 import pytest
 
+from rhubarblock.core import document as documents
 from rhubarblock.core import listed
 from rhubarblock.core import route as routes
+from rhubarblock.exchange import dialect as exchange_dialects
 from rhubarblock.exchange.state import authority as authorities
 from rhubarblock.exchange.state import book as statebook
+from rhubarblock.exchange.state import differencewire
 from rhubarblock.exchange.state import directory as directories
 from rhubarblock.exchange.state import feed as statefeed
 from rhubarblock.exchange.state import subset as subsets
@@ -26,11 +31,16 @@
 class Dialect(dialects.PlatformDialect):
     """A table is its version and its keys; an entry is its state."""
 
-    def decode_table(self, value):
+    def split_configuration(self, value):
         fields = json.loads(value)
-        keys = {k: routes.Workspace("w", None) for k in fields["keys"]}
+        pieces = dict.fromkeys(fields["keys"], "")
+        return exchange_dialects.ConfigurationText(fields["version"], pieces)
+
+    def change_table(self, before, document, difference):
+        keys = {k: routes.Workspace("w", None) for k in document.pieces}
+        version = document.identity.version
         return routes.RoutingTable(
-            fields["version"], (), {}, keys, routes.CallerBounds()
+            version, routes.RouteIndex(), {}, keys, routes.CallerBounds()
         )
 
     def decode_endpoint(self, stored):
@@ -364,3 +374,85 @@
         return between, asker.usable()
 
     assert run(step) == (["a"], ["a", "b"])
+
+
+def test_changes_that_do_not_fit_are_followed_by_the_whole():
+    async def step(reader, asker, client, address, asked):
+        reader.book.take_configuration(table(3, "k"), 100.0)
+        reader.book.take_listing([entry("a")])
+        await client.ask(address, 0.0)
+        reader.book.take_configuration(table(4, "k", "l"), 100.0)
+        find = reader.book.find_difference
+
+        def lose_a_piece(known):
+            change = find(known)
+            if known == documents.NOTHING:
+                return change
+            return dataclasses.replace(change, changed={})
+
+        reader.server._book = types.SimpleNamespace(
+            find_difference=lose_a_piece,
+            **{
+                name: getattr(reader.book, name)
+                for name in (
+                    "identity",
+                    "list_news",
+                    "listed",
+                    "complete",
+                    "number",
+                    "wait_news",
+                )
+            },
+        )
+        with pytest.raises(statefeed.FeedError):
+            await client.ask(address, 0.0)
+        between = asker.authority.version
+        await client.ask(address, 0.0)
+        return between, asker.authority.version, asked
+
+    between, version, asked = run(step)
+    assert (between, version) == (3, 4)
+    assert [q["version"] for q in asked] == ["0", "3", "0"]
+
+
+def test_many_askers_cost_one_encoding(monkeypatch):
+    encoded = []
+    encode = differencewire.encode
+
+    def count(change):
+        encoded.append(change.before.version)
+        return encode(change)
+
+    monkeypatch.setattr(differencewire, "encode", count)
+
+    async def step(reader, asker, client, address, asked):
+        reader.book.take_configuration(table(3, "k"), 100.0)
+        reader.book.take_listing([entry("a")])
+        await client.ask(address, 0.0)
+        for number in range(4):
+            side = Side(f"b{number}", reader.clock)
+            other = statefeed.StateClient(
+                client._session,
+                f"b{number}",
+                "osu",
+                side.book,
+                side.directory,
+                side.authority,
+                side.timers,
+            )
+            await other.ask(address, 0.0)
+        reader.book.take_configuration(table(4, "k", "l"), 100.0)
+        await client.ask(address, 0.0)
+
+    run(step)
+    assert encoded == [0, 3]
+
+
+def test_instance_of_another_release_gets_no_state():
+    async def step(reader, asker, client, address, asked):
+        reader.book.take_configuration(table(3, "k"), 100.0)
+        reader.book.take_listing([entry("a")])
+        async with client._session.get(f"http://{address}/state") as answer:
+            return answer.status
+
+    assert run(step) == 404
--- a/rhubarblock/platform/configuration.py
+++ b/rhubarblock/platform/configuration.py
@@ -1,12 +1,15 @@
 """The operator's configuration and the list of endpoints, decoded."""
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 import ipaddress
 import json
 from typing import Any
 
+from rhubarblock.core import document as documents
 from rhubarblock.core import listed
 from rhubarblock.core import route as routes
+from rhubarblock.exchange import dialect as dialects
 from rhubarblock.store import store as stores
 
 _MS_PER_S = 1000.0
@@ -26,6 +29,15 @@
 _MOST_PORT = 65_535
 _PORT_DIGITS = 5
 
+# Parts of a configuration that list entries by name; the others are one piece.
+_ROUTES = "routes"
+_SERVICES = "services"
+_TENANTS = "tenants"
+_SECTIONS = (_ROUTES, _SERVICES, _TENANTS)
+_LIMITS = "limits"
+# The same entry must have the same text whichever instance wrote it.
+_ENCODER = json.JSONEncoder(separators=(",", ":"), sort_keys=True)
+
 _KINDS = {
     "idempotent": routes.RouteKind.IDEMPOTENT,
     "non_idempotent": routes.RouteKind.NON_IDEMPOTENT,
@@ -33,28 +45,115 @@
 }
 
 
-def decode_table(value: bytes) -> routes.RoutingTable:
-    """Decodes the content of the configuration's object.
+def split(value: bytes) -> dialects.ConfigurationText:
+    """Splits the content of the configuration's object into its pieces.
 
     Raises:
       ValueError: it can't be read.
     """
     try:
         fields = json.loads(value)
-        return routes.RoutingTable(
-            version=int(fields["version"]),
-            routes=tuple(_decode_route(route) for route in fields["routes"]),
-            services={
-                service["name"]: _decode_service(service)
-                for service in fields["services"]
-            },
-            keys=_decode_keys(fields.get("tenants")),
-            bounds=_decode_bounds(fields.get("limits") or {}),
+        version = int(fields.pop("version"))
+        pieces = {}
+        for section in _SECTIONS:
+            entries = fields.pop(section, None)
+            if entries is None:
+                continue
+            pieces[section] = ""
+            _add_entries(pieces, section, entries)
+        for name, part in fields.items():
+            pieces[name] = _ENCODER.encode(part)
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError(f"the configuration lacks {error}") from error
+    return dialects.ConfigurationText(version, pieces)
+
+
+def _add_entries(
+    pieces: dict[str, str], section: str, entries: Iterable[Mapping[str, Any]]
+) -> None:
+    """Adds a piece for each entry of a section.
+
+    Raises:
+      ValueError: two have the same name, so that one would hide the other.
+    """
+    for entry in entries:
+        name = f"{section}/{entry['name']}"
+        if name in pieces:
+            raise ValueError(f"two {section} have the name {entry['name']!r}")
+        pieces[name] = _ENCODER.encode(entry)
+
+
+def change_table(
+    before: routes.RoutingTable | None,
+    document: documents.Document,
+    difference: documents.Difference,
+) -> routes.RoutingTable:
+    """Decodes what changed in a configuration.
+
+    Args:
+      before: the table before the change; None decodes all.
+      document: the document after it.
+      difference: what led from the one to the other.
+
+    Raises:
+      ValueError: it can't be read.
+    """
+    if before is None:
+        before = routes.RoutingTable(
+            0, routes.RouteIndex(), {}, None, routes.CallerBounds()
         )
+        difference = documents.compare(
+            documents.EMPTY, document.identity.version, document.pieces
+        )
+    try:
+        return _decode_change(before, document, difference)
     except (KeyError, TypeError) as error:
         raise ValueError(f"the configuration lacks {error}") from error
 
 
+def _decode_change(
+    before: routes.RoutingTable,
+    document: documents.Document,
+    difference: documents.Difference,
+) -> routes.RoutingTable:
+    for section in (_ROUTES, _SERVICES):
+        if section not in document.pieces:
+            raise KeyError(section)
+    names = {*difference.changed, *difference.removed}
+    services = dict(before.services)
+    for name in _list_entries(difference.removed, _SERVICES):
+        services.pop(name, None)
+    for name in _list_entries(difference.changed, _SERVICES):
+        text = difference.changed[f"{_SERVICES}/{name}"]
+        services[name] = _decode_service(json.loads(text))
+    keys = before.keys
+    if any(name.partition("/")[0] == _TENANTS for name in names):
+        keys = _decode_keys(document.pieces)
+    bounds = before.bounds
+    if _LIMITS in names:
+        limits = json.loads(document.pieces.get(_LIMITS, "null"))
+        bounds = _decode_bounds(limits or {})
+    return routes.RoutingTable(
+        version=document.identity.version,
+        routes=before.routes.change(
+            [
+                _decode_route(json.loads(difference.changed[f"{_ROUTES}/{n}"]))
+                for n in _list_entries(difference.changed, _ROUTES)
+            ],
+            _list_entries(difference.removed, _ROUTES),
+        ),
+        services=services,
+        keys=keys,
+        bounds=bounds,
+    )
+
+
+def _list_entries(names: Iterable[str], section: str) -> list[str]:
+    """Returns the names within a section, of those that belong to it."""
+    prefix = section + "/"
+    return [n.removeprefix(prefix) for n in names if n.startswith(prefix)]
+
+
 def decode_endpoint(stored: stores.StoredObject) -> listed.ListedEndpoint:
     """Decodes an entry of the list; its object is named by the endpoint's id.
 
@@ -194,12 +293,15 @@
 
 
 def _decode_keys(
-    tenants: list[Mapping[str, Any]] | None,
+    pieces: Mapping[str, str],
 ) -> dict[str, routes.Workspace] | None:
-    if tenants is None:
+    """Returns all keys: one may have gone from one workspace to another."""
+    if _TENANTS not in pieces:
         return None
     keys = {}
-    for tenant in tenants:
+    # In one order everywhere, should two workspaces claim a key.
+    for name in sorted(_list_entries(pieces, _TENANTS)):
+        tenant = json.loads(pieces[f"{_TENANTS}/{name}"])
         workspace = routes.Workspace(tenant["name"], tenant.get("priority"))
         for key in tenant.get("apiKeys") or ():
             keys[key] = workspace
--- a/rhubarblock/platform/configuration_test.py
+++ b/rhubarblock/platform/configuration_test.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies
 import pytest
 
+from rhubarblock.core import document as documents
 from rhubarblock.core import listed
 from rhubarblock.core import route as routes
 from rhubarblock.platform import configuration
@@ -65,11 +66,23 @@
 
 
 def decode(fields):
-    return configuration.decode_table(json.dumps(fields).encode())
+    return decode_text(json.dumps(fields).encode())
+
+
+def decode_text(value):
+    document = make_document(value)
+    whole = documents.compare(documents.EMPTY, 0, document.pieces)
+    return configuration.change_table(None, document, whole)
+
+
+def make_document(value, before=documents.EMPTY):
+    text = configuration.split(value)
+    change = documents.compare(before, text.version, text.pieces)
+    return documents.apply(before, change)
 
 
 def test_route_is_decoded_whole():
-    assert decode(CONFIG).routes[0] == routes.Route(
+    assert decode(CONFIG).routes.find_named("r-1") == routes.Route(
         name="r-1",
         host="ficu95.example",
         path_prefix="/lohu930/",
@@ -89,7 +102,7 @@
 
 
 def test_kind_that_is_not_known_may_not_be_repeated():
-    route = decode(CONFIG).routes[1]
+    route = decode(CONFIG).routes.find_named("r-2")
     assert not route.repeatable
     assert route.max_attempts == 1
 
@@ -132,7 +145,7 @@
 @pytest.mark.parametrize("value", [b"{", b"{}", b"[]", b'{"version": null}'])
 def test_configuration_that_cannot_be_read_is_an_error(value):
     with pytest.raises(ValueError):
-        configuration.decode_table(value)
+        decode_text(value)
 
 
 ENTRY = {
@@ -251,3 +264,94 @@
     stored = stores.StoredObject("servers/i-1", 3, value)
     with contextlib.suppress(ValueError):
         configuration.decode_endpoint(stored)
+
+
+NAMES = strategies.sampled_from(["a", "b", "c", "d"])
+ROUTES = strategies.dictionaries(
+    NAMES,
+    strategies.tuples(NAMES, strategies.sampled_from([1000, 2000])),
+    max_size=4,
+)
+TENANTS = strategies.one_of(
+    strategies.none(),
+    strategies.dictionaries(
+        NAMES,
+        strategies.lists(strategies.sampled_from(["k1", "k2", "k3"])),
+        max_size=3,
+    ),
+)
+
+
+def make_fields(version, routes_, tenants, body_bytes):
+    fields = {
+        "version": version,
+        "routes": [
+            {
+                "name": name,
+                "host": "h",
+                "pathPrefix": f"/{prefix}/",
+                "timeoutMs": timeout_ms,
+                "service": "desk",
+            }
+            for name, (prefix, timeout_ms) in routes_.items()
+        ],
+        "services": [{"name": "desk"}],
+        "limits": {"maxBodyBytes": body_bytes},
+    }
+    if tenants is not None:
+        fields["tenants"] = [
+            {"name": name, "apiKeys": keys} for name, keys in tenants.items()
+        ]
+    return fields
+
+
+def list_places(table):
+    paths = [f"/{name}/x" for name in "abcd"]
+    return [table.find_route("h", path) for path in paths]
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(ROUTES, TENANTS, strategies.integers(1, 3)),
+        min_size=1,
+        max_size=6,
+    )
+)
+def test_table_changed_step_by_step_equals_the_one_decoded_whole(history):
+    document, table = documents.EMPTY, None
+    for version, parts in enumerate(history, 1):
+        fields = make_fields(version, *parts)
+        text = configuration.split(json.dumps(fields).encode())
+        change = documents.compare(document, text.version, text.pieces)
+        document = documents.apply(document, change)
+        table = configuration.change_table(table, document, change)
+        whole = decode(fields)
+        assert list_places(table) == list_places(whole)
+        assert table.keys == whole.keys
+        assert table.bounds == whole.bounds
+        assert table.version == version
+        names = sorted(route.name for route in table.routes)
+        assert names == sorted(route.name for route in whole.routes)
+
+
+def test_change_decodes_only_what_it_names():
+    document = make_document(json.dumps(CONFIG).encode())
+    table = decode(CONFIG)
+    routes_ = [CONFIG["routes"][0], {**CONFIG["routes"][1], "timeoutMs": 3000}]
+    text = configuration.split(
+        json.dumps({**CONFIG, "routes": routes_}).encode()
+    )
+    change = documents.compare(document, 8, text.pieces)
+    after = documents.apply(document, change)
+    changed = configuration.change_table(table, after, change)
+    assert list(change.changed) == ["routes/r-2"]
+    assert changed.routes.find_named("r-2").timeout_s == 3.0
+    assert changed.routes.find_named("r-1") is table.routes.find_named("r-1")
+    assert changed.services["pool"] is table.services["pool"]
+
+
+def test_name_that_stands_twice_is_an_error():
+    twice = {**CONFIG, "routes": [CONFIG["routes"][0]] * 2}
+    with pytest.raises(ValueError) as caught:
+        configuration.split(json.dumps(twice).encode())
+    assert str(caught.value) == "two routes have the name 'r-1'"
--- a/rhubarblock/platform/dialect.py
+++ b/rhubarblock/platform/dialect.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from rhubarblock.core import document as documents
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import listed
 from rhubarblock.core import route as routes
@@ -49,8 +50,16 @@
     ) -> dialects.AnswerFields:
         return heads.read_answer(status, fields)
 
-    def decode_table(self, value: bytes) -> routes.RoutingTable:
-        return configuration.decode_table(value)
+    def split_configuration(self, value: bytes) -> dialects.ConfigurationText:
+        return configuration.split(value)
+
+    def change_table(
+        self,
+        before: routes.RoutingTable | None,
+        document: documents.Document,
+        difference: documents.Difference,
+    ) -> routes.RoutingTable:
+        return configuration.change_table(before, document, difference)
 
     def decode_endpoint(
         self, stored: stores.StoredObject
