Let the instance that can carry most read the store for its data centre

Cause: the reader of a data centre was the first by name, so after a large machine ("-1") came a small one ("-10"), and its link took all answers to its peers.

Ways: first by name (what stood), and by what the settings say of the machine, link first, then processor, then name.

A start leaves lines for its steps, so that a slow one can be read from logs.

It is kept for what it prevents: no small link answers for a data centre while a large one is there.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -103,7 +103,10 @@
             dialect, self.authority, self.directory, self.timers
         )
         self.peers = peer_table.PeerTable(
-            settings.instance_id, settings.data_centre, self.timers
+            settings.instance_id,
+            settings.data_centre,
+            self.timers,
+            settings.capacity,
         )
         self.book = enginebook.EngineBook()
         self.health = healths.Health(settings.data_centre)
@@ -120,8 +123,10 @@
         Raises:
           OSError: an address can't be listened on.
         """
+        _logger.info("starting")
         async with contextlib.AsyncExitStack() as stack:
             await self._start(stack)
+            _logger.info("listening")
             await self._become_ready(stop)
             await stop.wait()
             await self._drain()
@@ -152,6 +157,7 @@
             self.peers,
             self.timers,
             self.metrics,
+            settings.capacity,
         )
         await stack.enter_async_context(
             news.open(settings.peers.host, settings.peers.port)
@@ -286,6 +292,7 @@
         finding = asyncio.create_task(self._find_peers(store, news))
         try:
             await asyncio.wait({finding}, timeout=FIND_S)
+            _logger.info("peers listed", extra={"listed": finding.done()})
             # Answers to the first greeting say who reads the store.
             await self.timers.sleep(GREETING_S)
             async with follower.run():
--- a/rhubarblock/exchange/peering/news.py
+++ b/rhubarblock/exchange/peering/news.py
@@ -20,6 +20,7 @@
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import health as healths
 from rhubarblock.routing.placement import enginebook
+from rhubarblock.settings import exchange as settings_lib
 
 # Seconds after which a crash is told once more; told twice within two seconds
 # it counts once.
@@ -54,6 +55,7 @@
         peers: peer_table.PeerTable,
         timers: timer_service.Timers,
         metrics: metric_store.Metrics,
+        capacity: settings_lib.Capacity = settings_lib.UNKNOWN_CAPACITY,
     ):
         """Creates an end that is not open yet.
 
@@ -67,12 +69,19 @@
           peers: the other instances; it learns of them here.
           timers: the clock.
           metrics: counts datagrams by what they tell.
+          capacity: what the machine of this instance can carry.
         """
         self._metrics = metrics
         self._own_id = own_id
         self._prefix = f"{own_id}.{start_id}"
         self._data_centre = data_centre
-        self._greeting = [_GREETING, own_id, data_centre, self._prefix]
+        self._greeting = [
+            _GREETING,
+            own_id,
+            data_centre,
+            self._prefix,
+            [capacity.link_mbps, capacity.cores],
+        ]
         # Jobs of this instance that have not ended, and when they were placed.
         self._own_jobs: dict[str, tuple[enginebook.Job, float]] = {}
         self._book = book
@@ -204,7 +213,8 @@
         now_s: float,
     ) -> None:
         """Learns who speaks; a new start of it runs none of the old jobs."""
-        _, peer.instance_id, peer.data_centre, source = fields
+        _, peer.instance_id, peer.data_centre, source, carries = fields
+        peer.capacity = settings_lib.Capacity(*map(float, carries))
         if source == peer.source:
             return
         if peer.source:
--- a/rhubarblock/exchange/peering/news_test.py
+++ b/rhubarblock/exchange/peering/news_test.py
@@ -186,7 +186,7 @@
         await meet(first, second)
         first.news.tell_placed(JOB)
         await wait_for(lambda: second.book.find("a").jobs)
-        first.news._greeting[-1] = "i1.s2"
+        first.news._greeting[3] = "i1.s2"
         await first.news.greet()
         await wait_for(lambda: not second.book.find("a").jobs)
 
--- a/rhubarblock/exchange/peering/table.py
+++ b/rhubarblock/exchange/peering/table.py
@@ -1,8 +1,9 @@
 """The other instances, as far as this one heard of them.
 
 They are found through the store's list and by their own datagrams. Who has been
-silent counts as gone; among those of a data centre the first by name reads the
-store for the others.
+silent counts as gone; among those of a data centre the one whose machine can
+carry most reads the store for the others: a reader answers all of them, and a
+small link would be full of these answers when its callers need it.
 """
 
 from collections.abc import Callable
@@ -11,6 +12,7 @@
 
 from rhubarblock.fleet import rendezvous
 from rhubarblock.kernel import timers as timer_service
+from rhubarblock.settings import exchange as settings_lib
 
 # Seconds after which an instance that has been silent is not told any more:
 # longer than any cut that is to heal without a new listing.
@@ -44,6 +46,7 @@
       instance_id: its name; empty before it told.
       source: names the start of it that spoke last; empty before it told.
       data_centre: where it runs; empty before it told.
+      capacity: what its machine can carry; nothing before it told.
       distrusted_until_s: until when its state is not relied on.
     """
 
@@ -51,6 +54,7 @@
     instance_id: str = ""
     source: str = ""
     data_centre: str = ""
+    capacity: settings_lib.Capacity = settings_lib.UNKNOWN_CAPACITY
     distrusted_until_s: float = 0.0
 
     def is_alive(self, now_s: float, greetings: int = 1) -> bool:
@@ -69,13 +73,21 @@
 class PeerTable:
     """The peers of one instance, by the address of their datagrams."""
 
-    __slots__ = ("_data_centre", "_own", "_own_id", "_peers", "_timers")
+    __slots__ = (
+        "_capacity",
+        "_data_centre",
+        "_own",
+        "_own_id",
+        "_peers",
+        "_timers",
+    )
 
     def __init__(
         self,
         own_id: str,
         data_centre: str,
         timers: timer_service.Timers,
+        capacity: settings_lib.Capacity = settings_lib.UNKNOWN_CAPACITY,
     ):
         """Starts without peers.
 
@@ -83,7 +95,9 @@
           own_id: name of this instance.
           data_centre: where it runs.
           timers: the clock.
+          capacity: what its machine can carry.
         """
+        self._capacity = capacity
         self._own_id = own_id
         self._data_centre = data_centre
         self._timers = timers
@@ -132,18 +146,18 @@
     def find_reader(self) -> str | None:
         """Returns the address of the peer that reads the store for this one.
 
-        It is the first by name of those in this data centre that are alive,
-        in a large one of the group that this instance belongs to; None says
-        that this instance is the first itself.
+        It is the one that can carry most, and of equals the first by name, of
+        those in this data centre that are alive, in a large one of the group
+        that this instance belongs to; None says that it is this one.
         """
         now_s = self._timers.read_monotonic()
         candidates = [
-            (peer.instance_id, address)
+            (_rank(peer.capacity, peer.instance_id), address)
             for address, peer in self.list_group()
             if peer.is_alive(now_s) and now_s >= peer.distrusted_until_s
         ]
         best = min(candidates, default=None)
-        if best is None or best[0] > self._own_id:
+        if best is None or best[0] > _rank(self._capacity, self._own_id):
             return None
         return "{}:{}".format(*best[1])
 
@@ -202,6 +216,13 @@
                 yield address
 
 
+def _rank(
+    capacity: settings_lib.Capacity, instance_id: str
+) -> tuple[float, float, str]:
+    """Returns what sorts instances, the best reader first."""
+    return -capacity.link_mbps, -capacity.cores, instance_id
+
+
 def _find_group(instance_id: str, groups: int) -> int:
     """Returns the group of an instance among those that ask one reader."""
     if groups == 1:
--- a/rhubarblock/exchange/peering/table_test.py
+++ b/rhubarblock/exchange/peering/table_test.py
@@ -3,6 +3,7 @@
 from rhubarblock.exchange.peering import table as peer_table
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
+from rhubarblock.settings import exchange as settings_lib
 
 FIRST = ("10.0.0.1", 7)
 SECOND = ("10.0.0.2", 7)
@@ -101,3 +102,31 @@
     assert virtualloop.run(find_readers(1)) == {"10.0.0.1:0"}
     assert virtualloop.run(find_readers(31)) == {"10.0.0.1:0"}
     assert 3 <= len(virtualloop.run(find_readers(220))) <= 4
+
+
+def test_peer_that_can_carry_most_is_the_reader():
+    async def step():
+        table = make_table()
+        table.add(*FIRST, "i1", "osu")
+        table.add(*SECOND, "i9", "osu")
+        table.find(SECOND).capacity = settings_lib.Capacity(200.0, 2.0)
+        large = table.find_reader()
+        table.distrust("10.0.0.2:7")
+        return large, table.find_reader()
+
+    assert run(step) == ("10.0.0.2:7", "10.0.0.1:7")
+
+
+def test_of_equal_links_the_faster_machine_reads():
+    async def step():
+        table = peer_table.PeerTable(
+            "i1",
+            "osu",
+            timer_service.LoopTimers(0.0),
+            settings_lib.Capacity(20.0, 2.0),
+        )
+        table.add(*FIRST, "i0", "osu")
+        table.find(FIRST).capacity = settings_lib.Capacity(20.0, 1.0)
+        return table.find_reader()
+
+    assert run(step) is None
--- a/rhubarblock/platform/settings.py
+++ b/rhubarblock/platform/settings.py
@@ -61,6 +61,7 @@
         or _NOWHERE,
         bounds=_read_bounds(reader),
         is_first_start=reader.read_given("bootstrap", _read_flag) or False,
+        capacity=_read_capacity(reader),
     )
     if reader.errors:
         return result.Failure(reader.errors)
@@ -105,6 +106,15 @@
 _NOWHERE = settings_lib.SocketAddress("", 0)
 
 
+def _read_capacity(reader: _Reader) -> settings_lib.Capacity:
+    def read(name: str) -> float:
+        return reader.read_given(f"limits.{name}", _read_positive) or 0.0
+
+    return settings_lib.Capacity(
+        link_mbps=read("linkMbps"), cores=read("cpuShare") * read("cores")
+    )
+
+
 def _read_bounds(reader: _Reader) -> settings_lib.ExchangeBounds:
     usual = settings_lib.ExchangeBounds()
 
--- a/rhubarblock/settings/exchange.py
+++ b/rhubarblock/settings/exchange.py
@@ -62,6 +62,22 @@
         return f"{self.host}:{self.port}"
 
 
+@dataclasses.dataclass(slots=True, frozen=True, order=True)
+class Capacity:
+    """What an instance's machine can carry; the greater can carry more.
+
+    Attributes:
+      link_mbps: bandwidth of its link in Mbit/s; 0 where that is not known.
+      cores: processor cores that it may use; 0 where that is not known.
+    """
+
+    link_mbps: float = 0.0
+    cores: float = 0.0
+
+
+UNKNOWN_CAPACITY = Capacity()
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ExchangeSettings:
     """Everything an instance is told at its start.
@@ -76,6 +92,7 @@
       store: address of the object API.
       bounds: promised bounds.
       is_first_start: whether nothing of the fleet ran before.
+      capacity: what its machine can carry.
     """
 
     instance_id: str
@@ -87,3 +104,4 @@
     store: SocketAddress
     bounds: ExchangeBounds
     is_first_start: bool = False
+    capacity: Capacity = UNKNOWN_CAPACITY
