--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -49,6 +49,8 @@
 LEAVE_S = 2.6
 # Seconds that are kept of the grace for the last bytes and the exit.
 EXIT_S = 0.6
+# Seconds after which a wait for the configuration begins anew.
+LOOK_S = 10.0
 # Seconds between two looks at whether the last request ended.
 CHECK_S = 0.1
 # Seconds for which an idle connection of a caller is kept.
@@ -57,8 +59,8 @@
 TIDY_S = 30.0
 # Seconds between two tries to find peers until the store answered once.
 RETRY_S = 1.0
-# Seconds for which a start waits for the list of its peers, and then for their
-# answers to its greeting.
+# Seconds for which a start waits for the list of its peers, and without it for
+# greetings of them.
 FIND_S = 0.5
 GREETING_S = 0.05
 
@@ -291,10 +293,11 @@
         """Finds peers, for a moment at most, then follows the state."""
         finding = asyncio.create_task(self._find_peers(store, news))
         try:
-            await asyncio.wait({finding}, timeout=FIND_S)
-            _logger.info("peers listed", extra={"listed": finding.done()})
-            # Answers to the first greeting say who reads the store.
-            await self.timers.sleep(GREETING_S)
+            found, _ = await asyncio.wait({finding}, timeout=FIND_S)
+            _logger.info("peers listed", extra={"listed": bool(found)})
+            if not found:
+                # Who greets this one may read the store for it.
+                await self.timers.sleep(GREETING_S)
             async with follower.run():
                 await asyncio.Event().wait()
         finally:
@@ -311,6 +314,7 @@
                 self.settings.instance_id,
                 str(peers),
                 self.settings.data_centre,
+                self.settings.capacity,
             ),
         )
         while True:
@@ -324,16 +328,34 @@
         for stored in page.objects:
             peer = instances.decode_instance(stored.value)
             host, _, port = peer.address.rpartition(":")
-            self.peers.add(host, int(port), peer.instance_id, peer.data_centre)
+            self.peers.add(
+                host,
+                int(port),
+                peer.instance_id,
+                peer.data_centre,
+                peer.capacity,
+            )
         await news.greet()
 
     async def _become_ready(self, stop: asyncio.Event) -> None:
-        """Waits until there is something to serve with."""
-        while not stop.is_set():
-            if self.authority.find_valid() and self.state.listed.is_set():
+        """Waits until there is something to serve with, or for the stop."""
+        stopping = asyncio.create_task(stop.wait())
+        waiting = asyncio.create_task(self._wait_state())
+        try:
+            await asyncio.wait(
+                {stopping, waiting}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if waiting.done():
                 self._log_life(self.life.mark_ready)
-                return
-            await self.timers.sleep(CHECK_S)
+        finally:
+            stopping.cancel()
+            waiting.cancel()
+
+    async def _wait_state(self) -> None:
+        """Waits for endpoints and a configuration that may be used."""
+        await self.state.listed.wait()
+        while await self.authority.wait_valid(LOOK_S) is None:
+            pass
 
     async def _drain(self) -> None:
         """Lets requests end; new connections come until the balancer knows.
--- a/rhubarblock/daemon/listing.py
+++ b/rhubarblock/daemon/listing.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 
+from rhubarblock.core import capacity as capacities
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.store import instances
 from rhubarblock.store import store as stores
@@ -93,11 +94,19 @@
 
 
 def describe_entry(
-    instance_id: str, address: str, data_centre: str
+    instance_id: str,
+    address: str,
+    data_centre: str,
+    capacity: capacities.Capacity = capacities.UNKNOWN,
 ) -> instances.ListedInstance:
     """Returns the line of an entry instance."""
     return instances.ListedInstance(
-        instance_id, address, data_centre, "", instances.InstanceKind.ENTRY
+        instance_id,
+        address,
+        data_centre,
+        "",
+        instances.InstanceKind.ENTRY,
+        capacity=capacity,
     )
 
 
--- a/rhubarblock/exchange/peering/news.py
+++ b/rhubarblock/exchange/peering/news.py
@@ -14,13 +14,13 @@
 import logging
 from typing import Any
 
+from rhubarblock.core import capacity as capacities
 from rhubarblock.exchange.peering import table as peer_table
 from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import health as healths
 from rhubarblock.routing.placement import enginebook
-from rhubarblock.settings import exchange as settings_lib
 
 # Seconds after which a crash is told once more; told twice within two seconds
 # it counts once.
@@ -55,7 +55,7 @@
         peers: peer_table.PeerTable,
         timers: timer_service.Timers,
         metrics: metric_store.Metrics,
-        capacity: settings_lib.Capacity = settings_lib.UNKNOWN_CAPACITY,
+        capacity: capacities.Capacity = capacities.UNKNOWN,
     ):
         """Creates an end that is not open yet.
 
@@ -214,7 +214,7 @@
     ) -> None:
         """Learns who speaks; a new start of it runs none of the old jobs."""
         _, peer.instance_id, peer.data_centre, source, carries = fields
-        peer.capacity = settings_lib.Capacity(*map(float, carries))
+        peer.capacity = capacities.Capacity(*map(float, carries))
         if source == peer.source:
             return
         if peer.source:
--- a/rhubarblock/exchange/peering/table.py
+++ b/rhubarblock/exchange/peering/table.py
@@ -10,9 +10,9 @@
 from collections.abc import Iterator
 import dataclasses
 
+from rhubarblock.core import capacity as capacities
 from rhubarblock.fleet import rendezvous
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.settings import exchange as settings_lib
 
 # Seconds after which an instance that has been silent is not told any more:
 # longer than any cut that is to heal without a new listing.
@@ -54,7 +54,7 @@
     instance_id: str = ""
     source: str = ""
     data_centre: str = ""
-    capacity: settings_lib.Capacity = settings_lib.UNKNOWN_CAPACITY
+    capacity: capacities.Capacity = capacities.UNKNOWN
     distrusted_until_s: float = 0.0
 
     def is_alive(self, now_s: float, greetings: int = 1) -> bool:
@@ -87,7 +87,7 @@
         own_id: str,
         data_centre: str,
         timers: timer_service.Timers,
-        capacity: settings_lib.Capacity = settings_lib.UNKNOWN_CAPACITY,
+        capacity: capacities.Capacity = capacities.UNKNOWN,
     ):
         """Starts without peers.
 
@@ -119,7 +119,12 @@
         return peer
 
     def add(
-        self, host: str, port: int, instance_id: str = "", data_centre: str = ""
+        self,
+        host: str,
+        port: int,
+        instance_id: str = "",
+        data_centre: str = "",
+        capacity: capacities.Capacity = capacities.UNKNOWN,
     ) -> None:
         """Takes in an instance that the store lists.
 
@@ -131,12 +136,13 @@
           port: its port.
           instance_id: its name, if that is known.
           data_centre: where it runs, if that is known.
+          capacity: what its machine can carry, if that is known.
         """
         if (host, port) == self._own or (host, port) in self._peers:
             return
         now_s = self._timers.read_monotonic()
         self._peers[host, port] = Peer(
-            now_s, instance_id, data_centre=data_centre
+            now_s, instance_id, data_centre=data_centre, capacity=capacity
         )
 
     def count_instances(self) -> int:
@@ -217,7 +223,7 @@
 
 
 def _rank(
-    capacity: settings_lib.Capacity, instance_id: str
+    capacity: capacities.Capacity, instance_id: str
 ) -> tuple[float, float, str]:
     """Returns what sorts instances, the best reader first."""
     return -capacity.link_mbps, -capacity.cores, instance_id
--- a/rhubarblock/platform/settings.py
+++ b/rhubarblock/platform/settings.py
@@ -10,6 +10,7 @@
 
 from returns import result
 
+from rhubarblock.core import capacity as capacities
 from rhubarblock.platform import names
 from rhubarblock.settings import exchange as settings_lib
 
@@ -106,11 +107,11 @@
 _NOWHERE = settings_lib.SocketAddress("", 0)
 
 
-def _read_capacity(reader: _Reader) -> settings_lib.Capacity:
+def _read_capacity(reader: _Reader) -> capacities.Capacity:
     def read(name: str) -> float:
         return reader.read_given(f"limits.{name}", _read_positive) or 0.0
 
-    return settings_lib.Capacity(
+    return capacities.Capacity(
         link_mbps=read("linkMbps"), cores=read("cpuShare") * read("cores")
     )
 
--- a/rhubarblock/scripts/edge.py
+++ b/rhubarblock/scripts/edge.py
@@ -1,35 +1,18 @@
 """``rhubarblock edge``: the daemon of an instance on the users' platform.
 
-Run as a module of its own it imports only what it needs: a start is charged.
+``edgestart`` starts the same daemon without what only a command line needs.
 """
 
-import asyncio
-import logging
 import pathlib
-import random
-import signal
 import sys
-import time
 
-import aiohttp
 import click
 from returns import result
 
-from rhubarblock.daemon import exchangeinstance
-from rhubarblock.kernel import logs
-from rhubarblock.kernel import metrics as metric_store
-from rhubarblock.platform import dialect as dialects
-from rhubarblock.platform import names
-from rhubarblock.platform import objectstore
-from rhubarblock.platform import orders
+from rhubarblock.daemon import edge
 from rhubarblock.platform import settings as settings_loader
-from rhubarblock.settings import exchange as settings_lib
 
 CONFIG_STATUS = 2
-# Seconds between two looks at settings that can't be used.
-LOOK_AGAIN_S = 1.0
-
-_logger = logging.getLogger(__name__)
 
 
 @click.command("edge")
@@ -45,8 +28,7 @@
     path = path or settings_loader.find_path()
     if check:
         sys.exit(check_settings(path))
-    logs.configure("DEBUG", sys.stdout)
-    asyncio.run(serve(wait_for_settings(path)))
+    edge.run(path)
 
 
 def check_settings(path: pathlib.Path) -> int:
@@ -57,60 +39,3 @@
     for error in loaded.failure():
         click.echo(str(error), err=True)
     return CONFIG_STATUS
-
-
-def wait_for_settings(path: pathlib.Path) -> settings_lib.ExchangeSettings:
-    """Returns the settings once they can be used.
-
-    Until then nothing listens, so the instance isn't ready; ending would only
-    make the platform start it again and again.
-    """
-    told: list[settings_lib.SettingError] = []
-    while True:
-        loaded = settings_loader.load_settings(path)
-        if isinstance(loaded, result.Success):
-            return loaded.unwrap()
-        errors = loaded.failure()
-        if errors != told:
-            told = errors
-            for error in errors:
-                _logger.error("setting refused", extra={"error": str(error)})
-        time.sleep(LOOK_AGAIN_S)
-
-
-async def serve(settings: settings_lib.ExchangeSettings) -> None:
-    """Runs an instance until a signal asks it to stop.
-
-    Args:
-      settings: checked settings.
-    """
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    # Nothing in the settings is changed while the process runs; the next
-    # start reads them anew.
-    loop.add_signal_handler(
-        signal.SIGHUP, lambda: _logger.info("settings changed")
-    )
-
-    def make_store(
-        session: aiohttp.ClientSession, metrics: metric_store.Metrics
-    ) -> objectstore.PlatformStore:
-        return objectstore.PlatformStore(
-            session, str(settings.store), metrics.count
-        )
-
-    instance = exchangeinstance.ExchangeInstance(
-        settings,
-        dialects.PlatformDialect(),
-        make_store,
-        orders.PlatformLeases,
-        names.ATTEMPT_ID,
-        random.Random(),
-    )
-    await instance.run(stop)
-
-
-if __name__ == "__main__":
-    edge_command()
--- a/rhubarblock/settings/exchange.py
+++ b/rhubarblock/settings/exchange.py
@@ -6,6 +6,8 @@
 
 import dataclasses
 
+from rhubarblock.core import capacity as capacities
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class SettingError:
@@ -62,22 +64,6 @@
         return f"{self.host}:{self.port}"
 
 
-@dataclasses.dataclass(slots=True, frozen=True, order=True)
-class Capacity:
-    """What an instance's machine can carry; the greater can carry more.
-
-    Attributes:
-      link_mbps: bandwidth of its link in Mbit/s; 0 where that is not known.
-      cores: processor cores that it may use; 0 where that is not known.
-    """
-
-    link_mbps: float = 0.0
-    cores: float = 0.0
-
-
-UNKNOWN_CAPACITY = Capacity()
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class ExchangeSettings:
     """Everything an instance is told at its start.
@@ -104,4 +90,4 @@
     store: SocketAddress
     bounds: ExchangeBounds
     is_first_start: bool = False
-    capacity: Capacity = UNKNOWN_CAPACITY
+    capacity: capacities.Capacity = capacities.UNKNOWN
--- a/rhubarblock/store/instances.py
+++ b/rhubarblock/store/instances.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 
+from rhubarblock.core import capacity as capacities
 from rhubarblock.store import store as stores
 from rhubarblock.store import storewire
 
@@ -39,6 +40,7 @@
       service: service of the catalogue; empty for an entry instance.
       kind: what runs there.
       leaving: whether it is about to stop and wants no new work.
+      capacity: what its machine can carry.
     """
 
     instance_id: str
@@ -47,6 +49,7 @@
     service: str
     kind: InstanceKind
     leaving: bool = False
+    capacity: capacities.Capacity = capacities.UNKNOWN
 
 
 class InstanceSource(abc.ABC):
@@ -83,6 +86,8 @@
         service=fields["service"],
         kind=InstanceKind(fields["kind"]),
         leaving=fields["leaving"],
+        # An instance of an earlier release doesn't tell.
+        capacity=capacities.Capacity(**fields.get("capacity", {})),
     )
 
 
