Ask no engine for a part that helps as many as it has slots

From the log lines of all instances: in bursts of long prompts every plan took the same idle engines, which then helped nine to twelve others at once (they have six slots and refuse the next one); the rest were engines that were gone. And a refusal made an instance avoid the engine that was asked as well as the one that refused, and tell peers that a full one was broken.

The refusal is charged to the engine that made it and nobody else, and one that helps many is not told as broken. Lines of refused attempts name it.

--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -137,27 +137,21 @@
         flow: flows.Flow,
         place: placers.Place,
         failure: failures.Failure,
+        blamed_id: str,
     ) -> None:
-        """Takes in that an endpoint did not run an exchange."""
-        self._metrics.count("exchange.refused")
-        self._log(flow, place, failure, "refused")
-        flow.refusals += 1
-        flow.history.note_failure(failure, place.endpoint.endpoint_id)
-
-    def blame_helper(self, place: placers.Place, at_fault: str) -> set[str]:
-        """Takes in which helper made an engine refuse an exchange.
+        """Takes in that an endpoint did not run an exchange.
 
         Args:
-          place: where the exchange went.
-          at_fault: address that the refusal names, or empty.
-
-        Returns:
-          Ids of the helpers that are to be avoided.
+          flow: the exchange.
+          place: where it went.
+          failure: why it ended.
+          blamed_id: the endpoint that refused, which is avoided from now on; a
+            plan of many engines is not given up for one of them.
         """
-        blamed = [e for e in place.helper_engines if e.address == at_fault]
-        for endpoint in blamed:
-            self._suspect(endpoint)
-        return {endpoint.endpoint_id for endpoint in blamed}
+        self._metrics.count("exchange.refused")
+        self._log(flow, place, failure, "refused", blamed_id)
+        flow.refusals += 1
+        flow.history.note_failure(failure, blamed_id)
 
     def note_failed(
         self,
@@ -181,9 +175,9 @@
         else:
             self._metrics.count("exchange.broken")
             self._log(flow, place, failure, "broken")
-            self._suspect(endpoint)
+            self.suspect(endpoint)
 
-    def _suspect(self, endpoint: lists.ListedEndpoint) -> None:
+    def suspect(self, endpoint: lists.ListedEndpoint) -> None:
         """Leaves an endpoint alone and tells peers that use the same way."""
         now_s = self._timers.read_monotonic()
         is_news = self._health.note_broken(
@@ -216,6 +210,7 @@
         place: placers.Place,
         failure: failures.Failure,
         outcome: str,
+        blamed_id: str = "",
     ) -> None:
         """Writes why an attempt did not give its answer."""
         _logger.info(
@@ -223,6 +218,7 @@
             extra={
                 **self._describe(flow, place),
                 "outcome": outcome,
+                "blamed": blamed_id or place.endpoint.endpoint_id,
                 "verdict": failure.verdict.value,
                 "reason": failure.message,
             },
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -56,6 +56,11 @@
     expected_s: float = SERVICE_S
     urgency: int | None = None
 
+    def find_helper(self, address: str) -> lists.ListedEndpoint | None:
+        """Returns the helper at an address, if there is one."""
+        found = (e for e in self.helper_engines if e.address == address)
+        return next(found, None)
+
 
 class Placer:
     """Places the exchanges of one instance."""
@@ -134,12 +139,22 @@
         with self._hold_prompt(exchange, endpoints, model, hurried) as place:
             yield place
 
-    def forget(self, place: Place) -> None:
-        """Takes in that another endpoint has the address of a place now.
+    def forget(self, endpoint: lists.ListedEndpoint) -> None:
+        """Takes in that another endpoint has the address of one now.
 
         It is not used again unless the list names it anew.
         """
-        self._directory.remove(place.endpoint.endpoint_id)
+        self._directory.remove(endpoint.endpoint_id)
+
+    def has_many_helps(
+        self, exchange: exchanges.Exchange, engine: lists.ListedEndpoint
+    ) -> bool:
+        """Says whether an engine helps so many that it may refuse for that."""
+        model = _find_model(exchange)
+        if model is None:
+            return False
+        helped = self._book.find(engine.endpoint_id).count_helped()
+        return 2 * helped >= model.slots
 
     async def tidy(self) -> None:
         """Forgets what is known of endpoints that are not listed any more."""
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -111,14 +111,13 @@
 
             try:
                 await self._run_noted(flow, place, may_leave)
-            except (attempts.RefusedError, leases.LeaseError) as error:
-                self._outcomes.note_refused(flow, place, error.failure)
-                if isinstance(error, leases.LeaseError):
-                    avoid.add(error.endpoint_id)
-                else:
-                    avoid |= self._outcomes.blame_helper(place, error.at_fault)
-                    if error.misdirected:
-                        self._placer.forget(place)
+            except leases.LeaseError as error:
+                self._outcomes.note_refused(
+                    flow, place, error.failure, error.endpoint_id
+                )
+                return error
+            except attempts.RefusedError as error:
+                self._note_refused(flow, place, error)
                 return error
             except transports.AttemptError as error:
                 self._outcomes.note_failed(flow, place, error)
@@ -127,6 +126,24 @@
             self._crashes.note_served(flow.exchange)
             return None
 
+    def _note_refused(
+        self,
+        flow: flows.Flow,
+        place: placers.Place,
+        error: attempts.RefusedError,
+    ) -> None:
+        """Avoids the engine that refused, be it the one asked or a helper."""
+        blamed = place.find_helper(error.at_fault) or place.endpoint
+        self._outcomes.note_refused(
+            flow, place, error.failure, blamed.endpoint_id
+        )
+        if error.misdirected:
+            self._placer.forget(blamed)
+        elif blamed is not place.endpoint and not self._placer.has_many_helps(
+            flow.exchange, blamed
+        ):
+            self._outcomes.suspect(blamed)
+
     def _may_leave(
         self,
         flow: flows.Flow,
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -8,6 +8,7 @@
 from rhubarblock.core import route as routes
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.exchange import fakeparts_test as fakes
+from rhubarblock.exchange import flow as flows
 from rhubarblock.platform import names
 from rhubarblock.routing.placement import enginebook
 
@@ -442,3 +443,36 @@
 
 def test_giant_begins_at_once_where_nothing_is_being_read():
     assert run_giant(0.0) == (0, True)
+
+
+def test_refused_plan_drops_the_helper_and_not_the_engine_that_was_asked():
+    blamed = []
+
+    async def refuse(head, writer):
+        helper = next(x for x in head.split("\r\n") if names.HELPERS in x)
+        blamed.append(helper.split(": ")[1].split(",")[0])
+        await fakes.whole(
+            b"",
+            "503 Service Unavailable",
+            f"{names.NOT_EXECUTED}: 1\r\n{names.AT_SERVER}: {blamed[-1]}\r\n",
+        )(head, writer)
+
+    async def main():
+        endpoints = [
+            fakes.ScriptedEndpoint(refuse, fakes.events(1)) for _ in range(4)
+        ]
+        async with fakes.open_parts(*endpoints, service="pool") as parts:
+            exchange = fakes.make_exchange(
+                STREAM, fakes.ENGINES, prompt_tokens=60_000, answer_tokens=800
+            )
+            flow = flows.Flow(exchange, fakes.MemorySink())
+            error = await parts.relay._try_once(flow)
+            listed = parts.directory.list_usable("pool")
+            addresses = {e.endpoint_id: e.address for e in listed}
+            return error, [
+                addresses[name] for name in flow.history.failed_endpoints
+            ]
+
+    error, avoided = asyncio.run(main())
+    assert error is not None
+    assert avoided == blamed[:1]
--- a/rhubarblock/routing/placement/enginebook.py
+++ b/rhubarblock/routing/placement/enginebook.py
@@ -115,13 +115,15 @@
     Attributes:
       reads: reading that is left, the latest last.
       jobs: what it writes, or will write, by job id.
+      helps: its part of what others write, by job id.
       tokens: tokens of memory in use.
     """
 
-    __slots__ = ("_settled_s", "jobs", "reads", "tokens")
+    __slots__ = ("_settled_s", "helps", "jobs", "reads", "tokens")
 
     def __init__(self) -> None:
         self._settled_s = 0.0
+        self.helps: dict[str, Read] = {}
         self.reads: list[Read] = []
         self.jobs: dict[str, PlacedJob] = {}
         self.tokens = 0
@@ -131,6 +133,12 @@
         """Whether it writes at present, and so reads in long passes."""
         return any(placed.writes for placed in self.jobs.values())
 
+    def count_helped(self) -> int:
+        """Returns how many others it reads or holds memory for at present."""
+        return sum(
+            1 for read in self.helps.values() if read.left_s > 0 or read.tokens
+        )
+
     def settle(self, now_s: float) -> None:
         """Takes off what was read since the last time."""
         spent_s = max(0.0, now_s - self._settled_s)
@@ -202,6 +210,8 @@
             load.settle(now_s)
             load.tokens += part.tokens
             load.reads.append(read)
+            if part.endpoint_id != job.endpoint_id:
+                load.helps[job.job_id] = read
         for part in job.parts:
             for callback in list(self._watchers.get(part.endpoint_id, ())):
                 callback()
@@ -227,6 +237,8 @@
             read.left_s = 0.0
         self._jobs[job.job_id] = copied
         self.find(job.endpoint_id).jobs[job.job_id] = copied
+        for read in copied.reads[1:]:
+            self.find(read.endpoint_id).helps[job.job_id] = read
 
     def copy_reads(
         self, endpoint_id: str, load: EngineLoad, at_s: float
@@ -290,6 +302,7 @@
         for read in placed.reads:
             load = self.find(read.endpoint_id)
             load.tokens -= read.tokens
+            load.helps.pop(job_id, None)
             load.drop(placed)
 
     def remove_source(self, source: str) -> None:
--- a/rhubarblock/routing/placement/engineview.py
+++ b/rhubarblock/routing/placement/engineview.py
@@ -83,6 +83,8 @@
       is_far: whether it stands in another data centre.
       free_slots: places for further requests that write; below 0 where some
         wait for one.
+      free_helps: others that it may read or hold memory for besides; below 0
+        where it does so for too many.
       room: tokens of memory that are free.
     """
 
@@ -95,6 +97,7 @@
     writes: bool
     is_far: bool
     free_slots: int
+    free_helps: int
     room: int
 
     def predict_end(self, read_s: float) -> float:
@@ -199,5 +202,6 @@
         load.writes,
         endpoint.data_centre != data_centre,
         model.slots - len(load.jobs),
+        model.slots - load.count_helped(),
         int(memory_part * model.memory_tokens) - load.tokens,
     )
--- a/rhubarblock/routing/placement/parting_test.py
+++ b/rhubarblock/routing/placement/parting_test.py
@@ -243,3 +243,41 @@
     assert later.find("e00").predict_wait(0.5) == 1.5
     assert book.find("e00").predict_wait(0.25) == 1.75
     assert len(later.find("e00").jobs) == 1
+
+
+def make_helping(book, name, count):
+    """Lets an engine read parts for so many others."""
+    for number in range(count):
+        parts = (
+            enginebook.Part(f"w{number}", 1.0, 5_000),
+            enginebook.Part(name, 1.0),
+        )
+        book.add(enginebook.Job(f"{name}h{number}", parts, 0.8), 0.0)
+
+
+def test_engine_that_helps_many_is_asked_for_no_further_part():
+    # Idle but for the parts that it reads: what long prompts like best.
+    engines = make_engines(5)
+    book = make_book(e01=3, e02=3, e03=3, e04=3)
+    make_helping(book, "e00", MODEL.slots - 1)
+    assert "e00" not in names(choose(book, CASE_FILE, engines))[1:]
+    # Parts that are read are helped with no more.
+    assert "e00" in names(choose(book, CASE_FILE, engines, now_s=20.0))
+
+
+def test_long_prompt_takes_fewer_parts_where_most_engines_help_many():
+    engines = make_engines(6)
+    book = make_book()
+    for number in range(1, 5):
+        make_helping(book, f"e{number:02d}", MODEL.slots)
+    assert len(names(choose(book, CASE_FILE, engines))) <= 2
+
+
+def test_engine_that_holds_memory_for_another_helps_until_that_ends():
+    book = make_book()
+    parts = (enginebook.Part("e00", 0.1, 5_000), enginebook.Part("e01", 0.1, 9))
+    book.add(enginebook.Job("holder", parts, 0.8), 0.0)
+    book.find("e01").settle(5.0)
+    during = book.find("e01").count_helped()
+    book.remove("holder")
+    assert (during, book.find("e01").count_helped()) == (1, 0)
--- a/rhubarblock/routing/placement/partplan.py
+++ b/rhubarblock/routing/placement/partplan.py
@@ -32,8 +32,8 @@
 # Costs within the same step, in short prompts, are alike when engines are
 # ranked: predictions are no better than that.
 COST_STEP = 0.25
-# Free slots of an engine that are left for what other instances place there at
-# the same moment.
+# Free slots of an engine, to write or to help, that are left for what other
+# instances place there at the same moment.
 LAST_SLOTS = 1
 # Free slots up to which engines are alike to a short prompt: the last ones, and
 # two to spread over, so that those who choose at once take different engines.
@@ -200,6 +200,8 @@
         if first is None:
             return None
         parts = [first, *self._choose_helpers(first)]
+        if len(parts) < self._count:
+            return None
         tokens = _share_memory(parts, self._needed)
         if tokens is None:
             return None
@@ -225,8 +227,16 @@
     def _choose_helpers(
         self, first: engineview.EngineView
     ) -> list[engineview.EngineView]:
-        """Returns the engines of the other parts, the best ones there are."""
-        others = [view for view in self._views if view is not first]
+        """Returns the engines of the other parts, the best ones there are.
+
+        An engine helps as many others as it has slots and refuses the next
+        one, and with it the whole plan.
+        """
+        others = [
+            view
+            for view in self._views
+            if view is not first and view.free_helps > LAST_SLOTS
+        ]
         others.sort(key=lambda view: _rank_long(view, self._find_harm(view)))
         return others[: self._count - 1]
 
