Hold less than half of an engine's memory whatever its size

Cause: what one of several engines holds of a prompt was 200,000 tokens at the most, "less than half of its memory", which is three quarters where an engine holds 267,750: two such prompts did not fit side by side.

Ways: the constant; and 0.45 of the memory that the configuration names.

--- a/rhubarblock/plugins/least_requests.py
+++ b/rhubarblock/plugins/least_requests.py
@@ -38,7 +38,7 @@
     needed = prompt.prompt_tokens + prompt.answer_tokens
     if needed <= partplan.MEMORY_PART * model.memory_tokens:
         return 1
-    return -(-needed // partplan.LEASE_TOKENS)
+    return -(-needed // partplan.limit_lease(model))
 
 
 def choose_least(
--- a/rhubarblock/routing/placement/parting_test.py
+++ b/rhubarblock/routing/placement/parting_test.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import pytest
+
 from rhubarblock.core import listed
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.routing.placement import enginebook
@@ -130,7 +132,7 @@
     choice = choose(make_book(), huge, make_engines(14))
     held = [part.tokens for part in choice.job.parts]
     assert sum(held) == 801_600
-    assert max(held) <= partplan.LEASE_TOKENS
+    assert max(held) <= partplan.LEASE_PART * MODEL.memory_tokens
     assert held[0] > 0
 
 
@@ -281,3 +283,24 @@
     during = book.find("e01").count_helped()
     book.remove("holder")
     assert (during, book.find("e01").count_helped()) == (1, 0)
+
+
+@pytest.mark.parametrize("scale", [0.25, 0.5, 1.0, 2.0, 4.0])
+def test_two_prompts_larger_than_an_engine_fit_whatever_its_memory(scale):
+    # Four engines have memory for both; each takes a part of the first.
+    tokens = int(1.5 * scale * MODEL.memory_tokens)
+    model = dataclasses.replace(
+        MODEL, memory_tokens=int(scale * MODEL.memory_tokens)
+    )
+    engines = make_engines(4)
+    book = make_book()
+    parter = parting.Parter(book, "osu")
+    giant = make_prompt(tokens, 0.8, 30.0)
+    first = parter.choose(giant, engines, model, 0.0)
+    book.add(first.job, 0.0)
+    second = parter.choose(
+        dataclasses.replace(giant, job_id="second"), engines, model, 0.0
+    )
+    held = [part.tokens for part in first.job.parts]
+    assert max(held) < model.memory_tokens / 2
+    assert second is not None
--- a/rhubarblock/routing/placement/partplan.py
+++ b/rhubarblock/routing/placement/partplan.py
@@ -41,9 +41,9 @@
 # Part of an engine's memory that placed work may fill; the rest takes what
 # other instances place at the same moment.
 MEMORY_PART = 0.95
-# Most tokens of one prompt that an engine holds while others hold more of it:
-# less than half of its memory, so that two such prompts fit side by side.
-LEASE_TOKENS = 200_000
+# Most of an engine's memory that one prompt takes while others hold more of it:
+# less than half, so that two such prompts fit side by side.
+LEASE_PART = 0.45
 
 
 @dataclasses.dataclass(slots=True)
@@ -175,7 +175,15 @@
 class _Draft:
     """One number of parts of a prompt, and what a part costs at each engine."""
 
-    __slots__ = ("_count", "_harms", "_needed", "_prompt", "_read_s", "_views")
+    __slots__ = (
+        "_count",
+        "_harms",
+        "_most_held",
+        "_needed",
+        "_prompt",
+        "_read_s",
+        "_views",
+    )
 
     def __init__(
         self,
@@ -188,6 +196,7 @@
         self._views = views
         self._count = count
         self._needed = prompt.prompt_tokens + prompt.answer_tokens
+        self._most_held = limit_lease(model)
         self._read_s = model.predict_read(prompt.prompt_tokens, count)
         self._harms = {
             view.endpoint.endpoint_id: view.weigh(self._read_s)
@@ -202,7 +211,7 @@
         parts = [first, *self._choose_helpers(first)]
         if len(parts) < self._count:
             return None
-        tokens = _share_memory(parts, self._needed)
+        tokens = _share_memory(parts, self._needed, self._most_held)
         if tokens is None:
             return None
         read_s = self._read_s
@@ -271,7 +280,7 @@
 
 
 def _share_memory(
-    parts: list[engineview.EngineView], needed: int
+    parts: list[engineview.EngineView], needed: int, most_held: int
 ) -> list[int] | None:
     """Returns the tokens that each engine of a plan holds.
 
@@ -281,16 +290,21 @@
     if parts[0].room >= needed:
         return [needed, *[0] * (len(parts) - 1)]
     tokens = [0] * len(parts)
-    tokens[0] = min(parts[0].room, LEASE_TOKENS)
+    tokens[0] = min(parts[0].room, most_held)
     rest = needed - tokens[0]
     by_room = sorted(range(1, len(parts)), key=lambda i: -parts[i].room)
     for index in by_room:
-        taken = max(0, min(rest, parts[index].room, LEASE_TOKENS))
+        taken = max(0, min(rest, parts[index].room, most_held))
         tokens[index] = taken
         rest -= taken
     return tokens if rest <= 0 and tokens[0] > 0 else None
 
 
+def limit_lease(model: routes.EngineModel) -> int:
+    """Returns the most tokens of a prompt that one of several engines holds."""
+    return int(LEASE_PART * model.memory_tokens)
+
+
 def _list_counts(
     prompt: prompts.Prompt, model: routes.EngineModel, engines: int
 ) -> list[int]:
@@ -303,7 +317,7 @@
     most = max(1, int(whole_s / SMALL_READ_S))
     needed = prompt.prompt_tokens + prompt.answer_tokens
     if needed > MEMORY_PART * model.memory_tokens:
-        most = max(most, 2 * math.ceil(needed / LEASE_TOKENS))
+        most = max(most, 2 * math.ceil(needed / limit_lease(model)))
     most = min(MAX_PARTS, engines, most)
     return [n for n in COUNTS if n <= most]
 
