--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -128,6 +128,8 @@
                 "prompt_tokens": exchange.prompt_tokens,
                 "first_s": round(first_s, 3),
                 "longest_pause_s": round(flow.progress.longest_pause_s, 3),
+                "objective_s": exchange.route.objective_s,
+                "pause_s": exchange.route.pause_s,
                 "failed_attempts": flow.history.attempts,
             },
         )
--- a/rhubarblock/scripts/counts.py
+++ b/rhubarblock/scripts/counts.py
@@ -14,7 +14,7 @@
 import click
 
 from rhubarblock.kernel import countlog
-from rhubarblock.scripts import explain
+from rhubarblock.loganalysis import lines as log_lines
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -34,7 +34,7 @@
     busiest: float
 
 
-def sum_counts(lines: Iterable[explain.Line]) -> list[Row]:
+def sum_counts(lines: Iterable[log_lines.Line]) -> list[Row]:
     """Returns a row for each counter, in order of their names.
 
     Args:
@@ -67,9 +67,9 @@
     )
 
 
-def _list_starts(lines: Iterable[explain.Line]) -> Iterator[explain.Line]:
+def _list_starts(lines: Iterable[log_lines.Line]) -> Iterator[log_lines.Line]:
     """Gives the last counters of each start of each instance."""
-    latest: dict[str, explain.Line] = {}
+    latest: dict[str, log_lines.Line] = {}
     for line in lines:
         if line.message != countlog.MESSAGE or not line.fields.get("up_s"):
             continue
@@ -101,7 +101,7 @@
 )
 def counts_command(files: tuple[pathlib.Path, ...]) -> None:
     """Sums what instances count, from their logs."""
-    rows = sum_counts(explain.read_lines(files))
+    rows = sum_counts(log_lines.read_lines(files))
     if not rows:
         raise click.ClickException("no line of the logs holds counters")
     click.echo("\n".join(format_rows(rows)))
--- /dev/null
+++ b/rhubarblock/scripts/losses_test.py
@@ -0,0 +1,156 @@
+"""What a day's logs say of requests that fared badly."""
+
+import json
+
+from click import testing
+
+from rhubarblock.scripts import losses
+
+
+def line(at_s, instance, message, **fields):
+    return f"{at_s:9.4f} {instance} " + json.dumps(
+        {"time": "x", "message": message, **fields}
+    )
+
+
+def placed(at_s, instance, request, endpoint, **fields):
+    usual = {
+        "workspace": "w1",
+        "data_centre": "osu",
+        "parts": 1,
+        "expected_s": 0.1,
+        "since_arrival_s": 0.0,
+        "engines": [],
+        "prompt_tokens": 5000,
+        "left_s": 10.0,
+    }
+    fields = {"request": request, "endpoint": endpoint, **usual, **fields}
+    return line(at_s, instance, "placed", **fields)
+
+
+def served(at_s, instance, request, message="served late", **fields):
+    fields = {"first_s": 0.1, "longest_pause_s": 0.05, **fields}
+    return line(at_s, instance, message, request=request, **fields)
+
+
+def ended(at_s, instance, request, reason, parts=1, outcome="broken"):
+    return line(
+        at_s,
+        instance,
+        "attempt ended",
+        request=request,
+        reason=reason,
+        parts=parts,
+        outcome=outcome,
+        since_arrival_s=0.1,
+    )
+
+
+def failed(at_s, instance, request, code, reason="r", **fields):
+    fields = {"verdict": "MAY_HAVE_RUN", "begun": False, **fields}
+    return line(
+        at_s,
+        instance,
+        "request failed",
+        request=request,
+        code=code,
+        reason=reason,
+        **fields,
+    )
+
+
+DAY = [
+    "day trouble-1 is played",
+    line(0.0, "i1", "starting"),
+    line(0.0, "i2", "starting"),
+    # Served in time, and a request of the caller's own fault.
+    placed(2.0, "i1", "q1", "e1"),
+    served(2.4, "i1", "q1", "served"),
+    failed(2.5, "i1", "q2", "unauthenticated"),
+    # Its engine got a long prompt before it had begun.
+    placed(4.0, "i1", "q3", "e1"),
+    placed(4.1, "i2", "q4", "e9", engines=["e1"], prompt_tokens=400_000),
+    served(5.5, "i1", "q3", first_s=1.2),
+    served(7.0, "i2", "q4", "served", first_s=2.0),
+    # The same while it was being written.
+    placed(8.0, "i1", "q5", "e2"),
+    placed(8.5, "i2", "q6", "e2", prompt_tokens=50_000),
+    served(9.9, "i1", "q5", longest_pause_s=0.9),
+    served(9.0, "i2", "q6", "served"),
+    # Engines refused a prompt in parts; no connection could be opened.
+    placed(10.0, "i2", "q7", "e3", engines=["e4"], parts=2),
+    ended(10.1, "i2", "q7", "the endpoint refused it with 503", 2, "refused"),
+    failed(10.2, "i2", "q7", "no_endpoint", verdict="NOT_RUN"),
+    ended(11.0, "i2", "q8", "Connection timeout to host http://e5"),
+    failed(11.1, "i2", "q8", "endpoint_failed", begun=True),
+    # A start has no configuration yet; an old instance none that is confirmed.
+    line(12.0, "i3", "starting"),
+    failed(12.2, "i3", "q9", "platform_unavailable", verdict="NOT_RUN"),
+    failed(12.3, "i1", "q10", "platform_unavailable", verdict="NOT_RUN"),
+    # Slow for no reason that is known, and the best that there was.
+    placed(14.0, "i1", "q11", "e6"),
+    served(15.0, "i1", "q11", first_s=0.9),
+    placed(14.0, "i1", "q12", "e7", expected_s=0.8),
+    served(15.0, "i1", "q12", first_s=0.85),
+    # Moved, left by its caller, and lost with its instance.
+    ended(
+        16.0,
+        "i1",
+        "q13",
+        "the engine reads for others for too long",
+        1,
+        "moved",
+    ),
+    served(16.5, "i1", "q13", "served"),
+    placed(17.0, "i1", "q14", "e7", left_s=1.0),
+    placed(18.0, "i2", "q15", "e7"),
+    line(19.0, "i2", "starting"),
+    line(30.0, "i1", "counters"),
+    '  30.1 i1 {"time": "x", "mess',
+]
+
+def run(tmp_path, *options, lines=DAY):
+    path = tmp_path / "all.log"
+    path.write_text("\n".join(lines) + "\n")
+    result = testing.CliRunner().invoke(
+        losses.losses_command, [str(path), *options]
+    )
+    assert result.exit_code == 0, result.output
+    return result.output
+
+
+def test_causes_are_told_apart(tmp_path):
+    told = json.loads(run(tmp_path, "--json"))
+    assert told["by_cause"] == {
+        "cut: no connection could be opened": 1,
+        "cut: the instance was lost": 1,
+        "failed: the caller left, or no line tells the end": 1,
+        "late: no better place when it came": 1,
+        "late: overtaken by later reading": 1,
+        "late: paused by other reading": 1,
+        "late: slower than predicted": 1,
+        "moved: paused by other reading": 1,
+        "refused: an engine refused it": 1,
+        "refused: no confirmed configuration": 1,
+        "refused: the instance had just started": 1,
+    }
+    assert (told["requests"], told["skipped"]) == (15, 2)
+
+
+def test_order_of_the_logs_means_nothing(tmp_path):
+    by_instance = sorted(DAY, key=lambda text: "i2" in text)
+    assert run(tmp_path, lines=by_instance) == run(tmp_path)
+
+
+def test_picture_has_a_bar_for_each_cause_of_a_window(tmp_path):
+    picture = tmp_path / "day.svg"
+    run(tmp_path, "--picture", str(picture))
+    text = picture.read_text()
+    assert text.startswith("<svg ") and text.endswith("</svg>\n")
+    assert "<title>4 s: overtaken by later reading</title>" in text
+
+
+def test_logs_of_nothing_are_told_as_such(tmp_path):
+    assert run(tmp_path, lines=["day quiet-1 is played"]).startswith(
+        "0 requests, 0 fared badly, 1 lines passed over\n"
+    )
--- a/rhubarblock/scripts/main.py
+++ b/rhubarblock/scripts/main.py
@@ -13,6 +13,7 @@
 from rhubarblock.scripts import drain
 from rhubarblock.scripts import edge
 from rhubarblock.scripts import explain
+from rhubarblock.scripts import losses
 from rhubarblock.scripts import measure
 from rhubarblock.scripts import report
 from rhubarblock.scripts import serve
@@ -36,6 +37,7 @@
     demo.demo_command,
     drain.drain_command,
     edge.edge_command,
+    losses.losses_command,
     explain.explain_command,
     measure.measure_group,
     report.report_command,
