Learn the name of a peer that spoke before it was listed

Cause: an instance that heard of a peer by a datagram before the store's list named it kept it without a name until its next greeting, up to 24 s, so the reader of its data centre was unknown to it: it asked an instance that is no reader, found its state too old and read the store itself. Seen at three of 25 instances of a data centre after a loss of all.

Change: the list gives a peer that is known without a name its name.

Test: peering/table_test.py, failed before.

--- a/rhubarblock/exchange/peering/table.py
+++ b/rhubarblock/exchange/peering/table.py
@@ -113,7 +113,7 @@
         return self._peers.get(address)
 
     def note_unknown(self, address: Address) -> Peer:
-        """Takes in a peer that spoke before the store told of it."""
+        """Takes in a peer whose name is not known yet."""
         peer = Peer(self._timers.read_monotonic())
         self._peers[address] = peer
         return peer
@@ -138,12 +138,16 @@
           data_centre: where it runs, if that is known.
           capacity: what its machine can carry, if that is known.
         """
-        if (host, port) == self._own or (host, port) in self._peers:
+        if (host, port) == self._own:
             return
-        now_s = self._timers.read_monotonic()
-        self._peers[host, port] = Peer(
-            now_s, instance_id, data_centre=data_centre, capacity=capacity
-        )
+        peer = self._peers.get((host, port))
+        if peer is None:
+            peer = self.note_unknown((host, port))
+        if not peer.instance_id:
+            # It may have told of work before it told its name.
+            peer.instance_id = instance_id
+            peer.data_centre = data_centre
+            peer.capacity = capacity
 
     def count_instances(self) -> int:
         """Returns how many instances there are, this one included."""
--- a/rhubarblock/exchange/peering/table_test.py
+++ b/rhubarblock/exchange/peering/table_test.py
@@ -130,3 +130,13 @@
         return table.find_reader()
 
     assert run(step) is None
+
+
+def test_peer_that_spoke_before_it_was_listed_may_be_the_reader():
+    async def step():
+        table = make_table()
+        table.note_unknown(FIRST)
+        table.add(*FIRST, "i1", "osu")
+        return table.find_reader()
+
+    assert run(step) == "10.0.0.1:7"
--- a/rhubarblock/scripts/losses_test.py
+++ b/rhubarblock/scripts/losses_test.py
@@ -109,6 +109,7 @@
     '  30.1 i1 {"time": "x", "mess',
 ]
 
+
 def run(tmp_path, *options, lines=DAY):
     path = tmp_path / "all.log"
     path.write_text("\n".join(lines) + "\n")
