Ask half as many engines after each refusal

Ways: the same number of parts again (what stood), and half as many after each refusal, but never fewer than hold the prompt.

Test: routing/placement/parting_test.py.

--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -116,6 +116,7 @@
         exchange: exchanges.Exchange,
         avoid: set[str],
         hurried: bool = False,
+        refusals: int = 0,
     ) -> Iterator[Place | None]:
         """Places an attempt and keeps it in the books while it lasts.
 
@@ -123,6 +124,7 @@
           exchange: what is to be sent.
           avoid: endpoints that failed it.
           hurried: whether the caller is within a stream already.
+          refusals: attempts that an endpoint refused.
 
         Yields:
           Where it goes, or None if there is no room anywhere.
@@ -136,9 +138,18 @@
             with self._hold_call(endpoints) as place:
                 yield place
             return
-        with self._hold_prompt(exchange, endpoints, model, hurried) as place:
+        now_s = self._timers.read_monotonic()
+        prompt = dataclasses.replace(
+            _describe(exchange, self._make_job_id(), hurried, now_s),
+            refusals=refusals,
+        )
+        with self._hold_prompt(prompt, endpoints, model, now_s) as place:
             yield place
 
+    def _make_job_id(self) -> str:
+        self._numbers += 1
+        return self._news.make_job_id(self._numbers)
+
     def forget(self, endpoint: lists.ListedEndpoint) -> None:
         """Takes in that another endpoint has the address of one now.
 
@@ -310,16 +321,12 @@
     @contextlib.contextmanager
     def _hold_prompt(
         self,
-        exchange: exchanges.Exchange,
+        prompt: prompts.Prompt,
         endpoints: list[lists.ListedEndpoint],
         model: routes.EngineModel,
-        hurried: bool,
+        now_s: float,
     ) -> Iterator[Place | None]:
-        now_s = self._timers.read_monotonic()
         self._book.expire(now_s)
-        self._numbers += 1
-        job_id = self._news.make_job_id(self._numbers)
-        prompt = _describe(exchange, job_id, hurried, now_s)
         choice = self._parter.choose(prompt, endpoints, model, now_s)
         if choice is None:
             yield None
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -101,7 +101,9 @@
         avoid = flow.history.failed_endpoints
         await self._wait_for_room(flow)
         await self._wait_for_start(flow)
-        with self._placer.hold(flow.exchange, avoid, flow.sink.begun) as place:
+        with self._placer.hold(
+            flow.exchange, avoid, flow.sink.begun, flow.refusals
+        ) as place:
             if place is None:
                 raise _give_up(flow, "no endpoint has room")
             self._outcomes.note_placed(flow, place)
--- a/rhubarblock/routing/placement/parting_test.py
+++ b/rhubarblock/routing/placement/parting_test.py
@@ -304,3 +304,20 @@
     held = [part.tokens for part in first.job.parts]
     assert max(held) < model.memory_tokens / 2
     assert second is not None
+
+
+def test_refused_prompt_asks_half_as_many_engines_next():
+    counts = []
+    for refusals in range(4):
+        prompt = dataclasses.replace(CASE_FILE, refusals=refusals)
+        counts.append(len(names(choose(make_book(), prompt, make_engines(20)))))
+    assert counts[0] > 8
+    assert [b <= a / 2 for a, b in zip(counts, counts[1:], strict=False)] == [
+        True
+    ] * 3
+
+
+def test_refused_prompt_that_no_engine_holds_alone_is_still_parted():
+    huge = dataclasses.replace(make_prompt(800_000, 0.8, 3.0), refusals=3)
+    choice = choose(make_book(), huge, make_engines(14))
+    assert sum(part.tokens for part in choice.job.parts) == 801_600
--- a/rhubarblock/routing/placement/partplan.py
+++ b/rhubarblock/routing/placement/partplan.py
@@ -311,10 +311,12 @@
     """Returns the numbers of parts that are worth looking at.
 
     A prompt that is soon read is not parted much, unless one engine can't hold
-    it.
+    it. Nor is one whose plans were refused: any engine of a plan may refuse it,
+    so that half as many are half as likely to.
     """
     whole_s = model.predict_read(prompt.prompt_tokens)
-    most = max(1, int(whole_s / SMALL_READ_S))
+    most = min(MAX_PARTS, int(whole_s / SMALL_READ_S))
+    most = max(1, most >> prompt.refusals)
     needed = prompt.prompt_tokens + prompt.answer_tokens
     if needed > MEMORY_PART * model.memory_tokens:
         most = max(most, 2 * math.ceil(needed / limit_lease(model)))
--- a/rhubarblock/routing/placement/prompt.py
+++ b/rhubarblock/routing/placement/prompt.py
@@ -19,6 +19,7 @@
       waited_s: seconds since its arrival.
       hurried: whether its caller is within a stream already, so that each
         hundredth of a second counts.
+      refusals: plans of it that an engine refused.
     """
 
     job_id: str
@@ -28,6 +29,7 @@
     objective_s: float
     hurried: bool = False
     waited_s: float = 0.0
+    refusals: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
