--- a/rhubarblock/exchange/peering/table.py
+++ b/rhubarblock/exchange/peering/table.py
@@ -26,12 +26,11 @@
 MOST_ASKED = 4
 # Seconds between two signs of life of an instance that has nothing to tell, to
 # peers that may choose it as their reader, and how many of these go by between
-# two to others, which only need to know that it is there. With 2 s and 8 the
-# greetings were 29 of 64 datagrams that each of 195 instances sent a second.
+# two to others, which only need to know that it is there.
 GREETING_S = 6.0
 FAR_GREETINGS = 4
-# Most instances that ask one reader of the store. Each asks one to three times
-# a second, and an answer takes it half a millisecond: 5% of a core for 64.
+# Most instances that ask one reader of the store, so that its answers leave
+# its processor to its own callers.
 READER_PEERS = 64
 
 Address = tuple[str, int]
--- a/rhubarblock/exchange/state/follower.py
+++ b/rhubarblock/exchange/state/follower.py
@@ -39,9 +39,7 @@
 OTHERS_WAIT_S = 1.0
 # Part of the same time for which nothing is asked after changes of the list: at
 # a start of all every endpoint enters it, a rolling replacement changes some
-# each second, and each answer is charged. Five readers asked 120 times in 50 s
-# with 195 instances; nine that paused 0.1 s after every second answer 827 times
-# in 34 s.
+# each second, and each answer is charged.
 CHANGES_PART = 0.1
 # Longest seconds in which the changes of one answer are taken in: a question
 # and its answer take longer.
--- a/rhubarblock/exchange/state/subset.py
+++ b/rhubarblock/exchange/state/subset.py
@@ -18,9 +18,7 @@
 from rhubarblock.fleet import rendezvous
 
 # Engines of a pool that an instance uses: those of a data centre with 39, and a
-# few of others for when these are full or lost. On the engine model 195
-# instances earn 0.979 of their worth with 48, 0.974 with 32 and 0.971 with 96
-# (one play each); 96 that are drawn from all are told of twice as much.
+# few of others for when these are full or lost. More would be told of more.
 ENGINES_EACH = 48
 
 # Says whether an instance, by its name and its data centre, is meant.
--- a/rhubarblock/routing/placement/engineview.py
+++ b/rhubarblock/routing/placement/engineview.py
@@ -121,9 +121,8 @@
     def weigh_pauses(self, read_s: float) -> float:
         """Returns what a part costs those whose answers are written here.
 
-        Those that are predicted to be late already count as well: leaving them
-        out let further parts come and cost 0.005 of the worth on the engine
-        model (six plays of six loads each), as predictions err.
+        Those that are predicted to be late already count as well: predictions
+        err, and further parts would come to where they are.
         """
         cost = 0.0
         calm_s = self.stride_s + self.joint_s
--- a/rhubarblock/routing/placement/partplan.py
+++ b/rhubarblock/routing/placement/partplan.py
@@ -145,8 +145,7 @@
 
         Engines are looked at in the order in which they are preferred where
         all cost the same, until one costs nothing: most of the time that is
-        the first, and no other could be better. A choice among 195 engines so
-        takes 0.75 ms instead of 5.9 (benchmarks/placement.py, beside load).
+        the first, and no other could be better.
         """
         best: Plan | None = None
         least: tuple[int, int] | None = None
@@ -348,8 +347,7 @@
     But whoever comes to an engine whose last slot was taken meanwhile waits for
     one, and news of a placement takes some milliseconds to reach all. So the
     last slot is left where there is another engine, and those that have few
-    are alike: of two hundred instances' short prompts 0.954 instead of 0.997
-    were in time where all took the fullest engine (engine model, two plays).
+    are alike.
     """
     return (
         is_far,
