Read what another release tells of an instance's machine

Cause: a field that this release doesn't know, or lacks, in the line of another instance would have ended the search for peers with an error.

Change: what is known is read, all else is passed over.

--- a/rhubarblock/store/instances.py
+++ b/rhubarblock/store/instances.py
@@ -7,9 +7,11 @@
 """
 
 import abc
+from collections.abc import Mapping
 import dataclasses
 import enum
 import json
+from typing import Any
 
 import aiohttp
 
@@ -86,8 +88,15 @@
         service=fields["service"],
         kind=InstanceKind(fields["kind"]),
         leaving=fields["leaving"],
-        # An instance of an earlier release doesn't tell.
-        capacity=capacities.Capacity(**fields.get("capacity", {})),
+        capacity=_decode_capacity(fields.get("capacity", {})),
+    )
+
+
+def _decode_capacity(fields: Mapping[str, Any]) -> capacities.Capacity:
+    """Reads what is known; an instance of an earlier release tells nothing."""
+    return capacities.Capacity(
+        link_mbps=float(fields.get("link_mbps", 0.0)),
+        cores=float(fields.get("cores", 0.0)),
     )
 
 
