--- a/Makefile
+++ b/Makefile
@@ -42,5 +42,4 @@
 
 proto:
 	cd . && find rhubarblock -name '*.proto' | xargs $(BIN)/python -m grpc_tools.protoc \
-	  -I . --python_out=. --pyi_out=. --grpc_python_out=.
-	find rhubarblock -name '*_pb2_grpc.py' -size -1k -delete
+	  -I . --python_out=. --pyi_out=.
