--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 
 from rhubarblock.daemon import listener as listeners
-from rhubarblock.daemon import listing
+from rhubarblock.daemon import peersearch
 from rhubarblock.exchange import attempts
 from rhubarblock.exchange import candidates
 from rhubarblock.exchange import crashes
@@ -41,7 +41,6 @@
 from rhubarblock.routing import health as healths
 from rhubarblock.routing.placement import enginebook
 from rhubarblock.settings import exchange as settings_lib
-from rhubarblock.store import instances
 from rhubarblock.store import store as stores
 
 # Seconds after the signal to stop for which new connections are still taken:
@@ -57,8 +56,6 @@
 KEEPALIVE_S = 20.0
 # Seconds between two times at which endpoints that left are forgotten.
 TIDY_S = 30.0
-# Seconds between two tries to find peers until the store answered once.
-RETRY_S = 1.0
 # Seconds for which a start waits for the list of its peers, and without it for
 # greetings of them.
 FIND_S = 0.5
@@ -291,7 +288,10 @@
         follower: followers.StoreFollower,
     ) -> None:
         """Finds peers, for a moment at most, then follows the state."""
-        finding = asyncio.create_task(self._find_peers(store, news))
+        search = peersearch.PeerSearch(
+            self.settings, store, self.peers, news, self.timers
+        )
+        finding = asyncio.create_task(search.run())
         try:
             found, _ = await asyncio.wait({finding}, timeout=FIND_S)
             _logger.info("peers listed", extra={"listed": bool(found)})
@@ -303,40 +303,6 @@
         finally:
             finding.cancel()
 
-    async def _find_peers(
-        self, store: stores.ObjectStore, news: news_lib.News
-    ) -> None:
-        """Enters the list of instances and greets the others in it."""
-        peers = self.settings.peers
-        own = listing.Listing(
-            store,
-            listing.describe_entry(
-                self.settings.instance_id,
-                str(peers),
-                self.settings.data_centre,
-                self.settings.capacity,
-            ),
-        )
-        while True:
-            try:
-                page = await own.enter(self.settings.is_first_start)
-            except stores.StoreError as error:
-                _logger.debug("peers can't be listed: %s", error)
-                await self.timers.sleep(RETRY_S)
-                continue
-            break
-        for stored in page.objects:
-            peer = instances.decode_instance(stored.value)
-            host, _, port = peer.address.rpartition(":")
-            self.peers.add(
-                host,
-                int(port),
-                peer.instance_id,
-                peer.data_centre,
-                peer.capacity,
-            )
-        await news.greet()
-
     async def _become_ready(self, stop: asyncio.Event) -> None:
         """Waits until there is something to serve with, or for the stop."""
         stopping = asyncio.create_task(stop.wait())
