Confirm no newer version by what the store gave before

Cause: the text that the store gave last was kept to see at one look that it gives the same. Since changes come from peers it may be older than the configuration in force, and the same old text would then have confirmed the newer one: its lease, which bounds how long a removed key is used, would have been extended by a read that did not find it. Linearizable reads don't give such a text; a store that does must not extend a lease.

Change: the text is forgotten when another version comes into force. Test first (history_test.py).

--- a/rhubarblock/exchange/state/book.py
+++ b/rhubarblock/exchange/state/book.py
@@ -198,6 +198,8 @@
         if not self._authority.install(table, asked_s):
             return True
         self._document = document
+        # What the store gave before confirms an older version only.
+        self._value = b""
         self._history.note(difference)
         _logger.info(
             "configuration in force",
--- a/rhubarblock/exchange/state/history_test.py
+++ b/rhubarblock/exchange/state/history_test.py
@@ -123,3 +123,17 @@
     other = documents.Identity(story.version, 12345)
     change = story.readers[0].book.find_difference(other)
     assert change.before == documents.NOTHING
+
+
+def test_what_the_store_gave_before_confirms_no_newer_version():
+    story = Story()
+    old = fakes.table(1, "k0")
+    story.asker.book.take_configuration(old, 100.0)
+    story.write("k1")
+    story.read(0)
+    story.ask(0)
+    story.take(0)
+    story.asker.book.take_configuration(old, 104.0)
+    story.clock.now_s = 105.0
+    assert story.asker.authority.version == 3
+    assert story.asker.authority.age_s == 5.0
