--- a/rhubarblock/loganalysis/causes.py
+++ b/rhubarblock/loganalysis/causes.py
@@ -158,15 +158,19 @@
         return Cause.NOT_CONFIRMED, ""
     attempts = story.list_attempts()
     if attempts:
-        return _read_reason(attempts[0])
+        # A failure was sealed by the last attempt, lateness began with the
+        # first one.
+        is_failed = end.message == stories.FAILED
+        return read_reason(attempts[-1 if is_failed else 0])
     if end.message == stories.FAILED:
-        return _read_reason(end)
+        return read_reason(end)
     if is_new:
         return Cause.JUST_STARTED, ""
     return _explain_lateness(story, end, day)
 
 
-def _read_reason(line: log_lines.Line) -> tuple[Cause, str]:
+def read_reason(line: log_lines.Line) -> tuple[Cause, str]:
+    """Returns what the reason in a line means, and what is known besides."""
     reason = str(line.fields.get("reason", ""))
     found = [cause for text, cause in _REASONS if text in reason]
     cause = found[0] if found else Cause.ENDPOINT_LOST
--- a/rhubarblock/loganalysis/summary.py
+++ b/rhubarblock/loganalysis/summary.py
@@ -6,10 +6,14 @@
 import dataclasses
 import math
 import statistics
+from typing import TypeVar
 
 from rhubarblock.loganalysis import causes
+from rhubarblock.loganalysis import lines as log_lines
 from rhubarblock.loganalysis import stories
 
+T = TypeVar("T")
+
 # Seconds of a window.
 WINDOW_S = 2.0
 # Windows, instances and workspaces that a table shows.
@@ -70,6 +74,9 @@
       by_workspace: losses by workspace, the worst first.
       by_data_centre: losses by data centre of the endpoint.
       by_instance: losses by cause and instance, the worst first.
+      attempts: attempts that gave no answer, by cause, whatever became of their
+        requests.
+      no_connection: attempts that could open no connection, by instance.
       windows: all stretches of time in which something arrived.
       predictions: how good predictions were, by length.
     """
@@ -81,6 +88,8 @@
     by_workspace: dict[str, int]
     by_data_centre: dict[str, int]
     by_instance: dict[str, int]
+    attempts: dict[str, int]
+    no_connection: dict[str, int]
     windows: list[Window]
     predictions: list[Prediction]
 
@@ -95,6 +104,7 @@
       losses: what was lost.
       skipped: lines that were passed over.
     """
+    attempts = [x for story in day.stories for x in story.list_attempts()]
     return Summary(
         requests=len(day.stories),
         skipped=skipped,
@@ -103,6 +113,10 @@
         by_workspace=_count(losses, lambda x: x.workspace),
         by_data_centre=_count(losses, lambda x: x.data_centre),
         by_instance=_count(losses, lambda x: f"{x.instance}: {x.cause.value}"),
+        attempts=_count(attempts, _name_attempt),
+        no_connection=_count(
+            (x for x in attempts if _lacks_connection(x)), lambda x: x.instance
+        ),
         windows=_list_windows(day, losses),
         predictions=_list_predictions(day),
     )
@@ -121,6 +135,8 @@
         ("data centre of the endpoint", summary.by_data_centre),
         ("workspace", summary.by_workspace),
         ("instance", summary.by_instance),
+        ("attempts without an answer", summary.attempts),
+        ("of these without a connection, by instance", summary.no_connection),
     ):
         lines += ["", title, *_format_counts(counts)]
     lines += ["", "worst windows", *_format_windows(summary.windows)]
@@ -133,10 +149,18 @@
     return "\n".join(lines) + "\n"
 
 
-def _count(
-    losses: Iterable[causes.Loss], name: Callable[[causes.Loss], str]
-) -> dict[str, int]:
-    counted = collections.Counter(name(loss) or "unknown" for loss in losses)
+def _name_attempt(line: log_lines.Line) -> str:
+    cause, _ = causes.read_reason(line)
+    is_parted = int(line.fields.get("parts") or 1) > 1
+    return f"{cause.value}, {'in parts' if is_parted else 'whole'}"
+
+
+def _lacks_connection(line: log_lines.Line) -> bool:
+    return causes.read_reason(line)[0] is causes.Cause.NO_CONNECTION
+
+
+def _count(items: Iterable[T], name: Callable[[T], str]) -> dict[str, int]:
+    counted = collections.Counter(name(item) or "unknown" for item in items)
     return dict(sorted(counted.items(), key=lambda item: (-item[1], item[0])))
 
 
--- a/rhubarblock/scripts/losses_test.py
+++ b/rhubarblock/scripts/losses_test.py
@@ -1,9 +1,11 @@
 """What a day's logs say of requests that fared badly."""
 
 import json
+import pathlib
 
 from click import testing
 
+from rhubarblock.loganalysis import causes
 from rhubarblock.scripts import losses
 
 
@@ -155,3 +157,16 @@
     assert run(tmp_path, lines=["day quiet-1 is played"]).startswith(
         "0 requests, 0 fared badly, 1 lines passed over\n"
     )
+
+
+def test_causes_of_a_real_day_are_found(tmp_path):
+    # Lines of a day on which a configuration of many routes was passed on whole
+    # while links were small, and plans in parts took engines that were full.
+    text = pathlib.Path(causes.__file__).with_name("testdata")
+    lines = (text / "configuration-storm.log").read_text().splitlines()
+    told = json.loads(run(tmp_path, "--json", lines=lines))
+    assert told["no_connection"] == {"edge-tema-hall-10": 3}
+    assert told["attempts"]["an engine refused it, in parts"] == 10
+    assert "an engine refused it, whole" not in told["attempts"]
+    assert told["by_cause"]["refused: an engine refused it"] == 2
+    assert told["by_cause"]["refused: no confirmed configuration"] == 6
