Decode changes of routes and services in functions of their own

_decode_change did four jobs in forty lines. A route's name is a text whatever its writer made of it, so that its removal finds it.

--- a/rhubarblock/platform/configuration.py
+++ b/rhubarblock/platform/configuration.py
@@ -116,38 +116,49 @@
     document: documents.Document,
     difference: documents.Difference,
 ) -> routes.RoutingTable:
+    pieces = document.pieces
     for section in (_ROUTES, _SERVICES):
-        if section not in document.pieces:
+        if section not in pieces:
             raise KeyError(section)
-    names = {*difference.changed, *difference.removed}
-    services = dict(before.services)
-    for name in _list_entries(difference.removed, _SERVICES):
-        services.pop(name, None)
-    for name in _list_entries(difference.changed, _SERVICES):
-        text = difference.changed[f"{_SERVICES}/{name}"]
-        services[name] = _decode_service(json.loads(text))
+    names = [*difference.changed, *difference.removed]
     keys = before.keys
     if any(name.partition("/")[0] == _TENANTS for name in names):
-        keys = _decode_keys(document.pieces)
+        keys = _decode_keys(pieces)
     bounds = before.bounds
     if _LIMITS in names:
-        limits = json.loads(document.pieces.get(_LIMITS, "null"))
+        limits = json.loads(pieces.get(_LIMITS, "null"))
         bounds = _decode_bounds(limits or {})
     return routes.RoutingTable(
         version=document.identity.version,
-        routes=before.routes.change(
-            [
-                _decode_route(json.loads(difference.changed[f"{_ROUTES}/{n}"]))
-                for n in _list_entries(difference.changed, _ROUTES)
-            ],
-            _list_entries(difference.removed, _ROUTES),
-        ),
-        services=services,
+        routes=_change_routes(before.routes, difference),
+        services=_change_services(before.services, difference),
         keys=keys,
         bounds=bounds,
     )
 
 
+def _change_routes(
+    before: routes.RouteIndex, difference: documents.Difference
+) -> routes.RouteIndex:
+    changed = [
+        _decode_route(json.loads(difference.changed[f"{_ROUTES}/{name}"]))
+        for name in _list_entries(difference.changed, _ROUTES)
+    ]
+    return before.change(changed, _list_entries(difference.removed, _ROUTES))
+
+
+def _change_services(
+    before: Mapping[str, routes.ServiceSpec], difference: documents.Difference
+) -> dict[str, routes.ServiceSpec]:
+    services = dict(before)
+    for name in _list_entries(difference.removed, _SERVICES):
+        services.pop(name, None)
+    for name in _list_entries(difference.changed, _SERVICES):
+        text = difference.changed[f"{_SERVICES}/{name}"]
+        services[name] = _decode_service(json.loads(text))
+    return services
+
+
 def _list_entries(names: Iterable[str], section: str) -> list[str]:
     """Returns the names within a section, of those that belong to it."""
     prefix = section + "/"
@@ -237,7 +248,7 @@
     timeout_s = float(fields["timeoutMs"]) / _MS_PER_S
     objective_ms = fields.get("targetLatencyMs") or fields["timeoutMs"]
     return routes.Route(
-        name=fields["name"],
+        name=str(fields["name"]),
         host=fields["host"].lower(),
         path_prefix=fields["pathPrefix"],
         # What is not known may not be repeated.
