Look through the list of endpoints once for a peer that starts

A reader asked of each of 3,000 endpoints whether the peer uses it: 21 ms of a whole core for a peer, four times that on a small machine, for 50 peers that start at once.

Kept for the processor time that it spares a reader.

Test: subset_test.py, one pass says what the question says of each.

--- a/rhubarblock/exchange/state/feed.py
+++ b/rhubarblock/exchange/state/feed.py
@@ -164,12 +164,8 @@
     ) -> dict[str, Any]:
         news = self._book.list_news(number)
         objects = news.objects
-        if news.whole:
-            objects = tuple(
-                stored
-                for stored in objects
-                if self._is_used(asker, data_centre, stored)
-            )
+        if news.whole and asker:
+            objects = self._select_used(asker, data_centre, objects)
         is_new = self._authority.version > known.version
         return {
             "source": self._source,
@@ -193,13 +189,20 @@
             self._encoded[known] = text
         return text
 
-    def _is_used(
-        self, asker: str, data_centre: str, stored: stores.StoredObject
-    ) -> bool:
-        endpoint_id = stored.name.rpartition("/")[2]
-        if not asker:
-            return True
-        return self._subsets.uses(asker, data_centre, endpoint_id)
+    def _select_used(
+        self,
+        asker: str,
+        data_centre: str,
+        objects: tuple[stores.StoredObject, ...],
+    ) -> tuple[stores.StoredObject, ...]:
+        """Returns the entries of endpoints that the asker uses."""
+        ids = [stored.name.rpartition("/")[2] for stored in objects]
+        used = self._subsets.list_used(asker, data_centre, ids)
+        return tuple(
+            stored
+            for stored, endpoint_id in zip(objects, ids, strict=True)
+            if endpoint_id in used
+        )
 
 
 class StateClient:
--- a/rhubarblock/exchange/state/subset.py
+++ b/rhubarblock/exchange/state/subset.py
@@ -56,6 +56,38 @@
         """
         return self.make_filter((endpoint_id,))(instance_id, data_centre)
 
+    def list_used(
+        self, instance_id: str, data_centre: str, endpoint_ids: Iterable[str]
+    ) -> set[str]:
+        """Returns those of some endpoints that an instance uses.
+
+        It says what ``uses`` says of each, in a fraction of the time: a reader
+        looks through the whole list for each peer that starts, and after a loss
+        of all its answers would come too late.
+
+        Args:
+          instance_id: name of the instance.
+          data_centre: where it runs.
+          endpoint_ids: endpoints; one that isn't listed is used.
+        """
+        parts: dict[tuple[str, bool], float] = {}
+        used = set()
+        for endpoint_id in endpoint_ids:
+            endpoint = self._directory.find(endpoint_id)
+            if endpoint is None:
+                used.add(endpoint_id)
+                continue
+            place = endpoint.service, endpoint.data_centre == data_centre
+            part = parts.get(place)
+            if part is None:
+                part = 1.0
+                if not self._is_small(endpoint.service):
+                    part = self._find_part(place[0], data_centre, place[1])
+                parts[place] = part
+            if _is_drawn(instance_id, endpoint_id, part):
+                used.add(endpoint_id)
+        return used
+
     def make_filter(self, endpoint_ids: Iterable[str]) -> InstanceFilter:
         """Returns what says whether an instance uses one of some endpoints."""
         endpoints = []
--- a/rhubarblock/exchange/state/subset_test.py
+++ b/rhubarblock/exchange/state/subset_test.py
@@ -1,3 +1,5 @@
+import pytest
+
 from rhubarblock.core import listed as lists
 from rhubarblock.exchange.state import directory as directories
 from rhubarblock.exchange.state import subset as subsets
@@ -98,3 +100,17 @@
         for engine in engines:
             uses = made.make_filter([engine.endpoint_id])
             assert uses(f"i{n}", centre) == (engine in used)
+
+
+@pytest.mark.parametrize(
+    ("count", "centres"), [(4, ("osu",)), (40, ("osu",)), (90, ("osu", "tema"))]
+)
+def test_list_of_used_endpoints_says_what_is_said_of_each(count, centres):
+    made, engines = make_subsets(count, 12, centres)
+    asked = [*(e.endpoint_id for e in engines), "unlisted"]
+    for number in range(10):
+        for centre in ("osu", "tema", "empty"):
+            used = made.list_used(f"i{number}", centre, asked)
+            assert used == {
+                name for name in asked if made.uses(f"i{number}", centre, name)
+            }
