--- a/rhubarblock/exchange/state/follower.py
+++ b/rhubarblock/exchange/state/follower.py
@@ -45,7 +45,7 @@
 # and its answer take longer.
 SAME_ANSWER_S = 0.003
 # Readers that are asked one after the other before the store is: after a loss
-# of all the first ones by name may not be up yet, and each call to the store is
+# of all the best ones may not be up yet, and each call to the store is
 # charged. Asking one that is gone takes a quarter of a second.
 READERS_ASKED = 3
 # How waits after failed calls grow.
@@ -184,7 +184,7 @@
             if await self._read_store():
                 if asked.answer is _Answer.OLD:
                     # It lost the store, which others still reach: until it is
-                    # asked again the next one by name reads for all.
+                    # asked again the next best one reads for all.
                     self._peers.distrust(asked.reader)
                 backoff.reset()
                 await self._timers.sleep(self._pace.read_s)
