--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -139,10 +139,8 @@
                 yield place
             return
         now_s = self._timers.read_monotonic()
-        prompt = dataclasses.replace(
-            _describe(exchange, self._make_job_id(), hurried, now_s),
-            refusals=refusals,
-        )
+        job_id = self._make_job_id()
+        prompt = _describe(exchange, job_id, hurried, now_s, refusals)
         with self._hold_prompt(prompt, endpoints, model, now_s) as place:
             yield place
 
@@ -348,7 +346,11 @@
 
 
 def _describe(
-    exchange: exchanges.Exchange, job_id: str, hurried: bool, now_s: float
+    exchange: exchanges.Exchange,
+    job_id: str,
+    hurried: bool,
+    now_s: float,
+    refusals: int = 0,
 ) -> prompts.Prompt:
     return prompts.Prompt(
         job_id,
@@ -358,6 +360,7 @@
         exchange.route.objective_s,
         hurried,
         now_s - exchange.arrived_s,
+        refusals,
     )
 
 
--- a/rhubarblock/exchange/state/subset.py
+++ b/rhubarblock/exchange/state/subset.py
@@ -80,9 +80,7 @@
             place = endpoint.service, endpoint.data_centre == data_centre
             part = parts.get(place)
             if part is None:
-                part = 1.0
-                if not self._is_small(endpoint.service):
-                    part = self._find_part(place[0], data_centre, place[1])
+                part = self._find_part(place[0], data_centre, place[1])
                 parts[place] = part
             if _is_drawn(instance_id, endpoint_id, part):
                 used.add(endpoint_id)
@@ -154,6 +152,8 @@
           data_centre: where the instance runs.
           is_near: whether its own data centre is meant, or all the others.
         """
+        if self._is_small(service):
+            return 1.0
         near = self._directory.count(service, data_centre)
         if is_near:
             return min(1.0, self._engines_each / near) if near else 1.0
