--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -8,10 +8,10 @@
 import time
 
 from rhubarblock.core import listed as lists
-from rhubarblock.experiments import platformmix as mixes
-from rhubarblock.routing import enginebook
-from rhubarblock.routing import parting
-from rhubarblock.routing import prompt as prompts
+from rhubarblock.experiments.platform import mix as mixes
+from rhubarblock.routing.placement import enginebook
+from rhubarblock.routing.placement import parting
+from rhubarblock.routing.placement import prompt as prompts
 
 ROUNDS = 200
 SEED = 7
--- a/rhubarblock/daemon/endpointwatch.py
+++ b/rhubarblock/daemon/endpointwatch.py
@@ -10,7 +10,7 @@
 from rhubarblock.fleet import endpoints as endpointtables
 from rhubarblock.fleet import engineclient
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.routing import loadtable
+from rhubarblock.routing.placement import loadtable
 from rhubarblock.store import instances
 from rhubarblock.store import store as stores
 
--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -16,30 +16,30 @@
 from rhubarblock.daemon import listener as listeners
 from rhubarblock.daemon import listing
 from rhubarblock.exchange import attempts
-from rhubarblock.exchange import authority as authorities
 from rhubarblock.exchange import candidates
 from rhubarblock.exchange import crashes
 from rhubarblock.exchange import dialect as dialects
-from rhubarblock.exchange import directory as directories
-from rhubarblock.exchange import follower as followers
 from rhubarblock.exchange import frontdoor
 from rhubarblock.exchange import leases
-from rhubarblock.exchange import news as news_lib
 from rhubarblock.exchange import outcomes
-from rhubarblock.exchange import peers as peer_table
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
-from rhubarblock.exchange import statebook
-from rhubarblock.exchange import statefeed
-from rhubarblock.exchange import subset as subsets
 from rhubarblock.exchange import transport as transports
+from rhubarblock.exchange.peering import news as news_lib
+from rhubarblock.exchange.peering import table as peer_table
+from rhubarblock.exchange.state import authority as authorities
+from rhubarblock.exchange.state import book as statebook
+from rhubarblock.exchange.state import directory as directories
+from rhubarblock.exchange.state import feed as statefeed
+from rhubarblock.exchange.state import follower as followers
+from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.kernel import countlog
 from rhubarblock.kernel import exposition
 from rhubarblock.kernel import life as lives
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.routing import enginebook
 from rhubarblock.routing import health as healths
+from rhubarblock.routing.placement import enginebook
 from rhubarblock.settings import exchange as settings_lib
 from rhubarblock.store import instances
 from rhubarblock.store import store as stores
--- a/rhubarblock/daemon/holders.py
+++ b/rhubarblock/daemon/holders.py
@@ -5,11 +5,11 @@
 """
 
 from rhubarblock.fleet import duties
-from rhubarblock.fleet import member as members
-from rhubarblock.fleet import memberview
-from rhubarblock.routing import coordination
-from rhubarblock.routing import lending
-from rhubarblock.routing import quarantine as quarantines
+from rhubarblock.fleet.membership import member as members
+from rhubarblock.fleet.membership import view as memberview
+from rhubarblock.routing.lending import lender as lending
+from rhubarblock.routing.placement import coordination
+from rhubarblock.routing.quarantine import gate as quarantines
 
 
 class HolderFinder:
--- a/rhubarblock/daemon/instance.py
+++ b/rhubarblock/daemon/instance.py
@@ -22,29 +22,29 @@
 from rhubarblock.daemon import listing
 from rhubarblock.daemon import outside as outsides
 from rhubarblock.daemon import promptparts
-from rhubarblock.fleet import detection
 from rhubarblock.fleet import distribution
 from rhubarblock.fleet import endpointnews
 from rhubarblock.fleet import endpoints as endpointtables
 from rhubarblock.fleet import listrelay
-from rhubarblock.fleet import member as members
-from rhubarblock.fleet import membership as memberships
 from rhubarblock.fleet import orders
 from rhubarblock.fleet import orphans
 from rhubarblock.fleet import peertransport
+from rhubarblock.fleet.membership import detection
+from rhubarblock.fleet.membership import member as members
+from rhubarblock.fleet.membership import membership as memberships
 from rhubarblock.kernel import life as lives
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import registry as registries
-from rhubarblock.relay import claims
 from rhubarblock.relay import crashes
 from rhubarblock.relay import guard as guards
 from rhubarblock.relay import servicecalls
+from rhubarblock.relay.claims import ledger as claims
 from rhubarblock.routing import fairqueue
-from rhubarblock.routing import lending
-from rhubarblock.routing import lendingholders
 from rhubarblock.routing import limits
-from rhubarblock.routing import policy as policies
-from rhubarblock.routing import quarantine as quarantines
+from rhubarblock.routing.lending import holders as lendingholders
+from rhubarblock.routing.lending import lender as lending
+from rhubarblock.routing.placement import policy as policies
+from rhubarblock.routing.quarantine import gate as quarantines
 from rhubarblock.settings import entry as settings_lib
 
 # Seconds that the news of a planned stop may take.
--- a/rhubarblock/daemon/promptparts.py
+++ b/rhubarblock/daemon/promptparts.py
@@ -29,13 +29,13 @@
 from rhubarblock.relay import stalls
 from rhubarblock.relay import tries
 from rhubarblock.routing import admission as admissions
-from rhubarblock.routing import coordination
 from rhubarblock.routing import fairqueue
 from rhubarblock.routing import lanes
 from rhubarblock.routing import ledger as ledgers
-from rhubarblock.routing import loadtable
-from rhubarblock.routing import policy as policies
-from rhubarblock.routing import predictor as predictors
+from rhubarblock.routing.placement import coordination
+from rhubarblock.routing.placement import loadtable
+from rhubarblock.routing.placement import policy as policies
+from rhubarblock.routing.placement import predictor as predictors
 
 # Seconds between two reports of progress to the coordinators.
 PROGRESS_INTERVAL_S = 0.05
--- a/rhubarblock/exchange/candidates.py
+++ b/rhubarblock/exchange/candidates.py
@@ -8,8 +8,8 @@
 
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import listed as lists
-from rhubarblock.exchange import directory as directories
-from rhubarblock.exchange import subset as subsets
+from rhubarblock.exchange.state import directory as directories
+from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import health as healths
 
--- a/rhubarblock/exchange/candidates_test.py
+++ b/rhubarblock/exchange/candidates_test.py
@@ -4,9 +4,9 @@
 import dataclasses
 
 from rhubarblock.exchange import candidates
-from rhubarblock.exchange import directory as directories
 from rhubarblock.exchange import fakeparts_test as fakes
-from rhubarblock.exchange import subset as subsets
+from rhubarblock.exchange.state import directory as directories
+from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
 from rhubarblock.routing import health as healths
--- a/rhubarblock/exchange/crashes.py
+++ b/rhubarblock/exchange/crashes.py
@@ -16,9 +16,9 @@
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import failure as failures
 from rhubarblock.core import listed as lists
-from rhubarblock.exchange import news as news_lib
+from rhubarblock.exchange.peering import news as news_lib
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.routing import quarantinebook
+from rhubarblock.routing.quarantine import book as quarantinebook
 
 # Seconds that the trial of an endpoint may take.
 TRIAL_S = 0.3
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -12,27 +12,27 @@
 from rhubarblock.core import listed
 from rhubarblock.core import route as routes
 from rhubarblock.exchange import attempts
-from rhubarblock.exchange import authority as authorities
 from rhubarblock.exchange import candidates
 from rhubarblock.exchange import crashes
 from rhubarblock.exchange import dialect as dialects
-from rhubarblock.exchange import directory as directories
 from rhubarblock.exchange import frontdoor
 from rhubarblock.exchange import leases
-from rhubarblock.exchange import news as news_lib
 from rhubarblock.exchange import outcomes
-from rhubarblock.exchange import peers as peer_table
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
-from rhubarblock.exchange import subset as subsets
 from rhubarblock.exchange import transport as transports
+from rhubarblock.exchange.peering import news as news_lib
+from rhubarblock.exchange.peering import table as peer_table
+from rhubarblock.exchange.state import authority as authorities
+from rhubarblock.exchange.state import directory as directories
+from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.kernel import life as lives
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.platform import dialect as platform_dialect
 from rhubarblock.platform import names
-from rhubarblock.routing import enginebook
 from rhubarblock.routing import health as healths
+from rhubarblock.routing.placement import enginebook
 from rhubarblock.settings import exchange as settings_lib
 
 ATTEMPT = names.ATTEMPT_ID
--- a/rhubarblock/exchange/frontdoor.py
+++ b/rhubarblock/exchange/frontdoor.py
@@ -11,10 +11,10 @@
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import failure as failures
 from rhubarblock.core import route as routes
-from rhubarblock.exchange import authority as authorities
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import relay as relays
 from rhubarblock.exchange import sink as sinks
+from rhubarblock.exchange.state import authority as authorities
 from rhubarblock.kernel import life as lives
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -9,10 +9,10 @@
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.exchange import attempts
 from rhubarblock.exchange import flow as flows
-from rhubarblock.exchange import news as news_lib
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import silence
 from rhubarblock.exchange import transport as transports
+from rhubarblock.exchange.peering import news as news_lib
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.relay import retrybudget
--- /dev/null
+++ b/rhubarblock/exchange/peering/__init__.py
@@ -0,0 +1,4 @@
+"""The other instances, and what instances tell each other.
+
+Others use ``table`` (who is there) and ``news`` (datagrams about placed work).
+"""
--- a/rhubarblock/exchange/news.py
+++ b/rhubarblock/exchange/peering/news.py
@@ -14,12 +14,12 @@
 import logging
 from typing import Any
 
-from rhubarblock.exchange import peers as peer_table
-from rhubarblock.exchange import subset as subsets
+from rhubarblock.exchange.peering import table as peer_table
+from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.routing import enginebook
 from rhubarblock.routing import health as healths
+from rhubarblock.routing.placement import enginebook
 
 # Seconds after which a crash is told once more; told twice within two seconds
 # it counts once.
--- a/rhubarblock/exchange/news_test.py
+++ b/rhubarblock/exchange/peering/news_test.py
@@ -1,14 +1,14 @@
 import asyncio
 
 from rhubarblock.core import listed as lists
-from rhubarblock.exchange import directory as directories
-from rhubarblock.exchange import news as news_lib
-from rhubarblock.exchange import peers as peer_table
-from rhubarblock.exchange import subset as subsets
+from rhubarblock.exchange.peering import news as news_lib
+from rhubarblock.exchange.peering import table as peer_table
+from rhubarblock.exchange.state import directory as directories
+from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.routing import enginebook
 from rhubarblock.routing import health as healths
+from rhubarblock.routing.placement import enginebook
 
 JOB = enginebook.Job(
     "i1.s1.1",
--- a/rhubarblock/exchange/peers_test.py
+++ b/rhubarblock/exchange/peering/table_test.py
@@ -1,6 +1,6 @@
 import asyncio
 
-from rhubarblock.exchange import peers as peer_table
+from rhubarblock.exchange.peering import table as peer_table
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
 
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -10,15 +10,15 @@
 from rhubarblock.core import route as routes
 from rhubarblock.exchange import candidates
 from rhubarblock.exchange import dialect as dialects
-from rhubarblock.exchange import directory as directories
 from rhubarblock.exchange import flow as flows
 from rhubarblock.exchange import leases
-from rhubarblock.exchange import news as news_lib
+from rhubarblock.exchange.peering import news as news_lib
+from rhubarblock.exchange.state import directory as directories
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.routing import enginebook
 from rhubarblock.routing import health as healths
-from rhubarblock.routing import parting
-from rhubarblock.routing import prompt as prompts
+from rhubarblock.routing.placement import enginebook
+from rhubarblock.routing.placement import parting
+from rhubarblock.routing.placement import prompt as prompts
 
 # Seconds that an answer of a plain service is expected to take at first.
 SERVICE_S = 0.1
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -9,7 +9,7 @@
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.platform import names
-from rhubarblock.routing import enginebook
+from rhubarblock.routing.placement import enginebook
 
 ONCE = fakes.make_route(routes.RouteKind.NON_IDEMPOTENT)
 STREAM = fakes.make_route(routes.RouteKind.STREAMING)
--- /dev/null
+++ b/rhubarblock/exchange/state/__init__.py
@@ -0,0 +1,7 @@
+"""Configuration and endpoints at one instance, and where they come from.
+
+Others read ``authority`` (the routing table under its lease) and ``directory``
+(the endpoints). Read on in ``follower`` (asks the store or a peer), ``feed``
+(answers peers), ``book`` (what was said last, as it was said) and ``subset``
+(which endpoints of a long list an instance uses).
+"""
--- a/rhubarblock/exchange/authority_test.py
+++ b/rhubarblock/exchange/state/authority_test.py
@@ -2,7 +2,7 @@
 import itertools
 
 from rhubarblock.core import route as routes
-from rhubarblock.exchange import authority as authorities
+from rhubarblock.exchange.state import authority as authorities
 from rhubarblock.kernel import virtualloop
 
 
--- a/rhubarblock/exchange/statebook.py
+++ b/rhubarblock/exchange/state/book.py
@@ -13,9 +13,9 @@
 import logging
 
 from rhubarblock.core import listed as lists
-from rhubarblock.exchange import authority as authorities
 from rhubarblock.exchange import dialect as dialects
-from rhubarblock.exchange import directory as directories
+from rhubarblock.exchange.state import authority as authorities
+from rhubarblock.exchange.state import directory as directories
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.store import store as stores
 
--- a/rhubarblock/exchange/directory_test.py
+++ b/rhubarblock/exchange/state/directory_test.py
@@ -1,7 +1,7 @@
 import dataclasses
 
 from rhubarblock.core import listed
-from rhubarblock.exchange import directory as directories
+from rhubarblock.exchange.state import directory as directories
 
 
 class Timers:
--- a/rhubarblock/exchange/statefeed.py
+++ b/rhubarblock/exchange/state/feed.py
@@ -19,10 +19,10 @@
 import aiohttp
 from aiohttp import web
 
-from rhubarblock.exchange import authority as authorities
-from rhubarblock.exchange import directory as directories
-from rhubarblock.exchange import statebook
-from rhubarblock.exchange import subset as subsets
+from rhubarblock.exchange.state import authority as authorities
+from rhubarblock.exchange.state import book as statebook
+from rhubarblock.exchange.state import directory as directories
+from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.store import sendonce
--- a/rhubarblock/exchange/statefeed_test.py
+++ b/rhubarblock/exchange/state/feed_test.py
@@ -10,11 +10,11 @@
 
 from rhubarblock.core import listed
 from rhubarblock.core import route as routes
-from rhubarblock.exchange import authority as authorities
-from rhubarblock.exchange import directory as directories
-from rhubarblock.exchange import statebook
-from rhubarblock.exchange import statefeed
-from rhubarblock.exchange import subset as subsets
+from rhubarblock.exchange.state import authority as authorities
+from rhubarblock.exchange.state import book as statebook
+from rhubarblock.exchange.state import directory as directories
+from rhubarblock.exchange.state import feed as statefeed
+from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.platform import dialect as dialects
--- a/rhubarblock/exchange/follower.py
+++ b/rhubarblock/exchange/state/follower.py
@@ -14,11 +14,11 @@
 import logging
 import random
 
-from rhubarblock.exchange import authority as authorities
 from rhubarblock.exchange import dialect as dialects
-from rhubarblock.exchange import peers as peer_table
-from rhubarblock.exchange import statebook
-from rhubarblock.exchange import statefeed
+from rhubarblock.exchange.peering import table as peer_table
+from rhubarblock.exchange.state import authority as authorities
+from rhubarblock.exchange.state import book as statebook
+from rhubarblock.exchange.state import feed as statefeed
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.store import backoff as backoffs
 from rhubarblock.store import store as stores
--- a/rhubarblock/exchange/follower_test.py
+++ b/rhubarblock/exchange/state/follower_test.py
@@ -5,9 +5,9 @@
 import math
 import random
 
-from rhubarblock.exchange import follower as followers
-from rhubarblock.exchange import statefeed
-from rhubarblock.exchange import statefeed_test as fakes
+from rhubarblock.exchange.state import feed as statefeed
+from rhubarblock.exchange.state import feed_test as fakes
+from rhubarblock.exchange.state import follower as followers
 from rhubarblock.kernel import virtualloop
 from rhubarblock.store import store as stores
 
--- a/rhubarblock/exchange/subset.py
+++ b/rhubarblock/exchange/state/subset.py
@@ -14,7 +14,7 @@
 from collections.abc import Iterable
 
 from rhubarblock.core import listed as lists
-from rhubarblock.exchange import directory as directories
+from rhubarblock.exchange.state import directory as directories
 from rhubarblock.fleet import rendezvous
 
 # Engines of a pool that an instance uses: those of a data centre with 39, and a
--- a/rhubarblock/exchange/subset_test.py
+++ b/rhubarblock/exchange/state/subset_test.py
@@ -1,6 +1,6 @@
 from rhubarblock.core import listed as lists
-from rhubarblock.exchange import directory as directories
-from rhubarblock.exchange import subset as subsets
+from rhubarblock.exchange.state import directory as directories
+from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.kernel import timers as timer_service
 
 
--- a/rhubarblock/experiments/capacityfleet.py
+++ b/rhubarblock/experiments/capacity/fleet.py
@@ -8,8 +8,8 @@
 from rhubarblock.core import catalogue as catalogues
 from rhubarblock.core import endpoint as endpoints
 from rhubarblock.core import request as requests
-from rhubarblock.experiments import capacitymeter
-from rhubarblock.experiments import capacityprobe
+from rhubarblock.experiments.capacity import meter as capacitymeter
+from rhubarblock.experiments.capacity import probe as capacityprobe
 from rhubarblock.fleet import distribution
 from rhubarblock.kernel import virtualloop
 from rhubarblock.standins import memoryfleet
--- a/rhubarblock/experiments/capacitylists.py
+++ b/rhubarblock/experiments/capacity/lists.py
@@ -4,15 +4,15 @@
 import random
 
 from rhubarblock.daemon import endpointwatch
-from rhubarblock.experiments import capacityfleet
-from rhubarblock.experiments import capacitymeter
-from rhubarblock.experiments import capacityprobe
+from rhubarblock.experiments.capacity import fleet as capacityfleet
+from rhubarblock.experiments.capacity import meter as capacitymeter
+from rhubarblock.experiments.capacity import probe as capacityprobe
 from rhubarblock.fleet import endpoints as endpointtables
 from rhubarblock.fleet import listrelay
 from rhubarblock.kernel import virtualloop
-from rhubarblock.routing import loadtable
-from rhubarblock.standins import enginecluster
+from rhubarblock.routing.placement import loadtable
 from rhubarblock.standins import memoryfleet
+from rhubarblock.standins.engine import cluster as enginecluster
 from rhubarblock.store import instances
 
 SETTLE_S = 15.0
--- a/rhubarblock/experiments/capacity.py
+++ b/rhubarblock/experiments/capacity/measurement.py
@@ -6,15 +6,15 @@
 import json
 from typing import Any
 
-from rhubarblock.experiments import capacityfleet
-from rhubarblock.experiments import capacitylists
-from rhubarblock.experiments import capacityplatform
-from rhubarblock.experiments import capacityprobe
-from rhubarblock.experiments import capacityrouting
-from rhubarblock.experiments import capacitysockets
-from rhubarblock.experiments import capacitywhole
 from rhubarblock.experiments import machine as machines
 from rhubarblock.experiments import slopes
+from rhubarblock.experiments.capacity import fleet as capacityfleet
+from rhubarblock.experiments.capacity import lists as capacitylists
+from rhubarblock.experiments.capacity import platform as capacityplatform
+from rhubarblock.experiments.capacity import probe as capacityprobe
+from rhubarblock.experiments.capacity import routing as capacityrouting
+from rhubarblock.experiments.capacity import sockets as capacitysockets
+from rhubarblock.experiments.capacity import whole as capacitywhole
 
 SCENARIO = "capacity"
 
--- a/rhubarblock/experiments/capacity_test.py
+++ b/rhubarblock/experiments/capacity/measurement_test.py
@@ -1,15 +1,15 @@
 import pytest
 
-from rhubarblock.experiments import capacity
-from rhubarblock.experiments import capacityfleet
-from rhubarblock.experiments import capacitylists
-from rhubarblock.experiments import capacitymeter
-from rhubarblock.experiments import capacityplatform
-from rhubarblock.experiments import capacityprobe
-from rhubarblock.experiments import capacityrouting
-from rhubarblock.experiments import capacitysockets
 from rhubarblock.experiments import machine as machines
 from rhubarblock.experiments import slopes
+from rhubarblock.experiments.capacity import fleet as capacityfleet
+from rhubarblock.experiments.capacity import lists as capacitylists
+from rhubarblock.experiments.capacity import measurement as capacity
+from rhubarblock.experiments.capacity import meter as capacitymeter
+from rhubarblock.experiments.capacity import platform as capacityplatform
+from rhubarblock.experiments.capacity import probe as capacityprobe
+from rhubarblock.experiments.capacity import routing as capacityrouting
+from rhubarblock.experiments.capacity import sockets as capacitysockets
 
 MACHINE = machines.Machine(4, 1.5, 100.0)
 
--- a/rhubarblock/experiments/capacitypage.py
+++ b/rhubarblock/experiments/capacity/page.py
@@ -9,10 +9,10 @@
 from collections.abc import Sequence
 import string
 
-from rhubarblock.experiments import capacity
-from rhubarblock.experiments import capacityprobe
-from rhubarblock.experiments import capacityroles
 from rhubarblock.experiments import slopes
+from rhubarblock.experiments.capacity import measurement as capacity
+from rhubarblock.experiments.capacity import probe as capacityprobe
+from rhubarblock.experiments.capacity import roles as capacityroles
 
 _KIB = 1024.0
 _HEADINGS = {
--- a/rhubarblock/experiments/capacitypage_test.py
+++ b/rhubarblock/experiments/capacity/page_test.py
@@ -1,13 +1,13 @@
 import pytest
 
-from rhubarblock.experiments import capacity
-from rhubarblock.experiments import capacitypage
-from rhubarblock.experiments import capacityprobe
-from rhubarblock.experiments import capacityroles
 from rhubarblock.experiments import machine as machines
 from rhubarblock.experiments import slopes
+from rhubarblock.experiments.capacity import measurement as capacity
+from rhubarblock.experiments.capacity import page as capacitypage
+from rhubarblock.experiments.capacity import probe as capacityprobe
+from rhubarblock.experiments.capacity import roles as capacityroles
 from rhubarblock.plugins import length_aware
-from rhubarblock.routing import placement as placements
+from rhubarblock.routing.placement import answer as placements
 
 MACHINE = machines.Machine(4, 1.5, 100.0)
 TEMPLATE = "docs/capacity-template.md"
--- a/rhubarblock/experiments/capacityplatform.py
+++ b/rhubarblock/experiments/capacity/platform.py
@@ -8,24 +8,24 @@
 from returns import result
 
 from rhubarblock.core import request as requests
-from rhubarblock.experiments import capacityfleet
-from rhubarblock.experiments import capacitymeter
-from rhubarblock.experiments import capacityprobe
-from rhubarblock.experiments import capacityrouting
+from rhubarblock.experiments.capacity import fleet as capacityfleet
+from rhubarblock.experiments.capacity import meter as capacitymeter
+from rhubarblock.experiments.capacity import probe as capacityprobe
+from rhubarblock.experiments.capacity import routing as capacityrouting
 from rhubarblock.fleet import duties
 from rhubarblock.fleet import endpoints as endpointtables
 from rhubarblock.fleet import orders
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
-from rhubarblock.relay import claimroute
-from rhubarblock.relay import claims
-from rhubarblock.standins import engine as engines
-from rhubarblock.standins import enginecluster
-from rhubarblock.standins import enginesettings
-from rhubarblock.standins import engineweights
+from rhubarblock.relay.claims import ledger as claims
+from rhubarblock.relay.claims import route as claimroute
 from rhubarblock.standins import memoryfleet
 from rhubarblock.standins import memorypeers
-from rhubarblock.standins import platform
+from rhubarblock.standins.engine import cluster as enginecluster
+from rhubarblock.standins.engine import engine as engines
+from rhubarblock.standins.engine import settings as enginesettings
+from rhubarblock.standins.engine import weights as engineweights
+from rhubarblock.standins.platform import store as platform
 from rhubarblock.store import instances
 
 ORDERS_SETTLE_S = 20.0
--- a/rhubarblock/experiments/capacityroles.py
+++ b/rhubarblock/experiments/capacity/roles.py
@@ -8,7 +8,7 @@
 import dataclasses
 import math
 
-from rhubarblock.experiments import capacityprobe
+from rhubarblock.experiments.capacity import probe as capacityprobe
 
 _SECONDS_PER_DAY = 86_400.0
 
--- a/rhubarblock/experiments/capacityrouting.py
+++ b/rhubarblock/experiments/capacity/routing.py
@@ -9,21 +9,21 @@
 from rhubarblock.core import catalogue as catalogues
 from rhubarblock.core import endpoint as endpoints
 from rhubarblock.core import request as requests
-from rhubarblock.experiments import capacityfleet
-from rhubarblock.experiments import capacitymeter
-from rhubarblock.experiments import capacityprobe
+from rhubarblock.experiments.capacity import fleet as capacityfleet
+from rhubarblock.experiments.capacity import meter as capacitymeter
+from rhubarblock.experiments.capacity import probe as capacityprobe
 from rhubarblock.fleet import duties
-from rhubarblock.fleet import member as members
+from rhubarblock.fleet.membership import member as members
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
 from rhubarblock.plugins import length_aware
-from rhubarblock.routing import coordination
 from rhubarblock.routing import ledger as ledgers
-from rhubarblock.routing import lending
 from rhubarblock.routing import limits as limiters
-from rhubarblock.routing import loadtable
-from rhubarblock.routing import placement as placements
+from rhubarblock.routing.lending import lender as lending
+from rhubarblock.routing.placement import answer as placements
+from rhubarblock.routing.placement import coordination
+from rhubarblock.routing.placement import loadtable
 from rhubarblock.standins import memorypeers
 
 # Virtual seconds of the limits before and while they are measured.
--- a/rhubarblock/experiments/capacitysockets.py
+++ b/rhubarblock/experiments/capacity/sockets.py
@@ -14,16 +14,16 @@
 
 from rhubarblock.core import attempt as attempts
 from rhubarblock.daemon import endpointwatch
-from rhubarblock.experiments import capacitylists
-from rhubarblock.experiments import capacitymeter
-from rhubarblock.experiments import capacityprobe
-from rhubarblock.experiments import capacityrouting
 from rhubarblock.experiments import loopthread
+from rhubarblock.experiments.capacity import lists as capacitylists
+from rhubarblock.experiments.capacity import meter as capacitymeter
+from rhubarblock.experiments.capacity import probe as capacityprobe
+from rhubarblock.experiments.capacity import routing as capacityrouting
 from rhubarblock.fleet import endpoints as endpointtables
 from rhubarblock.fleet import enginewire
 from rhubarblock.fleet import httpengine
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.routing import loadtable
+from rhubarblock.routing.placement import loadtable
 from rhubarblock.store import instances
 
 # Seconds in which connections are opened, and that are measured.
--- a/rhubarblock/experiments/capacitywhole.py
+++ b/rhubarblock/experiments/capacity/whole.py
@@ -7,11 +7,11 @@
 import dataclasses
 import random
 
-from rhubarblock.experiments import capacitymeter
-from rhubarblock.experiments import capacityprobe
 from rhubarblock.experiments import mixed
 from rhubarblock.experiments import simulation
 from rhubarblock.experiments import workload
+from rhubarblock.experiments.capacity import meter as capacitymeter
+from rhubarblock.experiments.capacity import probe as capacityprobe
 from rhubarblock.kernel import virtualloop
 
 RUN_S = 15.0
--- a/rhubarblock/experiments/claimcost.py
+++ b/rhubarblock/experiments/claimcost.py
@@ -22,12 +22,12 @@
 from rhubarblock.fleet import rendezvous
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
-from rhubarblock.relay import claimroute
-from rhubarblock.relay import claimrow
-from rhubarblock.relay import claims
-from rhubarblock.relay import claimsettings
+from rhubarblock.relay.claims import ledger as claims
+from rhubarblock.relay.claims import route as claimroute
+from rhubarblock.relay.claims import row as claimrow
+from rhubarblock.relay.claims import settings as claimsettings
 from rhubarblock.standins import memorypeers
-from rhubarblock.standins import platform
+from rhubarblock.standins.platform import store as platform
 from rhubarblock.store import backoff as backoffs
 from rhubarblock.store import store as stores
 
--- a/rhubarblock/experiments/demo.py
+++ b/rhubarblock/experiments/demo.py
@@ -14,7 +14,7 @@
 from rhubarblock.experiments import mixed
 from rhubarblock.experiments import quantiles
 from rhubarblock.experiments import workload
-from rhubarblock.standins import enginetokens
+from rhubarblock.standins.engine import tokens as enginetokens
 
 REQUESTS = 120
 REQUESTS_PER_S = 8.0
--- a/rhubarblock/experiments/demofleet.py
+++ b/rhubarblock/experiments/demofleet.py
@@ -20,14 +20,14 @@
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.settings import entry as settings_lib
 from rhubarblock.settings import kinds
-from rhubarblock.standins import engine as engines
-from rhubarblock.standins import engineserver
-from rhubarblock.standins import enginesettings
 from rhubarblock.standins import instancelist
-from rhubarblock.standins import platform
-from rhubarblock.standins import platformserver
 from rhubarblock.standins import service
 from rhubarblock.standins import serviceserver
+from rhubarblock.standins.engine import engine as engines
+from rhubarblock.standins.engine import server as engineserver
+from rhubarblock.standins.engine import settings as enginesettings
+from rhubarblock.standins.platform import server as platformserver
+from rhubarblock.standins.platform import store as platform
 from rhubarblock.store import instances
 
 DATA_CENTRES = ("osu-hall", "tema-hall")
--- a/rhubarblock/experiments/faultfleet.py
+++ b/rhubarblock/experiments/faults/fleet.py
@@ -20,8 +20,8 @@
 from rhubarblock.experiments import simulation
 from rhubarblock.experiments import workload
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.standins import engine as engines
-from rhubarblock.standins import enginecluster
+from rhubarblock.standins.engine import cluster as enginecluster
+from rhubarblock.standins.engine import engine as engines
 
 PLAN = simulation.FleetPlan(
     name="adwoa",
--- a/rhubarblock/experiments/faultkinds.py
+++ b/rhubarblock/experiments/faults/kinds.py
@@ -7,9 +7,9 @@
 import abc
 import random
 
-from rhubarblock.experiments import faultfleet
 from rhubarblock.experiments import simulation
-from rhubarblock.standins import engine as engines
+from rhubarblock.experiments.faults import fleet as faultfleet
+from rhubarblock.standins.engine import engine as engines
 from rhubarblock.store import instances
 
 # Moments closer than this are the same one, in seconds.
--- a/rhubarblock/experiments/faults.py
+++ b/rhubarblock/experiments/faults/scenario.py
@@ -12,13 +12,13 @@
 from returns import result
 
 from rhubarblock.core import verdict as verdicts
-from rhubarblock.experiments import faultfleet
-from rhubarblock.experiments import faultkinds
 from rhubarblock.experiments import mixed
 from rhubarblock.experiments import simulation
 from rhubarblock.experiments import workload
+from rhubarblock.experiments.faults import fleet as faultfleet
+from rhubarblock.experiments.faults import kinds as faultkinds
 from rhubarblock.kernel import virtualloop
-from rhubarblock.routing import quarantinebook
+from rhubarblock.routing.quarantine import book as quarantinebook
 
 TRAFFIC_S = 12.0
 PROMPTS_PER_S = 10.0
--- a/rhubarblock/experiments/faults_test.py
+++ b/rhubarblock/experiments/faults/scenario_test.py
@@ -3,10 +3,10 @@
 import pytest
 from returns import result
 
-from rhubarblock.experiments import faults
+from rhubarblock.experiments.faults import scenario as faults
 from rhubarblock.fleet import orphans
-from rhubarblock.relay import claims
 from rhubarblock.relay import cursor
+from rhubarblock.relay.claims import ledger as claims
 
 
 @pytest.mark.parametrize(
--- a/rhubarblock/experiments/fleetbench.py
+++ b/rhubarblock/experiments/fleetbench.py
@@ -18,13 +18,13 @@
 from rhubarblock.fleet import endpointnews
 from rhubarblock.fleet import endpoints as endpointtables
 from rhubarblock.fleet import listrelay
-from rhubarblock.fleet import member as members
 from rhubarblock.fleet import orders
-from rhubarblock.standins import engine as engines
-from rhubarblock.standins import enginecluster
-from rhubarblock.standins import enginesettings
-from rhubarblock.standins import engineweights
+from rhubarblock.fleet.membership import member as members
 from rhubarblock.standins import memoryfleet
+from rhubarblock.standins.engine import cluster as enginecluster
+from rhubarblock.standins.engine import engine as engines
+from rhubarblock.standins.engine import settings as enginesettings
+from rhubarblock.standins.engine import weights as engineweights
 from rhubarblock.store import instances
 from rhubarblock.store import store as stores
 
--- a/rhubarblock/experiments/fleetchoices.py
+++ b/rhubarblock/experiments/fleetchoices.py
@@ -15,7 +15,7 @@
 from rhubarblock.catalogue import codec
 from rhubarblock.core import catalogue as catalogues
 from rhubarblock.fleet import distribution
-from rhubarblock.fleet import probing
+from rhubarblock.fleet.membership import probing
 from rhubarblock.standins import memoryfleet
 
 _DATA_CENTRE = "osu-hall"
--- a/rhubarblock/experiments/fleetsockets.py
+++ b/rhubarblock/experiments/fleetsockets.py
@@ -18,11 +18,11 @@
 from rhubarblock.core import catalogue as catalogues
 from rhubarblock.fleet import distribution
 from rhubarblock.fleet import grpcpeers
-from rhubarblock.fleet import member as members
-from rhubarblock.fleet import membership as memberships
+from rhubarblock.fleet.membership import member as members
+from rhubarblock.fleet.membership import membership as memberships
 from rhubarblock.kernel import timers as timers_lib
 from rhubarblock.standins import instancelist
-from rhubarblock.standins import platform
+from rhubarblock.standins.platform import store as platform
 from rhubarblock.store import instances
 
 SCENARIO = "fleet-sockets"
--- a/rhubarblock/experiments/idle.py
+++ b/rhubarblock/experiments/idle.py
@@ -6,7 +6,7 @@
 
 import math
 
-from rhubarblock.standins import enginesettings
+from rhubarblock.standins.engine import settings as enginesettings
 
 SETTINGS = enginesettings.EngineSettings()
 
--- a/rhubarblock/experiments/limitsfleet.py
+++ b/rhubarblock/experiments/limits/fleet.py
@@ -12,12 +12,12 @@
 
 from rhubarblock.core import catalogue as catalogues
 from rhubarblock.fleet import duties
-from rhubarblock.fleet import member as members
+from rhubarblock.fleet.membership import member as members
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.routing import lending
-from rhubarblock.routing import lendingholders
 from rhubarblock.routing import limits as limiters
 from rhubarblock.routing import limitshare
+from rhubarblock.routing.lending import holders as lendingholders
+from rhubarblock.routing.lending import lender as lending
 from rhubarblock.standins import memorypeers
 
 DATA_CENTRES = ("osu-hall", "tema-hall", "achimota-hall")
--- a/rhubarblock/experiments/limitsmeter_test.py
+++ b/rhubarblock/experiments/limits/meter_test.py
@@ -1,4 +1,4 @@
-from rhubarblock.experiments import limitsmeter
+from rhubarblock.experiments.limits import meter as limitsmeter
 
 
 def test_the_worst_window_counts():
--- a/rhubarblock/experiments/limits.py
+++ b/rhubarblock/experiments/limits/scenario.py
@@ -15,8 +15,8 @@
 
 from rhubarblock.core import catalogue as catalogues
 from rhubarblock.core import request as requests
-from rhubarblock.experiments import limitsfleet
-from rhubarblock.experiments import limitsmeter
+from rhubarblock.experiments.limits import fleet as limitsfleet
+from rhubarblock.experiments.limits import meter as limitsmeter
 from rhubarblock.kernel import timers as timers_lib
 from rhubarblock.kernel import virtualloop
 from rhubarblock.routing import limits as limiters
--- a/rhubarblock/experiments/overheadload.py
+++ b/rhubarblock/experiments/overhead/load.py
@@ -15,9 +15,9 @@
 import aiohttp
 
 from rhubarblock.core import attempt as attempts
-from rhubarblock.experiments import overheadparts
-from rhubarblock.experiments import overheadsource
 from rhubarblock.experiments import workload
+from rhubarblock.experiments.overhead import parts as overheadparts
+from rhubarblock.experiments.overhead import source as overheadsource
 from rhubarblock.fleet import enginewire
 from rhubarblock.kernel import timers as timer_service
 
--- a/rhubarblock/experiments/overhead.py
+++ b/rhubarblock/experiments/overhead/measurement.py
@@ -15,8 +15,8 @@
 import aiohttp
 
 from rhubarblock.experiments import machine as machines
-from rhubarblock.experiments import overheadload
 from rhubarblock.experiments import quantiles
+from rhubarblock.experiments.overhead import load as overheadload
 from rhubarblock.kernel import timers as timer_service
 
 SCENARIO = "overhead"
--- a/rhubarblock/experiments/overhead_test.py
+++ b/rhubarblock/experiments/overhead/measurement_test.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from rhubarblock.experiments import overhead
-from rhubarblock.experiments import overheadload
-from rhubarblock.experiments import overheadsource
-from rhubarblock.experiments import overheadsweep
-from rhubarblock.experiments import overheadthreads
+from rhubarblock.experiments.overhead import load as overheadload
+from rhubarblock.experiments.overhead import measurement as overhead
+from rhubarblock.experiments.overhead import source as overheadsource
+from rhubarblock.experiments.overhead import sweep as overheadsweep
+from rhubarblock.experiments.overhead import threads as overheadthreads
 
 PLAN = overhead.OverheadPlan(
     requests_per_s=10.0,
--- a/rhubarblock/experiments/overheadparts.py
+++ b/rhubarblock/experiments/overhead/parts.py
@@ -17,14 +17,14 @@
 from rhubarblock.core import endpoint as endpoints
 from rhubarblock.core import request as requests
 from rhubarblock.daemon import server
-from rhubarblock.experiments import overheadsource
+from rhubarblock.experiments.overhead import source as overheadsource
 from rhubarblock.fleet import httpengine
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.settings import entry as settings_lib
 from rhubarblock.settings import kinds
 from rhubarblock.standins import instancelist
-from rhubarblock.standins import platform
-from rhubarblock.standins import platformserver
+from rhubarblock.standins.platform import server as platformserver
+from rhubarblock.standins.platform import store as platform
 from rhubarblock.store import instances
 
 MODEL = "reader"
--- a/rhubarblock/experiments/overheadsource.py
+++ b/rhubarblock/experiments/overhead/source.py
@@ -17,8 +17,8 @@
 from rhubarblock.core import endpoint as endpoints
 from rhubarblock.fleet import enginewire
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.standins import engineserver
-from rhubarblock.standins import enginesse
+from rhubarblock.standins.engine import server as engineserver
+from rhubarblock.standins.engine import sse as enginesse
 
 # Room for every stream that a measurement may open at one engine.
 KV_CAPACITY = 4_000_000
--- a/rhubarblock/experiments/overheadsweep.py
+++ b/rhubarblock/experiments/overhead/sweep.py
@@ -7,11 +7,11 @@
 from collections.abc import Sequence
 import dataclasses
 
-from rhubarblock.experiments import capacity
-from rhubarblock.experiments import capacityprobe
 from rhubarblock.experiments import machine as machines
-from rhubarblock.experiments import overhead
 from rhubarblock.experiments import slopes
+from rhubarblock.experiments.capacity import measurement as capacity
+from rhubarblock.experiments.capacity import probe as capacityprobe
+from rhubarblock.experiments.overhead import measurement as overhead
 
 SCENARIO = "relay"
 # Requests a second and tokens a second of each measured load.
--- a/rhubarblock/experiments/overheadthreads.py
+++ b/rhubarblock/experiments/overhead/threads.py
@@ -11,8 +11,8 @@
 import time
 
 from rhubarblock.experiments import loopthread
-from rhubarblock.experiments import overhead
-from rhubarblock.experiments import overheadparts
+from rhubarblock.experiments.overhead import measurement as overhead
+from rhubarblock.experiments.overhead import parts as overheadparts
 from rhubarblock.fleet import httpengine
 
 _KIB_PER_MIB = 1024
--- a/rhubarblock/experiments/platformmix.py
+++ b/rhubarblock/experiments/platform/mix.py
@@ -10,7 +10,7 @@
 import random
 
 from rhubarblock.core import route as routes
-from rhubarblock.exchange import subset as subsets
+from rhubarblock.exchange.state import subset as subsets
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/rhubarblock/experiments/platformplay.py
+++ b/rhubarblock/experiments/platform/play.py
@@ -14,18 +14,18 @@
 import statistics
 
 from rhubarblock.core import listed as lists
-from rhubarblock.exchange import directory as directories
 from rhubarblock.exchange import relay as relays
-from rhubarblock.exchange import subset as subsets
-from rhubarblock.experiments import platformmix as mixes
+from rhubarblock.exchange.state import directory as directories
+from rhubarblock.exchange.state import subset as subsets
+from rhubarblock.experiments.platform import mix as mixes
 from rhubarblock.kernel import registry as registries
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
-from rhubarblock.routing import enginebook
-from rhubarblock.routing import parting
-from rhubarblock.routing import prompt as prompts
-from rhubarblock.routing import promptpolicy
-from rhubarblock.standins import passengine
+from rhubarblock.routing.placement import enginebook
+from rhubarblock.routing.placement import parting
+from rhubarblock.routing.placement import prompt as prompts
+from rhubarblock.routing.placement import promptpolicy
+from rhubarblock.standins.engine import passes as passengine
 
 BookStep = Callable[[enginebook.EngineBook], None]
 
--- a/rhubarblock/experiments/platformplay_test.py
+++ b/rhubarblock/experiments/platform/play_test.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from rhubarblock.experiments import platformmix as mixes
-from rhubarblock.experiments import platformplay
+from rhubarblock.experiments.platform import mix as mixes
+from rhubarblock.experiments.platform import play as platformplay
 from rhubarblock.kernel import registry as registries
 
 SECONDS = 20.0
--- a/rhubarblock/experiments/quarantine.py
+++ b/rhubarblock/experiments/quarantine.py
@@ -17,7 +17,7 @@
 from rhubarblock.experiments import quantiles
 from rhubarblock.kernel import timers as timers_lib
 from rhubarblock.kernel import virtualloop
-from rhubarblock.routing import quarantine as quarantines
+from rhubarblock.routing.quarantine import gate as quarantines
 from rhubarblock.standins import memorypeers
 
 POLICIES = ("quarantine", "none")
--- a/rhubarblock/experiments/simulation.py
+++ b/rhubarblock/experiments/simulation.py
@@ -27,14 +27,14 @@
 from rhubarblock.relay import sink as sinks
 from rhubarblock.settings import entry as settings_lib
 from rhubarblock.settings import kinds
-from rhubarblock.standins import engine as engines
-from rhubarblock.standins import enginecluster
-from rhubarblock.standins import enginesettings
-from rhubarblock.standins import enginetokens
 from rhubarblock.standins import instancelist
 from rhubarblock.standins import memorypeers
-from rhubarblock.standins import platform
 from rhubarblock.standins import service
+from rhubarblock.standins.engine import cluster as enginecluster
+from rhubarblock.standins.engine import engine as engines
+from rhubarblock.standins.engine import settings as enginesettings
+from rhubarblock.standins.engine import tokens as enginetokens
+from rhubarblock.standins.platform import store as platform
 from rhubarblock.store import instances
 
 MODEL = "reader"
--- a/rhubarblock/experiments/smallfleet_test.py
+++ b/rhubarblock/experiments/smallfleet_test.py
@@ -21,9 +21,9 @@
 from rhubarblock.experiments import simulation
 from rhubarblock.kernel import virtualloop
 from rhubarblock.relay import sink as sinks
-from rhubarblock.standins import engine as engine_lib
-from rhubarblock.standins import enginetokens
 from rhubarblock.standins import service
+from rhubarblock.standins.engine import engine as engine_lib
+from rhubarblock.standins.engine import tokens as enginetokens
 
 PLAN = simulation.FleetPlan(
     name="hofbauer",
--- a/rhubarblock/fleet/distribution.py
+++ b/rhubarblock/fleet/distribution.py
@@ -24,9 +24,9 @@
 from rhubarblock.core import catalogue as catalogues
 from rhubarblock.fleet import distribution_pb2
 from rhubarblock.fleet import duties
-from rhubarblock.fleet import member as members
-from rhubarblock.fleet import membership as memberships
 from rhubarblock.fleet import peertransport
+from rhubarblock.fleet.membership import member as members
+from rhubarblock.fleet.membership import membership as memberships
 from rhubarblock.kernel import logs
 from rhubarblock.kernel import timers as timers_lib
 from rhubarblock.store import backoff
--- a/rhubarblock/fleet/duties.py
+++ b/rhubarblock/fleet/duties.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterable
 import heapq
 
-from rhubarblock.fleet import member as members
 from rhubarblock.fleet import rendezvous
+from rhubarblock.fleet.membership import member as members
 
 
 def choose_coordinator(
--- a/rhubarblock/fleet/duties_test.py
+++ b/rhubarblock/fleet/duties_test.py
@@ -1,5 +1,5 @@
 from rhubarblock.fleet import duties
-from rhubarblock.fleet import member as members
+from rhubarblock.fleet.membership import member as members
 
 
 def make_members(count):
--- a/rhubarblock/fleet/endpointnews.py
+++ b/rhubarblock/fleet/endpointnews.py
@@ -16,8 +16,8 @@
 from rhubarblock.fleet import drainrecord
 from rhubarblock.fleet import endpointnews_pb2
 from rhubarblock.fleet import endpoints as endpointtables
-from rhubarblock.fleet import membership as memberships
 from rhubarblock.fleet import peertransport
+from rhubarblock.fleet.membership import membership as memberships
 from rhubarblock.kernel import timers as timers_lib
 from rhubarblock.store import store as stores
 
--- a/rhubarblock/fleet/lease_test.py
+++ b/rhubarblock/fleet/lease_test.py
@@ -5,7 +5,7 @@
 from rhubarblock.fleet import lease as leases
 from rhubarblock.kernel import timers as timers_lib
 from rhubarblock.kernel import virtualloop
-from rhubarblock.standins import platform
+from rhubarblock.standins.platform import store as platform
 
 NAME = "orders/a/pool"
 
--- a/rhubarblock/fleet/listrelay.py
+++ b/rhubarblock/fleet/listrelay.py
@@ -15,10 +15,10 @@
 
 from rhubarblock.fleet import duties
 from rhubarblock.fleet import listrelay_pb2
-from rhubarblock.fleet import member as members
-from rhubarblock.fleet import membership as memberships
-from rhubarblock.fleet import membertable
 from rhubarblock.fleet import peertransport
+from rhubarblock.fleet.membership import member as members
+from rhubarblock.fleet.membership import membership as memberships
+from rhubarblock.fleet.membership import table as membertable
 from rhubarblock.kernel import timers as timers_lib
 from rhubarblock.store import instances
 from rhubarblock.store import store as stores
--- a/rhubarblock/fleet/detection.py
+++ b/rhubarblock/fleet/membership/detection.py
@@ -13,10 +13,10 @@
 
 from google.protobuf import message as protobuf_message
 
-from rhubarblock.fleet import member as members
-from rhubarblock.fleet import membership_pb2
-from rhubarblock.fleet import memberview
 from rhubarblock.fleet import peertransport
+from rhubarblock.fleet.membership import member as members
+from rhubarblock.fleet.membership import membership_pb2
+from rhubarblock.fleet.membership import view as memberview
 from rhubarblock.kernel import timers as timers_lib
 
 HEARTBEAT_KIND = "membership.heartbeat"
--- a/rhubarblock/fleet/member.py
+++ b/rhubarblock/fleet/membership/member.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from rhubarblock.fleet import membership_pb2
+from rhubarblock.fleet.membership import membership_pb2
 
 
 class MemberState(enum.Enum):
--- a/rhubarblock/fleet/membership.py
+++ b/rhubarblock/fleet/membership/membership.py
@@ -19,12 +19,12 @@
 
 from google.protobuf import message as protobuf_message
 
-from rhubarblock.fleet import detection
-from rhubarblock.fleet import member as members
-from rhubarblock.fleet import membership_pb2
-from rhubarblock.fleet import memberview
 from rhubarblock.fleet import peertransport
-from rhubarblock.fleet import probing
+from rhubarblock.fleet.membership import detection
+from rhubarblock.fleet.membership import member as members
+from rhubarblock.fleet.membership import membership_pb2
+from rhubarblock.fleet.membership import probing
+from rhubarblock.fleet.membership import view as memberview
 from rhubarblock.kernel import timers as timers_lib
 from rhubarblock.store import instances
 from rhubarblock.store import store
--- a/rhubarblock/fleet/membership_test.py
+++ b/rhubarblock/fleet/membership/membership_test.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from rhubarblock.fleet import member as members
 from rhubarblock.fleet import softstate
+from rhubarblock.fleet.membership import member as members
 from rhubarblock.kernel import virtualloop
 from rhubarblock.standins import memoryfleet
 
--- a/rhubarblock/fleet/probing.py
+++ b/rhubarblock/fleet/membership/probing.py
@@ -7,8 +7,8 @@
 import abc
 import random
 
-from rhubarblock.fleet import member as members
 from rhubarblock.fleet import rendezvous
+from rhubarblock.fleet.membership import member as members
 
 _RING_KEY = "membership/ring"
 
--- a/rhubarblock/fleet/probing_test.py
+++ b/rhubarblock/fleet/membership/probing_test.py
@@ -1,8 +1,8 @@
 import collections
 import random
 
-from rhubarblock.fleet import member as members
-from rhubarblock.fleet import probing
+from rhubarblock.fleet.membership import member as members
+from rhubarblock.fleet.membership import probing
 
 EVERYONE = [
     members.Member(f"i{number}", "a", f"10.0.0.{number}:1")
--- a/rhubarblock/fleet/membertable.py
+++ b/rhubarblock/fleet/membership/table.py
@@ -10,7 +10,7 @@
 import hashlib
 import math
 
-from rhubarblock.fleet import member as members
+from rhubarblock.fleet.membership import member as members
 
 # Parts of the table that are compared and repaired on their own.
 PARTS = 16
--- a/rhubarblock/fleet/membertable_test.py
+++ b/rhubarblock/fleet/membership/table_test.py
@@ -1,8 +1,8 @@
 import dataclasses
 import itertools
 
-from rhubarblock.fleet import member as members
-from rhubarblock.fleet import membertable
+from rhubarblock.fleet.membership import member as members
+from rhubarblock.fleet.membership import table as membertable
 
 ALIVE = members.MemberState.ALIVE
 LEFT = members.MemberState.LEFT
--- a/rhubarblock/fleet/memberview.py
+++ b/rhubarblock/fleet/membership/view.py
@@ -12,11 +12,11 @@
 import logging
 
 from rhubarblock.fleet import duties
-from rhubarblock.fleet import member as members
-from rhubarblock.fleet import membership_pb2
-from rhubarblock.fleet import membertable
 from rhubarblock.fleet import reachability
 from rhubarblock.fleet import softstate
+from rhubarblock.fleet.membership import member as members
+from rhubarblock.fleet.membership import membership_pb2
+from rhubarblock.fleet.membership import table as membertable
 from rhubarblock.kernel import logs
 from rhubarblock.kernel import timers as timers_lib
 
--- a/rhubarblock/fleet/orders.py
+++ b/rhubarblock/fleet/orders.py
@@ -18,9 +18,9 @@
 from rhubarblock.fleet import engineclient
 from rhubarblock.fleet import enginework
 from rhubarblock.fleet import lease as leases
-from rhubarblock.fleet import membership as memberships
 from rhubarblock.fleet import poolkeeper
 from rhubarblock.fleet import poolrecord
+from rhubarblock.fleet.membership import membership as memberships
 from rhubarblock.kernel import timers as timers_lib
 from rhubarblock.store import store as stores
 
--- a/rhubarblock/fleet/orders_test.py
+++ b/rhubarblock/fleet/orders_test.py
@@ -14,11 +14,11 @@
 from rhubarblock.fleet import poolrecord
 from rhubarblock.fleet import versiontrial
 from rhubarblock.kernel import virtualloop
-from rhubarblock.standins import engine as engines
-from rhubarblock.standins import enginecluster
-from rhubarblock.standins import enginesettings
-from rhubarblock.standins import engineweights
 from rhubarblock.standins import memoryfleet
+from rhubarblock.standins.engine import cluster as enginecluster
+from rhubarblock.standins.engine import engine as engines
+from rhubarblock.standins.engine import settings as enginesettings
+from rhubarblock.standins.engine import weights as engineweights
 from rhubarblock.store import instances
 
 SETTLE_S = 20.0
--- a/rhubarblock/fleet/orphans.py
+++ b/rhubarblock/fleet/orphans.py
@@ -17,8 +17,8 @@
 from rhubarblock.fleet import duties
 from rhubarblock.fleet import endpoints as endpointtables
 from rhubarblock.fleet import engineclient
-from rhubarblock.fleet import member as members
-from rhubarblock.fleet import memberview
+from rhubarblock.fleet.membership import member as members
+from rhubarblock.fleet.membership import view as memberview
 from rhubarblock.kernel import timers as timer_service
 
 # Seconds between two looks at the reports.
--- a/rhubarblock/fleet/orphans_test.py
+++ b/rhubarblock/fleet/orphans_test.py
@@ -4,14 +4,14 @@
 from rhubarblock.core import attemptid
 from rhubarblock.fleet import duties
 from rhubarblock.fleet import endpoints as endpointtables
-from rhubarblock.fleet import member as members
-from rhubarblock.fleet import memberview
 from rhubarblock.fleet import orphans
+from rhubarblock.fleet.membership import member as members
+from rhubarblock.fleet.membership import view as memberview
 from rhubarblock.kernel import timers
 from rhubarblock.kernel import virtualloop
-from rhubarblock.standins import engine as engines
-from rhubarblock.standins import enginecluster
-from rhubarblock.standins import enginetesting
+from rhubarblock.standins.engine import cluster as enginecluster
+from rhubarblock.standins.engine import engine as engines
+from rhubarblock.standins.engine import testing as enginetesting
 from rhubarblock.store import instances
 
 ADDRESS = "10.0.0.1:8000"
--- a/rhubarblock/fleet/softstate.py
+++ b/rhubarblock/fleet/softstate.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 import contextlib
 
-from rhubarblock.fleet import member as members
+from rhubarblock.fleet.membership import member as members
 
 # Most bytes of one subsystem, and most subsystems: together they bound the
 # size of a heartbeat.
--- a/rhubarblock/plugins/fixed_lanes.py
+++ b/rhubarblock/plugins/fixed_lanes.py
@@ -7,9 +7,9 @@
 from rhubarblock.core import listed as lists
 from rhubarblock.core import route as routes
 from rhubarblock.plugins import least_requests
-from rhubarblock.routing import partplan
-from rhubarblock.routing import prompt as prompts
-from rhubarblock.routing import promptpolicy
+from rhubarblock.routing.placement import partplan
+from rhubarblock.routing.placement import prompt as prompts
+from rhubarblock.routing.placement import promptpolicy
 
 __plugins__ = ("FixedLanes",)
 
--- a/rhubarblock/plugins/least_requests.py
+++ b/rhubarblock/plugins/least_requests.py
@@ -6,10 +6,10 @@
 
 from rhubarblock.core import listed as lists
 from rhubarblock.core import route as routes
-from rhubarblock.routing import enginebook
-from rhubarblock.routing import partplan
-from rhubarblock.routing import prompt as prompts
-from rhubarblock.routing import promptpolicy
+from rhubarblock.routing.placement import enginebook
+from rhubarblock.routing.placement import partplan
+from rhubarblock.routing.placement import prompt as prompts
+from rhubarblock.routing.placement import promptpolicy
 
 __plugins__ = ("LeastRequests",)
 
--- a/rhubarblock/plugins/length_aware.py
+++ b/rhubarblock/plugins/length_aware.py
@@ -13,10 +13,10 @@
 """
 
 from rhubarblock.core import endpoint as endpoints
-from rhubarblock.routing import loadtable
-from rhubarblock.routing import placement as placements
-from rhubarblock.routing import policy
-from rhubarblock.routing import segments
+from rhubarblock.routing.placement import answer as placements
+from rhubarblock.routing.placement import loadtable
+from rhubarblock.routing.placement import policy
+from rhubarblock.routing.placement import segments
 
 __plugins__ = ("LengthAwarePolicy",)
 
--- a/rhubarblock/plugins/naive.py
+++ b/rhubarblock/plugins/naive.py
@@ -5,10 +5,10 @@
 differential tests and of every measurement.
 """
 
-from rhubarblock.routing import loadtable
-from rhubarblock.routing import placement as placements
-from rhubarblock.routing import policy
-from rhubarblock.routing import segments
+from rhubarblock.routing.placement import answer as placements
+from rhubarblock.routing.placement import loadtable
+from rhubarblock.routing.placement import policy
+from rhubarblock.routing.placement import segments
 
 __plugins__ = ("NaivePolicy",)
 
--- a/rhubarblock/plugins/parted.py
+++ b/rhubarblock/plugins/parted.py
@@ -1,6 +1,6 @@
 """Prompts placed, and parted, by what the next passes of engines will last."""
 
-from rhubarblock.routing import parting
+from rhubarblock.routing.placement import parting
 
 __plugins__ = ("Parter",)
 
--- a/rhubarblock/plugins/parted_at_once.py
+++ b/rhubarblock/plugins/parted_at_once.py
@@ -5,8 +5,8 @@
 """
 
 from rhubarblock.core import route as routes
-from rhubarblock.routing import parting
-from rhubarblock.routing import prompt as prompts
+from rhubarblock.routing.placement import parting
+from rhubarblock.routing.placement import prompt as prompts
 
 __plugins__ = ("PartedAtOnce",)
 
--- a/rhubarblock/relay/claimfailures.py
+++ b/rhubarblock/relay/claims/failures.py
@@ -2,7 +2,7 @@
 
 from rhubarblock.core import failure as failures
 from rhubarblock.core import verdict as verdicts
-from rhubarblock.relay import claimrow
+from rhubarblock.relay.claims import row as claimrow
 
 # What a refused caller is told to wait, in seconds.
 RETRY_AFTER_S = 2.0
--- a/rhubarblock/relay/claimhead.py
+++ b/rhubarblock/relay/claims/head.py
@@ -1,7 +1,7 @@
 """Reads and writes the head object of one shard."""
 
-from rhubarblock.relay import claimpacer
-from rhubarblock.relay import claimtable
+from rhubarblock.relay.claims import pacer as claimpacer
+from rhubarblock.relay.claims import table as claimtable
 from rhubarblock.store import store as stores
 
 
--- a/rhubarblock/relay/claimindex.py
+++ b/rhubarblock/relay/claims/index.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from rhubarblock.relay import claimrow
-from rhubarblock.relay import claimtable
+from rhubarblock.relay.claims import row as claimrow
+from rhubarblock.relay.claims import table as claimtable
 from rhubarblock.store import store as stores
 
 # Segments that are read at one time after a start.
--- a/rhubarblock/relay/claiminterleave_test.py
+++ b/rhubarblock/relay/claims/interleave_test.py
@@ -29,18 +29,18 @@
 from rhubarblock.fleet import serviceclient
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
-from rhubarblock.relay import claimhead
-from rhubarblock.relay import claimindex
-from rhubarblock.relay import claimops
-from rhubarblock.relay import claimrow
-from rhubarblock.relay import claims
-from rhubarblock.relay import claimseal
-from rhubarblock.relay import claimsettings
-from rhubarblock.relay import claimshard
-from rhubarblock.relay import claimtable
 from rhubarblock.relay import servicecalls
-from rhubarblock.standins import platformstate
+from rhubarblock.relay.claims import head as claimhead
+from rhubarblock.relay.claims import index as claimindex
+from rhubarblock.relay.claims import ledger as claims
+from rhubarblock.relay.claims import ops as claimops
+from rhubarblock.relay.claims import row as claimrow
+from rhubarblock.relay.claims import seal as claimseal
+from rhubarblock.relay.claims import settings as claimsettings
+from rhubarblock.relay.claims import shard as claimshard
+from rhubarblock.relay.claims import table as claimtable
 from rhubarblock.standins import service_test
+from rhubarblock.standins.platform import state as platformstate
 from rhubarblock.store import backoff as backoffs
 from rhubarblock.store import store as stores
 
--- a/rhubarblock/relay/claimlayout.py
+++ b/rhubarblock/relay/claims/layout.py
@@ -9,7 +9,7 @@
 import json
 
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.relay import claimtable
+from rhubarblock.relay.claims import table as claimtable
 from rhubarblock.store import backoff as backoffs
 from rhubarblock.store import store as stores
 
--- a/rhubarblock/relay/claims.py
+++ b/rhubarblock/relay/claims/ledger.py
@@ -20,18 +20,18 @@
 from rhubarblock.core import request as requests
 from rhubarblock.fleet import peertransport
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.relay import claimfailures
-from rhubarblock.relay import claimhead
-from rhubarblock.relay import claimindex
-from rhubarblock.relay import claimlayout
-from rhubarblock.relay import claimops
-from rhubarblock.relay import claimpacer
-from rhubarblock.relay import claimroute
-from rhubarblock.relay import claimrow
-from rhubarblock.relay import claimseal
-from rhubarblock.relay import claimsettings
-from rhubarblock.relay import claimshard
-from rhubarblock.relay import claimwire
+from rhubarblock.relay.claims import failures as claimfailures
+from rhubarblock.relay.claims import head as claimhead
+from rhubarblock.relay.claims import index as claimindex
+from rhubarblock.relay.claims import layout as claimlayout
+from rhubarblock.relay.claims import ops as claimops
+from rhubarblock.relay.claims import pacer as claimpacer
+from rhubarblock.relay.claims import route as claimroute
+from rhubarblock.relay.claims import row as claimrow
+from rhubarblock.relay.claims import seal as claimseal
+from rhubarblock.relay.claims import settings as claimsettings
+from rhubarblock.relay.claims import shard as claimshard
+from rhubarblock.relay.claims import wire as claimwire
 from rhubarblock.store import backoff as backoffs
 from rhubarblock.store import store as stores
 
--- a/rhubarblock/relay/claims_test.py
+++ b/rhubarblock/relay/claims/ledger_test.py
@@ -14,14 +14,14 @@
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
-from rhubarblock.relay import claimrow
-from rhubarblock.relay import claims
-from rhubarblock.relay import claimsettings
-from rhubarblock.relay import claimtable
 from rhubarblock.relay import servicecalls
-from rhubarblock.standins import platform
+from rhubarblock.relay.claims import ledger as claims
+from rhubarblock.relay.claims import row as claimrow
+from rhubarblock.relay.claims import settings as claimsettings
+from rhubarblock.relay.claims import table as claimtable
 from rhubarblock.standins import service
 from rhubarblock.standins import service_test
+from rhubarblock.standins.platform import store as platform
 
 _Code = failures.FailureCode
 _Verdict = verdicts.Verdict
--- a/rhubarblock/relay/claimops.py
+++ b/rhubarblock/relay/claims/ops.py
@@ -9,8 +9,8 @@
 import asyncio
 import dataclasses
 
-from rhubarblock.relay import claimrow
-from rhubarblock.relay import claimtable
+from rhubarblock.relay.claims import row as claimrow
+from rhubarblock.relay.claims import table as claimtable
 
 
 class Operation(abc.ABC):
--- a/rhubarblock/relay/claimroute.py
+++ b/rhubarblock/relay/claims/route.py
@@ -12,10 +12,10 @@
 
 from rhubarblock.fleet import peertransport
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.relay import claimops
-from rhubarblock.relay import claimsettings
-from rhubarblock.relay import claimshard
-from rhubarblock.relay import claimwire
+from rhubarblock.relay.claims import ops as claimops
+from rhubarblock.relay.claims import settings as claimsettings
+from rhubarblock.relay.claims import shard as claimshard
+from rhubarblock.relay.claims import wire as claimwire
 
 MESSAGE_KIND = "claims.commit"
 DUTY_PREFIX = "claims/"
--- a/rhubarblock/relay/claimroute_test.py
+++ b/rhubarblock/relay/claims/route_test.py
@@ -8,12 +8,12 @@
 
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
-from rhubarblock.relay import claimops
-from rhubarblock.relay import claimrow
-from rhubarblock.relay import claims
-from rhubarblock.relay import claimwire
+from rhubarblock.relay.claims import ledger as claims
+from rhubarblock.relay.claims import ops as claimops
+from rhubarblock.relay.claims import row as claimrow
+from rhubarblock.relay.claims import wire as claimwire
 from rhubarblock.standins import memorypeers
-from rhubarblock.standins import platform
+from rhubarblock.standins.platform import store as platform
 
 ROW = claimrow.ClaimRow(
     key_digest="00ff" * 8,
--- a/rhubarblock/relay/claimseal.py
+++ b/rhubarblock/relay/claims/seal.py
@@ -18,10 +18,10 @@
 import random
 
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.relay import claimhead
-from rhubarblock.relay import claimrow
-from rhubarblock.relay import claimsettings
-from rhubarblock.relay import claimtable
+from rhubarblock.relay.claims import head as claimhead
+from rhubarblock.relay.claims import row as claimrow
+from rhubarblock.relay.claims import settings as claimsettings
+from rhubarblock.relay.claims import table as claimtable
 from rhubarblock.store import store as stores
 
 # Seconds after which a segment that is being written counts as given up.
--- a/rhubarblock/relay/claimshard.py
+++ b/rhubarblock/relay/claims/shard.py
@@ -12,12 +12,12 @@
 import random
 
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.relay import claimhead
-from rhubarblock.relay import claimindex
-from rhubarblock.relay import claimops
-from rhubarblock.relay import claimseal
-from rhubarblock.relay import claimsettings
-from rhubarblock.relay import claimtable
+from rhubarblock.relay.claims import head as claimhead
+from rhubarblock.relay.claims import index as claimindex
+from rhubarblock.relay.claims import ops as claimops
+from rhubarblock.relay.claims import seal as claimseal
+from rhubarblock.relay.claims import settings as claimsettings
+from rhubarblock.relay.claims import table as claimtable
 from rhubarblock.store import backoff as backoffs
 from rhubarblock.store import store as stores
 
--- a/rhubarblock/relay/claimtable.py
+++ b/rhubarblock/relay/claims/table.py
@@ -13,7 +13,7 @@
 import json
 from typing import Any
 
-from rhubarblock.relay import claimrow
+from rhubarblock.relay.claims import row as claimrow
 
 HEAD_PREFIX = "claims/"
 KEYS_PREFIX = "claimkeys/"
--- a/rhubarblock/relay/claimwire.py
+++ b/rhubarblock/relay/claims/wire.py
@@ -4,8 +4,8 @@
 import json
 from typing import Any
 
-from rhubarblock.relay import claimops
-from rhubarblock.relay import claimrow
+from rhubarblock.relay.claims import ops as claimops
+from rhubarblock.relay.claims import row as claimrow
 
 CLAIM = "claim"
 LOOKUP = "lookup"
--- a/rhubarblock/relay/completionsapi_test.py
+++ b/rhubarblock/relay/completionsapi_test.py
@@ -19,7 +19,7 @@
 from rhubarblock.relay import completionsapi
 from rhubarblock.relay import prompts
 from rhubarblock.settings import kinds
-from rhubarblock.standins import enginetokens
+from rhubarblock.standins.engine import tokens as enginetokens
 
 _PROMPT = "Summarise this claim."
 _BODY = {"model": "reader", "prompt": _PROMPT, "max_tokens": 30}
--- a/rhubarblock/relay/crashes.py
+++ b/rhubarblock/relay/crashes.py
@@ -11,7 +11,7 @@
 
 from rhubarblock.core import failure as failures
 from rhubarblock.fleet import engineclient
-from rhubarblock.routing import quarantine as quarantines
+from rhubarblock.routing.quarantine import gate as quarantines
 
 # Seconds to wait for an engine's word; one that only stands still is no crash.
 ASK_TIMEOUT_S = 0.5
--- a/rhubarblock/relay/cursor_test.py
+++ b/rhubarblock/relay/cursor_test.py
@@ -11,7 +11,7 @@
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.relay import cursor as cursors
 from rhubarblock.relay import sink as sinks
-from rhubarblock.standins import enginetokens
+from rhubarblock.standins.engine import tokens as enginetokens
 
 
 def make_chunk(index, count=1, attempt_id="r/1", end=False, digest="d"):
--- a/rhubarblock/relay/guard.py
+++ b/rhubarblock/relay/guard.py
@@ -16,8 +16,8 @@
 from rhubarblock.core import request as requests
 from rhubarblock.relay import crashes
 from rhubarblock.routing import limits
-from rhubarblock.routing import placement as placements
-from rhubarblock.routing import quarantine as quarantines
+from rhubarblock.routing.placement import answer as placements
+from rhubarblock.routing.quarantine import gate as quarantines
 
 # Prompts over this many tokens count against the limit of long prompts.
 LONG_TOKENS = 100_000
--- a/rhubarblock/relay/runner.py
+++ b/rhubarblock/relay/runner.py
@@ -19,8 +19,8 @@
 from rhubarblock.relay import cleanup as cleanups
 from rhubarblock.relay import cursor as cursors
 from rhubarblock.relay import stalls
-from rhubarblock.routing import placement as placements
-from rhubarblock.routing import predictor
+from rhubarblock.routing.placement import answer as placements
+from rhubarblock.routing.placement import predictor
 
 # Seconds without a token after which an engine counts as stalled.
 TOKEN_PATIENCE_S = 3.0
--- a/rhubarblock/relay/runner_test.py
+++ b/rhubarblock/relay/runner_test.py
@@ -12,9 +12,9 @@
 from rhubarblock.relay import runner as runners
 from rhubarblock.relay import sink as sinks
 from rhubarblock.relay import stalls
-from rhubarblock.routing import placement as placements
-from rhubarblock.standins import enginetesting
-from rhubarblock.standins import enginetokens
+from rhubarblock.routing.placement import answer as placements
+from rhubarblock.standins.engine import testing as enginetesting
+from rhubarblock.standins.engine import tokens as enginetokens
 
 ENGINES = "a:1 b:1 c:1"
 
--- a/rhubarblock/relay/servicecalls.py
+++ b/rhubarblock/relay/servicecalls.py
@@ -22,7 +22,7 @@
 from rhubarblock.fleet import serviceclient
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.relay import backoff as relay_backoff
-from rhubarblock.relay import claims as claim_ledger
+from rhubarblock.relay.claims import ledger as claim_ledger
 from rhubarblock.store import backoff as backoffs
 
 _Code = failures.FailureCode
--- a/rhubarblock/relay/tries.py
+++ b/rhubarblock/relay/tries.py
@@ -21,12 +21,12 @@
 from rhubarblock.relay import retries
 from rhubarblock.relay import runner as runners
 from rhubarblock.routing import admission as admissions
-from rhubarblock.routing import coordination
 from rhubarblock.routing import fairqueue
 from rhubarblock.routing import lanes
-from rhubarblock.routing import placement as placements
-from rhubarblock.routing import predictor as predictors
-from rhubarblock.routing import quarantine as quarantines
+from rhubarblock.routing.placement import answer as placements
+from rhubarblock.routing.placement import coordination
+from rhubarblock.routing.placement import predictor as predictors
+from rhubarblock.routing.quarantine import gate as quarantines
 
 # Seconds between two tries to place a prompt that has no room yet.
 PLACE_INTERVAL_S = 0.05
--- a/rhubarblock/routing/admission.py
+++ b/rhubarblock/routing/admission.py
@@ -4,7 +4,7 @@
 
 from rhubarblock.core import failure as failures
 from rhubarblock.core import request as requests
-from rhubarblock.routing import predictor as predictors
+from rhubarblock.routing.placement import predictor as predictors
 
 # Shorter prompts that come later lengthen a wait by up to this ratio.
 LATER_WORK_RATIO = 1.3
--- a/rhubarblock/routing/admission_test.py
+++ b/rhubarblock/routing/admission_test.py
@@ -6,7 +6,7 @@
 from rhubarblock.core import failure as failures
 from rhubarblock.core import request as requests
 from rhubarblock.routing import admission as admissions
-from rhubarblock.routing import predictor as predictors
+from rhubarblock.routing.placement import predictor as predictors
 
 
 def make_request(tokens=36_000, output=100, deadline_s=10.0):
--- a/rhubarblock/routing/lanes.py
+++ b/rhubarblock/routing/lanes.py
@@ -12,7 +12,7 @@
 
 from rhubarblock.core import request as requests
 from rhubarblock.routing import fairqueue
-from rhubarblock.routing import policy as policies
+from rhubarblock.routing.placement import policy as policies
 
 
 class LaneQueues:
--- a/rhubarblock/routing/ledger.py
+++ b/rhubarblock/routing/ledger.py
@@ -11,9 +11,9 @@
 
 from rhubarblock.core import endpoint as endpoints
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.routing import loadtable
-from rhubarblock.routing import placement as placements
-from rhubarblock.routing import policy as policies
+from rhubarblock.routing.placement import answer as placements
+from rhubarblock.routing.placement import loadtable
+from rhubarblock.routing.placement import policy as policies
 
 # A grant whose holder fell silent is dropped this long after its deadline.
 GRACE_S = 2.0
--- a/rhubarblock/routing/lendingcoordinator.py
+++ b/rhubarblock/routing/lending/coordinator.py
@@ -10,8 +10,8 @@
 import math
 
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.routing import lending_pb2
-from rhubarblock.routing import lendingpool
+from rhubarblock.routing.lending import lending_pb2
+from rhubarblock.routing.lending import pool as lendingpool
 
 _MS_PER_S = 1000
 # Time after which the book of an entry that nobody reports is dropped.
--- a/rhubarblock/routing/lendingentry.py
+++ b/rhubarblock/routing/lending/entry.py
@@ -5,9 +5,9 @@
 
 from rhubarblock.core import catalogue as catalogues
 from rhubarblock.fleet import rendezvous
-from rhubarblock.routing import lending_pb2
-from rhubarblock.routing import lendingholding
 from rhubarblock.routing import limitshare
+from rhubarblock.routing.lending import holding as lendingholding
+from rhubarblock.routing.lending import lending_pb2
 
 _CACHED_OWNERS = 4096
 # Additional reports of an instance whose share does not suffice any more;
--- a/rhubarblock/routing/lendingholders.py
+++ b/rhubarblock/routing/lending/holders.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
-from rhubarblock.fleet import member as members
+from rhubarblock.fleet.membership import member as members
 from rhubarblock.kernel import timers as timers_lib
 
 # Time for which a dead instance keeps its share, in seconds: longer than a
--- a/rhubarblock/routing/lendingholding.py
+++ b/rhubarblock/routing/lending/holding.py
@@ -2,7 +2,7 @@
 
 import math
 
-from rhubarblock.routing import lending_pb2
+from rhubarblock.routing.lending import lending_pb2
 
 # Time in which a new pledge is reported, in seconds; else it ends unused.
 UNREPORTED_S = 2.0
--- a/rhubarblock/routing/lending.py
+++ b/rhubarblock/routing/lending/lender.py
@@ -21,12 +21,12 @@
 from rhubarblock.core import catalogue as catalogues
 from rhubarblock.fleet import peertransport
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.routing import lending_pb2
-from rhubarblock.routing import lendingcoordinator
-from rhubarblock.routing import lendingentry
-from rhubarblock.routing import lendingpool
 from rhubarblock.routing import limits as limiters
 from rhubarblock.routing import limitshare
+from rhubarblock.routing.lending import coordinator as lendingcoordinator
+from rhubarblock.routing.lending import entry as lendingentry
+from rhubarblock.routing.lending import lending_pb2
+from rhubarblock.routing.lending import pool as lendingpool
 
 LEND_KIND = "limits.lend"
 
--- a/rhubarblock/routing/lending_test.py
+++ b/rhubarblock/routing/lending/lender_test.py
@@ -6,9 +6,9 @@
 from rhubarblock.fleet import peertransport
 from rhubarblock.kernel import timers
 from rhubarblock.kernel import virtualloop
-from rhubarblock.routing import lending
 from rhubarblock.routing import limits
 from rhubarblock.routing import limitshare
+from rhubarblock.routing.lending import lender as lending
 
 CATALOGUE = catalogues.Catalogue(
     revision=1,
--- a/rhubarblock/routing/lendingpool.py
+++ b/rhubarblock/routing/lending/pool.py
@@ -8,9 +8,9 @@
 
 import dataclasses
 
-from rhubarblock.routing import lending_pb2
-from rhubarblock.routing import lendingtargets
 from rhubarblock.routing import limitshare
+from rhubarblock.routing.lending import lending_pb2
+from rhubarblock.routing.lending import targets as lendingtargets
 
 # Time for which a division among the instances is used again, in seconds.
 _TARGETS_S = 0.2
--- a/rhubarblock/routing/lendingpool_test.py
+++ b/rhubarblock/routing/lending/pool_test.py
@@ -1,7 +1,7 @@
 import math
 
-from rhubarblock.routing import lending_pb2
-from rhubarblock.routing import lendingpool
+from rhubarblock.routing.lending import lending_pb2
+from rhubarblock.routing.lending import pool as lendingpool
 
 ALL = frozenset({"a", "b"})
 
--- a/rhubarblock/routing/lendingtargets_test.py
+++ b/rhubarblock/routing/lending/targets_test.py
@@ -1,7 +1,7 @@
 from hypothesis import given
 from hypothesis import strategies
 
-from rhubarblock.routing import lendingtargets
+from rhubarblock.routing.lending import targets as lendingtargets
 
 
 def stand(name, own, demand, pledged=0):
--- a/rhubarblock/routing/coordination_test.py
+++ b/rhubarblock/routing/placement/coordination_test.py
@@ -8,10 +8,10 @@
 from rhubarblock.kernel import virtualloop
 from rhubarblock.plugins import length_aware
 from rhubarblock.plugins import naive
-from rhubarblock.routing import coordination
 from rhubarblock.routing import ledger as ledgers
-from rhubarblock.routing import loadtable_test
-from rhubarblock.routing import placement as placements
+from rhubarblock.routing.placement import answer as placements
+from rhubarblock.routing.placement import coordination
+from rhubarblock.routing.placement import loadtable_test
 from rhubarblock.standins import memorypeers
 
 _LONG = loadtable_test.make_query(50_000)
--- a/rhubarblock/routing/enginebook_test.py
+++ b/rhubarblock/routing/placement/enginebook_test.py
@@ -1,7 +1,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from rhubarblock.routing import enginebook
+from rhubarblock.routing.placement import enginebook
 
 JOB = enginebook.Job(
     "j1",
--- a/rhubarblock/routing/engineview.py
+++ b/rhubarblock/routing/placement/engineview.py
@@ -10,8 +10,8 @@
 
 from rhubarblock.core import listed as lists
 from rhubarblock.core import route as routes
-from rhubarblock.routing import enginebook
-from rhubarblock.routing import lateness
+from rhubarblock.routing.placement import enginebook
+from rhubarblock.routing.placement import lateness
 
 # Seconds until an engine that only reads turns to a new part: half of the
 # piece of a long prompt that it reads at once.
--- a/rhubarblock/routing/engineview_test.py
+++ b/rhubarblock/routing/placement/engineview_test.py
@@ -4,8 +4,8 @@
 
 from rhubarblock.core import listed
 from rhubarblock.exchange import fakeparts_test as fakes
-from rhubarblock.routing import enginebook
-from rhubarblock.routing import engineview
+from rhubarblock.routing.placement import enginebook
+from rhubarblock.routing.placement import engineview
 
 ENGINE = listed.ListedEndpoint("a", "10.0.0.1:1", "osu", "pool", 8, False)
 
--- a/rhubarblock/routing/lateness_test.py
+++ b/rhubarblock/routing/placement/lateness_test.py
@@ -1,6 +1,6 @@
 import pytest
 
-from rhubarblock.routing import lateness
+from rhubarblock.routing.placement import lateness
 
 
 @pytest.mark.parametrize(
--- a/rhubarblock/routing/loadtable.py
+++ b/rhubarblock/routing/placement/loadtable.py
@@ -9,7 +9,7 @@
 import dataclasses
 
 from rhubarblock.core import endpoint as endpoints
-from rhubarblock.routing import prefixindex
+from rhubarblock.routing.placement import prefixindex
 
 # Prompt tokens a second that an engine computes before anything was learned.
 PRIOR_PREFILL_RATE = 36_000.0
--- a/rhubarblock/routing/loadtable_test.py
+++ b/rhubarblock/routing/placement/loadtable_test.py
@@ -9,8 +9,8 @@
 from rhubarblock.kernel import virtualloop
 from rhubarblock.plugins import length_aware
 from rhubarblock.routing import ledger as ledgers
-from rhubarblock.routing import loadtable
-from rhubarblock.routing import placement as placements
+from rhubarblock.routing.placement import answer as placements
+from rhubarblock.routing.placement import loadtable
 
 _RATE = loadtable.PRIOR_PREFILL_RATE
 _REST = loadtable.LEAST_REST_TOKENS
--- a/rhubarblock/routing/parting.py
+++ b/rhubarblock/routing/placement/parting.py
@@ -10,10 +10,10 @@
 
 from rhubarblock.core import listed as lists
 from rhubarblock.core import route as routes
-from rhubarblock.routing import enginebook
-from rhubarblock.routing import partplan
-from rhubarblock.routing import prompt as prompts
-from rhubarblock.routing import promptpolicy
+from rhubarblock.routing.placement import enginebook
+from rhubarblock.routing.placement import partplan
+from rhubarblock.routing.placement import prompt as prompts
+from rhubarblock.routing.placement import promptpolicy
 
 # Least seconds that are left of an objective in what the book is told.
 SHORTEST_OBJECTIVE_S = 0.05
--- a/rhubarblock/routing/parting_test.py
+++ b/rhubarblock/routing/placement/parting_test.py
@@ -4,10 +4,10 @@
 
 from rhubarblock.core import listed
 from rhubarblock.exchange import fakeparts_test as fakes
-from rhubarblock.routing import enginebook
-from rhubarblock.routing import parting
-from rhubarblock.routing import partplan
-from rhubarblock.routing import prompt as prompts
+from rhubarblock.routing.placement import enginebook
+from rhubarblock.routing.placement import parting
+from rhubarblock.routing.placement import partplan
+from rhubarblock.routing.placement import prompt as prompts
 
 MODEL = fakes.MODEL
 
--- a/rhubarblock/routing/partplan.py
+++ b/rhubarblock/routing/placement/partplan.py
@@ -12,10 +12,10 @@
 
 from rhubarblock.core import listed as lists
 from rhubarblock.core import route as routes
-from rhubarblock.routing import enginebook
-from rhubarblock.routing import engineview
-from rhubarblock.routing import lateness
-from rhubarblock.routing import prompt as prompts
+from rhubarblock.routing.placement import enginebook
+from rhubarblock.routing.placement import engineview
+from rhubarblock.routing.placement import lateness
+from rhubarblock.routing.placement import prompt as prompts
 
 # Most engines that read one prompt: the one that is asked and 16 helpers.
 MAX_PARTS = 17
--- a/rhubarblock/routing/partplan_test.py
+++ b/rhubarblock/routing/placement/partplan_test.py
@@ -6,10 +6,10 @@
 
 from rhubarblock.core import listed
 from rhubarblock.exchange import fakeparts_test as fakes
-from rhubarblock.routing import enginebook
-from rhubarblock.routing import engineview
-from rhubarblock.routing import partplan
-from rhubarblock.routing import prompt as prompts
+from rhubarblock.routing.placement import enginebook
+from rhubarblock.routing.placement import engineview
+from rhubarblock.routing.placement import partplan
+from rhubarblock.routing.placement import prompt as prompts
 
 MODEL = fakes.MODEL
 ENGINES = [
--- a/rhubarblock/routing/policy.py
+++ b/rhubarblock/routing/placement/policy.py
@@ -7,8 +7,8 @@
 
 import abc
 
-from rhubarblock.routing import loadtable
-from rhubarblock.routing import placement as placements
+from rhubarblock.routing.placement import answer as placements
+from rhubarblock.routing.placement import loadtable
 
 PLUGIN_GROUP = "policy"
 
--- a/rhubarblock/routing/predictor.py
+++ b/rhubarblock/routing/placement/predictor.py
@@ -10,7 +10,7 @@
 import bisect
 import dataclasses
 
-from rhubarblock.routing import loadtable
+from rhubarblock.routing.placement import loadtable
 
 # Nominal seconds of an iteration of an engine and between two tokens.
 NOMINAL_START_S = 0.010
--- a/rhubarblock/routing/prefixindex_test.py
+++ b/rhubarblock/routing/placement/prefixindex_test.py
@@ -1,5 +1,5 @@
 from rhubarblock.core import attempt as attempts
-from rhubarblock.routing import prefixindex
+from rhubarblock.routing.placement import prefixindex
 
 
 def stored(sequence, block):
--- a/rhubarblock/routing/prompt.py
+++ b/rhubarblock/routing/placement/prompt.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from rhubarblock.core import listed as lists
-from rhubarblock.routing import enginebook
+from rhubarblock.routing.placement import enginebook
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/rhubarblock/routing/promptpolicy.py
+++ b/rhubarblock/routing/placement/promptpolicy.py
@@ -4,8 +4,8 @@
 
 from rhubarblock.core import listed as lists
 from rhubarblock.core import route as routes
-from rhubarblock.routing import enginebook
-from rhubarblock.routing import prompt as prompts
+from rhubarblock.routing.placement import enginebook
+from rhubarblock.routing.placement import prompt as prompts
 
 PLUGIN_GROUP = "prompt_policy"
 
--- a/rhubarblock/routing/segments.py
+++ b/rhubarblock/routing/placement/segments.py
@@ -1,7 +1,7 @@
 """Splits prompts that are larger than one engine."""
 
-from rhubarblock.routing import loadtable
-from rhubarblock.routing import placement as placements
+from rhubarblock.routing.placement import answer as placements
+from rhubarblock.routing.placement import loadtable
 
 # KV memory that the last engine of a group keeps for reading earlier segments.
 WINDOW_TOKENS = 4_096
--- a/rhubarblock/routing/segments_test.py
+++ b/rhubarblock/routing/placement/segments_test.py
@@ -4,9 +4,9 @@
 
 from rhubarblock.plugins import length_aware
 from rhubarblock.plugins import naive
-from rhubarblock.routing import loadtable_test
-from rhubarblock.routing import placement as placements
-from rhubarblock.routing import segments
+from rhubarblock.routing.placement import answer as placements
+from rhubarblock.routing.placement import loadtable_test
+from rhubarblock.routing.placement import segments
 
 _Segment = placements.Segment
 _FREE = 400_000 - segments.WINDOW_TOKENS
--- a/rhubarblock/routing/quarantinebook_test.py
+++ b/rhubarblock/routing/quarantine/book_test.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from rhubarblock.routing import quarantinebook
-from rhubarblock.routing import quarantinewire
+from rhubarblock.routing.quarantine import book as quarantinebook
+from rhubarblock.routing.quarantine import wire as quarantinewire
 
 ALLOW = quarantinebook.Decision.ALLOW
 ISOLATE = quarantinebook.Decision.ISOLATE
--- a/rhubarblock/routing/quarantineflight.py
+++ b/rhubarblock/routing/quarantine/flight.py
@@ -11,7 +11,7 @@
 import math
 
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.routing import quarantinebook
+from rhubarblock.routing.quarantine import book as quarantinebook
 
 # Time for which a failed request leaves a trace, in seconds.
 _LINGER_S = 1.0
--- a/rhubarblock/routing/quarantine.py
+++ b/rhubarblock/routing/quarantine/gate.py
@@ -28,12 +28,12 @@
 from rhubarblock.fleet import peertransport
 from rhubarblock.fleet import rendezvous
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.routing import quarantine_pb2
-from rhubarblock.routing import quarantinebook
-from rhubarblock.routing import quarantinedesk
-from rhubarblock.routing import quarantineflight
-from rhubarblock.routing import quarantinekeeper
-from rhubarblock.routing import quarantinewire
+from rhubarblock.routing.quarantine import book as quarantinebook
+from rhubarblock.routing.quarantine import desk as quarantinedesk
+from rhubarblock.routing.quarantine import flight as quarantineflight
+from rhubarblock.routing.quarantine import keeper as quarantinekeeper
+from rhubarblock.routing.quarantine import quarantine_pb2
+from rhubarblock.routing.quarantine import wire as quarantinewire
 from rhubarblock.store import store as stores
 
 SHARE_KIND = "quarantine.share"
--- a/rhubarblock/routing/quarantine_test.py
+++ b/rhubarblock/routing/quarantine/gate_test.py
@@ -8,9 +8,9 @@
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.kernel import timers
 from rhubarblock.kernel import virtualloop
-from rhubarblock.routing import quarantine
+from rhubarblock.routing.quarantine import gate as quarantine
 from rhubarblock.standins import memorypeers
-from rhubarblock.standins import platform
+from rhubarblock.standins.platform import store as platform
 
 PEERS = [quarantine.Peer(name, name) for name in "abc"]
 ENDPOINTS = [f"e{number}" for number in range(12)]
--- a/rhubarblock/routing/quarantinekeeper.py
+++ b/rhubarblock/routing/quarantine/keeper.py
@@ -7,8 +7,8 @@
 import dataclasses
 
 from rhubarblock.kernel import timers as timers_lib
-from rhubarblock.routing import quarantinebook
-from rhubarblock.routing import quarantinewire
+from rhubarblock.routing.quarantine import book as quarantinebook
+from rhubarblock.routing.quarantine import wire as quarantinewire
 from rhubarblock.store import store as stores
 
 OBJECT_NAME = "quarantine/book"
--- a/rhubarblock/routing/quarantinewire.py
+++ b/rhubarblock/routing/quarantine/wire.py
@@ -1,7 +1,7 @@
 """Facts of the quarantine book as bytes."""
 
-from rhubarblock.routing import quarantine_pb2
-from rhubarblock.routing import quarantinebook
+from rhubarblock.routing.quarantine import book as quarantinebook
+from rhubarblock.routing.quarantine import quarantine_pb2
 
 _MS_PER_S = 1000
 
--- a/rhubarblock/scripts/capacity.py
+++ b/rhubarblock/scripts/capacity.py
@@ -5,8 +5,8 @@
 
 import click
 
-from rhubarblock.experiments import capacity
-from rhubarblock.experiments import capacitypage
+from rhubarblock.experiments.capacity import measurement as capacity
+from rhubarblock.experiments.capacity import page as capacitypage
 
 BAD_RESULT_STATUS = 2
 
--- a/rhubarblock/scripts/measure.py
+++ b/rhubarblock/scripts/measure.py
@@ -9,20 +9,20 @@
 import click
 
 from rhubarblock.experiments import admission
-from rhubarblock.experiments import faults
 from rhubarblock.experiments import fleet
 from rhubarblock.experiments import fleetsockets
-from rhubarblock.experiments import limits
 from rhubarblock.experiments import mixed
 from rhubarblock.experiments import neighbour
-from rhubarblock.experiments import platformmix
-from rhubarblock.experiments import platformplay
 from rhubarblock.experiments import quarantine
 from rhubarblock.experiments import retrystorm
 from rhubarblock.experiments import simulation
+from rhubarblock.experiments.faults import scenario as faults
+from rhubarblock.experiments.limits import scenario as limits
+from rhubarblock.experiments.platform import mix as platformmix
+from rhubarblock.experiments.platform import play as platformplay
 from rhubarblock.kernel import registry as registries
 from rhubarblock.kernel import virtualloop
-from rhubarblock.routing import parting
+from rhubarblock.routing.placement import parting
 from rhubarblock.scripts import measurecosts
 
 DEFAULT_LOAD = 0.7
--- a/rhubarblock/scripts/measurecosts.py
+++ b/rhubarblock/scripts/measurecosts.py
@@ -10,12 +10,12 @@
 import aiohttp
 import click
 
-from rhubarblock.experiments import capacity
-from rhubarblock.experiments import overhead
-from rhubarblock.experiments import overheadparts
-from rhubarblock.experiments import overheadsweep
-from rhubarblock.experiments import overheadthreads
 from rhubarblock.experiments import slopes
+from rhubarblock.experiments.capacity import measurement as capacity
+from rhubarblock.experiments.overhead import measurement as overhead
+from rhubarblock.experiments.overhead import parts as overheadparts
+from rhubarblock.experiments.overhead import sweep as overheadsweep
+from rhubarblock.experiments.overhead import threads as overheadthreads
 from rhubarblock.fleet import httpengine
 from rhubarblock.store import instances
 
--- a/rhubarblock/scripts/serve.py
+++ b/rhubarblock/scripts/serve.py
@@ -11,7 +11,7 @@
 from rhubarblock.daemon import server
 from rhubarblock.kernel import logs
 from rhubarblock.kernel import registry as registries
-from rhubarblock.routing import policy as policies
+from rhubarblock.routing.placement import policy as policies
 from rhubarblock.settings import entry as settings_lib
 from rhubarblock.settings import loader
 
--- a/rhubarblock/standins/enginebatch.py
+++ b/rhubarblock/standins/engine/batch.py
@@ -8,7 +8,7 @@
 import bisect
 import heapq
 
-from rhubarblock.standins import enginerequest
+from rhubarblock.standins.engine import request as enginerequest
 
 _WAITING = enginerequest.Phase.WAITING
 
--- a/rhubarblock/standins/enginecache.py
+++ b/rhubarblock/standins/engine/cache.py
@@ -6,7 +6,7 @@
 
 from rhubarblock.core import attempt as attempts
 from rhubarblock.kernel import timers
-from rhubarblock.standins import enginesettings
+from rhubarblock.standins.engine import settings as enginesettings
 
 MAX_EVENTS = 50_000  # Events kept for readers; older ones show as a gap.
 
--- a/rhubarblock/standins/enginecache_test.py
+++ b/rhubarblock/standins/engine/cache_test.py
@@ -5,9 +5,9 @@
 from rhubarblock.core import attempt as attempts
 from rhubarblock.kernel import timers
 from rhubarblock.kernel import virtualloop
-from rhubarblock.standins import enginecache
-from rhubarblock.standins import enginesettings
-from rhubarblock.standins import enginetesting as testing
+from rhubarblock.standins.engine import cache as enginecache
+from rhubarblock.standins.engine import settings as enginesettings
+from rhubarblock.standins.engine import testing
 
 
 def test_events_show_late():
--- a/rhubarblock/standins/enginecluster.py
+++ b/rhubarblock/standins/engine/cluster.py
@@ -11,8 +11,8 @@
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.fleet import engineclient
 from rhubarblock.kernel import timers
-from rhubarblock.standins import engine as engines
-from rhubarblock.standins import engineexport
+from rhubarblock.standins.engine import engine as engines
+from rhubarblock.standins.engine import exports as engineexport
 
 
 class EngineCluster(engineexport.KvTransport):
--- a/rhubarblock/standins/enginecluster_test.py
+++ b/rhubarblock/standins/engine/cluster_test.py
@@ -5,8 +5,8 @@
 from rhubarblock.core import attempt as attempts
 from rhubarblock.core import failure as failures
 from rhubarblock.core import verdict as verdicts
-from rhubarblock.standins import enginecluster
-from rhubarblock.standins import enginetesting as testing
+from rhubarblock.standins.engine import cluster as enginecluster
+from rhubarblock.standins.engine import testing
 
 ORDER = attempts.Order(1, 1, "both", ("default@1",))
 
--- a/rhubarblock/standins/enginecontext.py
+++ b/rhubarblock/standins/engine/context.py
@@ -6,9 +6,9 @@
 import random
 
 from rhubarblock.kernel import timers
-from rhubarblock.standins import engineexport
-from rhubarblock.standins import enginefaults
-from rhubarblock.standins import enginesettings
+from rhubarblock.standins.engine import exports as engineexport
+from rhubarblock.standins.engine import faults as enginefaults
+from rhubarblock.standins.engine import settings as enginesettings
 
 
 @dataclasses.dataclass(slots=True)
--- a/rhubarblock/standins/enginecost.py
+++ b/rhubarblock/standins/engine/cost.py
@@ -1,7 +1,7 @@
 """What one iteration of the stand-in engine costs, and how much it may hold."""
 
 from rhubarblock.core import endpoint as endpoints
-from rhubarblock.standins import enginesettings
+from rhubarblock.standins.engine import settings as enginesettings
 
 
 def compute_iteration_s(
--- a/rhubarblock/standins/engine.py
+++ b/rhubarblock/standins/engine/engine.py
@@ -18,14 +18,14 @@
 from rhubarblock.core import failure as failures
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.kernel import timers
-from rhubarblock.standins import enginecontext
-from rhubarblock.standins import engineexport
-from rhubarblock.standins import enginefaults
-from rhubarblock.standins import engineload
-from rhubarblock.standins import enginerequest
-from rhubarblock.standins import enginerun
-from rhubarblock.standins import enginesettings
-from rhubarblock.standins import engineweights
+from rhubarblock.standins.engine import context as enginecontext
+from rhubarblock.standins.engine import exports as engineexport
+from rhubarblock.standins.engine import faults as enginefaults
+from rhubarblock.standins.engine import load as engineload
+from rhubarblock.standins.engine import request as enginerequest
+from rhubarblock.standins.engine import run as enginerun
+from rhubarblock.standins.engine import settings as enginesettings
+from rhubarblock.standins.engine import weights as engineweights
 
 _DIED = failures.Failure(
     failures.FailureCode.STREAM_CUT,
--- a/rhubarblock/standins/engine_test.py
+++ b/rhubarblock/standins/engine/engine_test.py
@@ -6,8 +6,8 @@
 from rhubarblock.core import endpoint as endpoints
 from rhubarblock.core import failure as failures
 from rhubarblock.core import verdict as verdicts
-from rhubarblock.standins import enginetesting as testing
-from rhubarblock.standins import enginetokens
+from rhubarblock.standins.engine import testing
+from rhubarblock.standins.engine import tokens as enginetokens
 
 
 def test_an_iteration_costs_its_prefill_and_each_decode():
--- a/rhubarblock/standins/engineexport.py
+++ b/rhubarblock/standins/engine/exports.py
@@ -14,7 +14,7 @@
 from rhubarblock.core import failure as failures
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.kernel import timers
-from rhubarblock.standins import enginestream
+from rhubarblock.standins.engine import stream as enginestream
 
 
 class ReadMode(enum.Enum):
--- a/rhubarblock/standins/enginefaultorder.py
+++ b/rhubarblock/standins/engine/faultorder.py
@@ -6,7 +6,7 @@
 
 from rhubarblock.core import failure as failures
 from rhubarblock.kernel import timers
-from rhubarblock.standins import engine as engines
+from rhubarblock.standins.engine import engine as engines
 
 # Time for the answer to the order itself to leave before the process "dies".
 GRACE_S = 0.05
--- a/rhubarblock/standins/enginefaults.py
+++ b/rhubarblock/standins/engine/faults.py
@@ -6,8 +6,8 @@
 
 from rhubarblock.core import attempt as attempts
 from rhubarblock.kernel import timers
-from rhubarblock.standins import enginerequest
-from rhubarblock.standins import enginestream
+from rhubarblock.standins.engine import request as enginerequest
+from rhubarblock.standins.engine import stream as enginestream
 
 FOREVER = math.inf
 
--- a/rhubarblock/standins/enginefaults_test.py
+++ b/rhubarblock/standins/engine/faults_test.py
@@ -2,8 +2,8 @@
 
 from rhubarblock.core import failure as failures
 from rhubarblock.core import verdict as verdicts
-from rhubarblock.standins import enginetesting as testing
-from rhubarblock.standins import enginetokens
+from rhubarblock.standins.engine import testing
+from rhubarblock.standins.engine import tokens as enginetokens
 
 CUT = failures.Failure(
     failures.FailureCode.STREAM_CUT,
--- a/rhubarblock/standins/engineimport.py
+++ b/rhubarblock/standins/engine/imports.py
@@ -6,8 +6,8 @@
 
 from rhubarblock.core import attempt as attempts
 from rhubarblock.core import failure as failures
-from rhubarblock.standins import engineexport
-from rhubarblock.standins import enginerequest
+from rhubarblock.standins.engine import exports as engineexport
+from rhubarblock.standins.engine import request as enginerequest
 
 _READY = Callable[[enginerequest.EngineRequest], None]
 _FAIL = Callable[[enginerequest.EngineRequest, failures.Failure], None]
--- a/rhubarblock/standins/engineimport_test.py
+++ b/rhubarblock/standins/engine/imports_test.py
@@ -5,8 +5,8 @@
 from rhubarblock.core import attempt as attempts
 from rhubarblock.core import failure as failures
 from rhubarblock.core import verdict as verdicts
-from rhubarblock.standins import enginetesting as testing
-from rhubarblock.standins import enginetokens
+from rhubarblock.standins.engine import testing
+from rhubarblock.standins.engine import tokens as enginetokens
 
 # Twelve iterations of 4,096 tokens and one of 848.
 PREFILL_50K_S = 13 * 0.008 + 50_000 / 40_000
--- a/rhubarblock/standins/engineload.py
+++ b/rhubarblock/standins/engine/load.py
@@ -5,7 +5,7 @@
 
 from rhubarblock.core import endpoint as endpoints
 from rhubarblock.kernel import timers
-from rhubarblock.standins import enginesettings
+from rhubarblock.standins.engine import settings as enginesettings
 
 
 class LoadHistory:
--- a/rhubarblock/standins/enginememory.py
+++ b/rhubarblock/standins/engine/memory.py
@@ -5,8 +5,8 @@
 when a reservation needs the room.
 """
 
-from rhubarblock.standins import enginecache
-from rhubarblock.standins import enginesettings
+from rhubarblock.standins.engine import cache as enginecache
+from rhubarblock.standins.engine import settings as enginesettings
 
 
 class Reservation:
--- a/rhubarblock/standins/enginememory_test.py
+++ b/rhubarblock/standins/engine/memory_test.py
@@ -1,6 +1,6 @@
-from rhubarblock.standins import enginecache
-from rhubarblock.standins import enginememory
-from rhubarblock.standins import enginesettings
+from rhubarblock.standins.engine import cache as enginecache
+from rhubarblock.standins.engine import memory as enginememory
+from rhubarblock.standins.engine import settings as enginesettings
 
 
 class Recorder:
--- a/rhubarblock/standins/engineoutput.py
+++ b/rhubarblock/standins/engine/output.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 
 from rhubarblock.core import attempt as attempts
-from rhubarblock.standins import enginecontext
-from rhubarblock.standins import enginefaults
-from rhubarblock.standins import enginerequest
-from rhubarblock.standins import enginetokens
+from rhubarblock.standins.engine import context as enginecontext
+from rhubarblock.standins.engine import faults as enginefaults
+from rhubarblock.standins.engine import request as enginerequest
+from rhubarblock.standins.engine import tokens as enginetokens
 
 _FINISH_REASON = "length"
 
--- a/rhubarblock/standins/passengine_test.py
+++ b/rhubarblock/standins/engine/passes_test.py
@@ -2,7 +2,7 @@
 
 from rhubarblock.core import route as routes
 from rhubarblock.kernel import virtualloop
-from rhubarblock.standins import passengine
+from rhubarblock.standins.engine import passes as passengine
 
 # A step takes 10 ms, a stride has four, 100 tokens are read in a millisecond.
 MODEL = routes.EngineModel(
--- a/rhubarblock/standins/enginerequest.py
+++ b/rhubarblock/standins/engine/request.py
@@ -4,10 +4,10 @@
 import enum
 
 from rhubarblock.core import attempt as attempts
-from rhubarblock.standins import engineexport
-from rhubarblock.standins import enginememory
-from rhubarblock.standins import enginesettings
-from rhubarblock.standins import enginestream
+from rhubarblock.standins.engine import exports as engineexport
+from rhubarblock.standins.engine import memory as enginememory
+from rhubarblock.standins.engine import settings as enginesettings
+from rhubarblock.standins.engine import stream as enginestream
 
 
 class Phase(enum.Enum):
--- a/rhubarblock/standins/enginerun.py
+++ b/rhubarblock/standins/engine/run.py
@@ -9,16 +9,16 @@
 from rhubarblock.core import attempt as attempts
 from rhubarblock.core import failure as failures
 from rhubarblock.core import verdict as verdicts
-from rhubarblock.standins import enginebatch
-from rhubarblock.standins import enginecache
-from rhubarblock.standins import enginecontext
-from rhubarblock.standins import enginecost
-from rhubarblock.standins import engineexport
-from rhubarblock.standins import engineimport
-from rhubarblock.standins import enginememory
-from rhubarblock.standins import engineoutput
-from rhubarblock.standins import enginerequest
-from rhubarblock.standins import enginesettings
+from rhubarblock.standins.engine import batch as enginebatch
+from rhubarblock.standins.engine import cache as enginecache
+from rhubarblock.standins.engine import context as enginecontext
+from rhubarblock.standins.engine import cost as enginecost
+from rhubarblock.standins.engine import exports as engineexport
+from rhubarblock.standins.engine import imports as engineimport
+from rhubarblock.standins.engine import memory as enginememory
+from rhubarblock.standins.engine import output as engineoutput
+from rhubarblock.standins.engine import request as enginerequest
+from rhubarblock.standins.engine import settings as enginesettings
 
 _Phase = enginerequest.Phase
 
--- a/rhubarblock/standins/engineserver.py
+++ b/rhubarblock/standins/engine/server.py
@@ -16,11 +16,11 @@
 from rhubarblock.core import failure as failures
 from rhubarblock.fleet import enginewire
 from rhubarblock.kernel import timers
-from rhubarblock.standins import engine as engines
-from rhubarblock.standins import engineexport
-from rhubarblock.standins import enginefaultorder
-from rhubarblock.standins import enginerequest
-from rhubarblock.standins import enginesse
+from rhubarblock.standins.engine import engine as engines
+from rhubarblock.standins.engine import exports as engineexport
+from rhubarblock.standins.engine import faultorder as enginefaultorder
+from rhubarblock.standins.engine import request as enginerequest
+from rhubarblock.standins.engine import sse as enginesse
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
 _JSON = "application/json"
--- a/rhubarblock/standins/engineserver_test.py
+++ b/rhubarblock/standins/engine/server_test.py
@@ -10,11 +10,11 @@
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.fleet import httpengine
 from rhubarblock.kernel import timers
-from rhubarblock.standins import engine as engines
-from rhubarblock.standins import engineserver
-from rhubarblock.standins import enginesettings
-from rhubarblock.standins import enginetesting as testing
-from rhubarblock.standins import enginetokens
+from rhubarblock.standins.engine import engine as engines
+from rhubarblock.standins.engine import server as engineserver
+from rhubarblock.standins.engine import settings as enginesettings
+from rhubarblock.standins.engine import testing
+from rhubarblock.standins.engine import tokens as enginetokens
 
 WALL_S = 1_800_000_000.0
 
--- a/rhubarblock/standins/enginesse.py
+++ b/rhubarblock/standins/engine/sse.py
@@ -5,7 +5,7 @@
 
 from rhubarblock.core import attempt as attempts
 from rhubarblock.fleet import enginewire
-from rhubarblock.standins import enginetokens
+from rhubarblock.standins.engine import tokens as enginetokens
 
 
 class EventWriter:
--- a/rhubarblock/standins/enginetesting.py
+++ b/rhubarblock/standins/engine/testing.py
@@ -13,9 +13,9 @@
 from rhubarblock.fleet import engineclient
 from rhubarblock.kernel import timers
 from rhubarblock.kernel import virtualloop
-from rhubarblock.standins import engine as engines
-from rhubarblock.standins import enginecluster
-from rhubarblock.standins import enginesettings
+from rhubarblock.standins.engine import cluster as enginecluster
+from rhubarblock.standins.engine import engine as engines
+from rhubarblock.standins.engine import settings as enginesettings
 
 T = TypeVar("T")
 
--- a/rhubarblock/standins/enginetokens_test.py
+++ b/rhubarblock/standins/engine/tokens_test.py
@@ -1,6 +1,6 @@
 import re
 
-from rhubarblock.standins import enginetokens
+from rhubarblock.standins.engine import tokens as enginetokens
 
 
 def test_tokens_are_a_space_and_six_hexadecimal_digits():
--- a/rhubarblock/standins/engineweights.py
+++ b/rhubarblock/standins/engine/weights.py
@@ -5,7 +5,7 @@
 
 from rhubarblock.core import attempt as attempts
 from rhubarblock.kernel import timers
-from rhubarblock.standins import enginesettings
+from rhubarblock.standins.engine import settings as enginesettings
 
 DEFAULT_BYTES_PER_S = 8e9
 
--- a/rhubarblock/standins/engineweights_test.py
+++ b/rhubarblock/standins/engine/weights_test.py
@@ -3,8 +3,8 @@
 from rhubarblock.core import attempt as attempts
 from rhubarblock.kernel import timers
 from rhubarblock.kernel import virtualloop
-from rhubarblock.standins import enginesettings
-from rhubarblock.standins import engineweights
+from rhubarblock.standins.engine import settings as enginesettings
+from rhubarblock.standins.engine import weights as engineweights
 
 
 def make_order(*models, adapters=()):
--- a/rhubarblock/standins/instancelist.py
+++ b/rhubarblock/standins/instancelist.py
@@ -6,8 +6,8 @@
 
 import dataclasses
 
-from rhubarblock.standins import platform
-from rhubarblock.standins import platformstate
+from rhubarblock.standins.platform import state as platformstate
+from rhubarblock.standins.platform import store as platform
 from rhubarblock.store import instances
 
 
--- a/rhubarblock/standins/instancelist_test.py
+++ b/rhubarblock/standins/instancelist_test.py
@@ -6,7 +6,7 @@
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
 from rhubarblock.standins import instancelist
-from rhubarblock.standins import platform
+from rhubarblock.standins.platform import store as platform
 from rhubarblock.store import instances
 
 DESK = instances.ListedInstance(
--- a/rhubarblock/standins/memoryfleet.py
+++ b/rhubarblock/standins/memoryfleet.py
@@ -10,13 +10,13 @@
 import dataclasses
 import random
 
-from rhubarblock.fleet import member as members
-from rhubarblock.fleet import membership as memberships
-from rhubarblock.fleet import probing
+from rhubarblock.fleet.membership import member as members
+from rhubarblock.fleet.membership import membership as memberships
+from rhubarblock.fleet.membership import probing
 from rhubarblock.kernel import timers as timers_lib
 from rhubarblock.standins import instancelist
 from rhubarblock.standins import memorypeers
-from rhubarblock.standins import platform
+from rhubarblock.standins.platform import store as platform
 from rhubarblock.store import instances
 
 _PORT = 7000
--- a/rhubarblock/standins/platformserver.py
+++ b/rhubarblock/standins/platform/server.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 
 from rhubarblock.standins import instancelist
-from rhubarblock.standins import platform
+from rhubarblock.standins.platform import store as platform
 from rhubarblock.store import instances
 from rhubarblock.store import store as stores
 from rhubarblock.store import storewire
--- a/rhubarblock/standins/platformserver_test.py
+++ b/rhubarblock/standins/platform/server_test.py
@@ -11,8 +11,8 @@
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.standins import instancelist
 from rhubarblock.standins import instancelist_test
-from rhubarblock.standins import platform
-from rhubarblock.standins import platformserver
+from rhubarblock.standins.platform import server as platformserver
+from rhubarblock.standins.platform import store as platform
 from rhubarblock.store import httpstore
 from rhubarblock.store import instances
 from rhubarblock.store import store as stores
--- a/rhubarblock/standins/platform.py
+++ b/rhubarblock/standins/platform/store.py
@@ -12,10 +12,10 @@
 import random
 
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.standins import platformfaults
-from rhubarblock.standins import platformrates
-from rhubarblock.standins import platformstate
-from rhubarblock.standins import platformwatch
+from rhubarblock.standins.platform import faults as platformfaults
+from rhubarblock.standins.platform import rates as platformrates
+from rhubarblock.standins.platform import state as platformstate
+from rhubarblock.standins.platform import watch as platformwatch
 from rhubarblock.store import store as stores
 
 _Kind = stores.StoreErrorKind
--- a/rhubarblock/standins/platform_test.py
+++ b/rhubarblock/standins/platform/store_test.py
@@ -7,7 +7,7 @@
 
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
-from rhubarblock.standins import platform
+from rhubarblock.standins.platform import store as platform
 from rhubarblock.store import store as stores
 
 _Kind = stores.StoreErrorKind
--- a/rhubarblock/standins/platformwatch.py
+++ b/rhubarblock/standins/platform/watch.py
@@ -5,8 +5,8 @@
 import random
 
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.standins import platformfaults
-from rhubarblock.standins import platformstate
+from rhubarblock.standins.platform import faults as platformfaults
+from rhubarblock.standins.platform import state as platformstate
 from rhubarblock.store import store as stores
 
 # A watch that lags by more events than this is told to list anew.
