Tell in the log which limit an endpoint names, and when it changes

Callers saw nothing; an engine in need got ten times what it had asked for. The logs could not tell whether an answer bore a limit, nor whether an instance that placed work knew of it, so the hypotheses of the incident could not be told apart.

The adapter decodes the field into a typed statement; a book keeps what each endpoint said last, with a line for each change (endpoint, before, after, since when, from whom) and one for a value that can't be read; each placement's line tells the limit that is known. Answers overtake each other, so a higher limit or none counts only from a request that was sent after the present one was heard.

No placement uses it yet.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -19,6 +19,7 @@
 from rhubarblock.exchange import candidates
 from rhubarblock.exchange import crashes
 from rhubarblock.exchange import dialect as dialects
+from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange import frontdoor
 from rhubarblock.exchange import leases
 from rhubarblock.exchange import outcomes
@@ -39,6 +40,7 @@
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import health as healths
+from rhubarblock.routing.endpointlimits import book as limitbook
 from rhubarblock.routing.placement import enginebook
 from rhubarblock.settings import exchange as settings_lib
 from rhubarblock.store import store as stores
@@ -109,6 +111,9 @@
         )
         self.book = enginebook.EngineBook()
         self.health = healths.Health(settings.data_centre)
+        self.limits = endpointlimits.EndpointLimits(
+            limitbook.LimitBook(self.metrics), self.timers
+        )
         self.directory.on_restart = self._forget_start
         self._dialect = dialect
         self._make_store = make_store
@@ -134,6 +139,7 @@
         """Holds nothing against an endpoint that started again."""
         self.book.remove_engine(endpoint_id)
         self.health.forget(endpoint_id)
+        self.limits.forget(endpoint_id)
 
     async def _start(self, stack: contextlib.AsyncExitStack) -> None:
         """Opens all parts; the stack closes them in the opposite order."""
@@ -188,6 +194,7 @@
                 self.settings.data_centre,
                 self.timers,
             ),
+            self.limits,
             self.settings.data_centre,
             self.timers,
         )
@@ -203,6 +210,7 @@
             transports.EndpointTransport(endpoint_sessions, self._dialect),
             self.health,
             lease_holder,
+            self.limits,
             self.timers,
         )
         outcome = outcomes.Outcomes(
--- a/rhubarblock/exchange/attempts.py
+++ b/rhubarblock/exchange/attempts.py
@@ -7,6 +7,7 @@
 from rhubarblock.core import route as routes
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.exchange import dialect as dialects
+from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange import flow as flows
 from rhubarblock.exchange import leases
 from rhubarblock.exchange import placer as placers
@@ -95,7 +96,14 @@
 class AttemptRunner:
     """Runs the attempts of one instance."""
 
-    __slots__ = ("_health", "_leases", "_placer", "_timers", "_transport")
+    __slots__ = (
+        "_health",
+        "_leases",
+        "_limits",
+        "_placer",
+        "_timers",
+        "_transport",
+    )
 
     def __init__(
         self,
@@ -103,6 +111,7 @@
         transport: transports.EndpointTransport,
         health: healths.Health,
         lease_holder: leases.LeaseHolder,
+        limits: endpointlimits.EndpointLimits,
         timers: timer_service.Timers,
     ):
         """Creates a runner.
@@ -112,12 +121,14 @@
           transport: sends to endpoints.
           health: hears of endpoints that answered.
           lease_holder: holds memory at engines.
+          limits: hears of rate limits that endpoints name.
           timers: the clock.
         """
         self._placer = placer
         self._transport = transport
         self._health = health
         self._leases = lease_holder
+        self._limits = limits
         self._timers = timers
 
     async def run(
@@ -169,6 +180,7 @@
             place.helpers,
         )
         flow.history.sent = True
+        sent_s = self._timers.read_monotonic()
         if not flow.is_last_attempt:
             watch.expect(_predict_patience(exchange.route, place))
         with self._placer.watch_disturbance(
@@ -183,9 +195,20 @@
                 self._health.note_success(
                     place.endpoint.endpoint_id, place.endpoint.data_centre
                 )
+                self._note_limit(place, answer, sent_s)
                 _check_refusal(answer)
                 await self._pass_on(flow, answer, watch)
 
+    def _note_limit(
+        self, place: placers.Place, answer: transports.Answer, sent_s: float
+    ) -> None:
+        """Takes in the limit that an answer names, if it is the endpoint's."""
+        if answer.fields.misdirected:
+            return
+        self._limits.note_answer(
+            place.endpoint.endpoint_id, answer.fields.limit, sent_s
+        )
+
     async def _pass_on(
         self,
         flow: flows.Flow,
--- a/rhubarblock/exchange/dialect.py
+++ b/rhubarblock/exchange/dialect.py
@@ -14,6 +14,7 @@
 from rhubarblock.core import document as documents
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import listed
+from rhubarblock.core import ratelimit as ratelimits
 from rhubarblock.core import route as routes
 from rhubarblock.store import store as stores
 
@@ -86,6 +87,7 @@
       refused: whether the endpoint says that it did not run the request.
       misdirected: whether another endpoint has the address now.
       at_fault: address of the endpoint that made it fail, or empty.
+      limit: what the endpoint takes from all instances together.
     """
 
     request_id: str
@@ -93,6 +95,7 @@
     refused: bool
     misdirected: bool
     at_fault: str
+    limit: ratelimits.StatedLimit = ratelimits.NONE_STATED
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -15,6 +15,7 @@
 from rhubarblock.exchange import candidates
 from rhubarblock.exchange import crashes
 from rhubarblock.exchange import dialect as dialects
+from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange import frontdoor
 from rhubarblock.exchange import leases
 from rhubarblock.exchange import outcomes
@@ -32,6 +33,7 @@
 from rhubarblock.platform import dialect as platform_dialect
 from rhubarblock.platform import names
 from rhubarblock.routing import health as healths
+from rhubarblock.routing.endpointlimits import book as limitbook
 from rhubarblock.routing.placement import enginebook
 from rhubarblock.settings import exchange as settings_lib
 
@@ -237,6 +239,9 @@
             self.timers,
             self.metrics,
         )
+        self.limits = endpointlimits.EndpointLimits(
+            limitbook.LimitBook(self.metrics), self.timers
+        )
         self.placer = placers.Placer(
             self.directory,
             self.book,
@@ -250,6 +255,7 @@
                 "osu-hall",
                 self.timers,
             ),
+            self.limits,
             "osu-hall",
             self.timers,
         )
@@ -260,6 +266,7 @@
             self.transport,
             self.health,
             leases.LeaseHolder(NoLeases(), BOUNDS, self.timers),
+            self.limits,
             self.timers,
         )
         self.relay = relays.ExchangeRelay(
--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -238,6 +238,7 @@
             "data_centre": place.endpoint.data_centre,
             "parts": 1 + len(place.helpers),
             "expected_s": round(place.expected_s, 3),
+            "limit_per_s": place.limit_per_s,
             "since_arrival_s": round(now_s - exchange.arrived_s, 3),
         }
 
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -10,6 +10,7 @@
 from rhubarblock.core import route as routes
 from rhubarblock.exchange import candidates
 from rhubarblock.exchange import dialect as dialects
+from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange import flow as flows
 from rhubarblock.exchange import leases
 from rhubarblock.exchange.peering import news as news_lib
@@ -47,6 +48,8 @@
       held: memory that must be set aside before it is sent.
       expected_s: seconds until the first byte, as predicted.
       urgency: rank at an engine; None leaves the usual one.
+      limit_per_s: rate limit that the endpoint is known to name, in requests a
+        second; None without one.
     """
 
     endpoint: lists.ListedEndpoint
@@ -55,6 +58,7 @@
     held: tuple[leases.Lease, ...] = ()
     expected_s: float = SERVICE_S
     urgency: int | None = None
+    limit_per_s: float | None = None
 
     def find_helper(self, address: str) -> lists.ListedEndpoint | None:
         """Returns the helper at an address, if there is one."""
@@ -72,6 +76,7 @@
         "_data_centre",
         "_directory",
         "_health",
+        "_limits",
         "_news",
         "_numbers",
         "_parter",
@@ -85,6 +90,7 @@
         health: healths.Health,
         news: news_lib.News,
         candidates_: candidates.Candidates,
+        limits: endpointlimits.EndpointLimits,
         data_centre: str,
         timers: timer_service.Timers,
     ):
@@ -96,6 +102,7 @@
           health: takes which endpoints are chosen.
           news: tells peers what was placed.
           candidates_: endpoints to choose from.
+          limits: rate limits that endpoints name.
           data_centre: where this instance runs.
           timers: the clock.
         """
@@ -103,6 +110,7 @@
         self._book = book
         self._health = health
         self._candidates = candidates_
+        self._limits = limits
         self._news = news
         self._timers = timers
         self._data_centre = data_centre
@@ -170,6 +178,7 @@
         ids = self._directory.list_ids()
         self._book.keep_only(ids)
         self._health.keep_only(ids)
+        self._limits.keep_only(ids)
         for endpoint_id in [e for e in self._calls if e not in ids]:
             if not self._calls[endpoint_id]:
                 del self._calls[endpoint_id]
@@ -305,7 +314,9 @@
             self._calls.get(chosen.endpoint_id, 0) + 1
         )
         try:
-            yield Place(chosen)
+            yield Place(
+                chosen, limit_per_s=self._limits.find_rate(chosen.endpoint_id)
+            )
         finally:
             self._calls[chosen.endpoint_id] -= 1
 
@@ -334,7 +345,8 @@
         self._book.add(choice.job, now_s)
         self._news.tell_placed(choice.job)
         try:
-            yield _make_place(choice)
+            rate = self._limits.find_rate(choice.engines[0].endpoint_id)
+            yield _make_place(choice, rate)
         finally:
             self._book.remove(choice.job.job_id)
             self._news.tell_ended(choice.job)
@@ -364,8 +376,13 @@
     )
 
 
-def _make_place(choice: prompts.Choice) -> Place:
-    """Returns the place of a choice, with the memory that helpers hold."""
+def _make_place(choice: prompts.Choice, limit_per_s: float | None) -> Place:
+    """Returns the place of a choice, with the memory that helpers hold.
+
+    Args:
+      choice: where a prompt goes.
+      limit_per_s: rate limit of its first engine, None without one.
+    """
     helpers = []
     held = []
     job = choice.job
@@ -383,4 +400,5 @@
         choice.engines[1:],
         tuple(held),
         choice.expected_s,
+        limit_per_s=limit_per_s,
     )
--- a/rhubarblock/platform/heads.py
+++ b/rhubarblock/platform/heads.py
@@ -2,12 +2,15 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import re
 
 from rhubarblock.core import exchange as exchanges
+from rhubarblock.core import ratelimit as ratelimits
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.platform import names
 
 _MS_PER_S = 1000.0
+_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 
 # Fields that concern one connection only.
 _HOP_BY_HOP = frozenset(
@@ -104,9 +107,27 @@
         refused=names.NOT_EXECUTED in fields or status == 421,
         misdirected=status == 421,
         at_fault=fields.get(names.AT_SERVER, ""),
+        limit=read_limit(fields),
     )
 
 
+def read_limit(fields: Mapping[str, str]) -> ratelimits.StatedLimit:
+    """Decodes the limit that a head names, a plain decimal number.
+
+    Args:
+      fields: the fields of the head; one that comes twice is read if both say
+        the same.
+    """
+    if names.LIMIT not in fields:
+        return ratelimits.NONE_STATED
+    wanted = names.LIMIT.lower()
+    texts = {v.strip() for n, v in fields.items() if n.lower() == wanted}
+    text = ", ".join(sorted(texts))
+    if not _DECIMAL.fullmatch(text):
+        return ratelimits.StatedLimit(unreadable=text or "(empty)")
+    return ratelimits.StatedLimit(float(text))
+
+
 def _keep(
     fields: Iterable[tuple[str, str]], dropped: frozenset[str]
 ) -> tuple[exchanges.Header, ...]:
--- a/rhubarblock/platform/heads_test.py
+++ b/rhubarblock/platform/heads_test.py
@@ -1,6 +1,8 @@
 from multidict import CIMultiDict
+import pytest
 
 from rhubarblock.core import exchange as exchanges
+from rhubarblock.core import ratelimit as ratelimits
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.platform import heads
@@ -98,3 +100,32 @@
     assert is_refused(421)
     assert not is_refused(503)
     assert not is_refused(429)
+
+
+@pytest.mark.parametrize("text", ["0", "1", "0.2", "12.5", " 7 ", "007", "3."])
+def test_limit_of_an_endpoint_is_a_plain_decimal_number(text):
+    fields = CIMultiDict({"server-limit": text})
+    assert heads.read_limit(fields) == ratelimits.StatedLimit(float(text))
+
+
+@pytest.mark.parametrize(
+    "text", ["", "-1", "1e3", "nan", "inf", "1,5", "0x5", "9" * 13, "soon"]
+)
+def test_limit_that_is_no_decimal_number_is_unreadable(text):
+    fields = CIMultiDict({"Server-Limit": text})
+    assert heads.read_limit(fields).per_s is None
+    assert heads.read_limit(fields).unreadable == (text or "(empty)")
+
+
+def test_limit_that_comes_twice_must_say_the_same():
+    same = CIMultiDict([("Server-Limit", "2"), ("server-limit", "2")])
+    assert heads.read_limit(same).per_s == 2.0
+    other = CIMultiDict([("Server-Limit", "2"), ("server-limit", "3")])
+    assert heads.read_limit(other).unreadable == "2, 3"
+
+
+def test_head_without_the_field_names_no_limit():
+    answer = heads.read_answer(
+        200, CIMultiDict({"x-rhubarblock-attempt-id": "q"})
+    )
+    assert answer.limit == ratelimits.NONE_STATED
--- a/rhubarblock/platform/names.py
+++ b/rhubarblock/platform/names.py
@@ -22,6 +22,8 @@
 HELPERS = "X-Rhubarblock-Helpers"
 # Address of the endpoint at fault in a refusal.
 AT_SERVER = "At-Server"
+# Requests a second that an endpoint in need takes from all instances together.
+LIMIT = "Server-Limit"
 # Number of the last event that the caller of a stream has.
 LAST_EVENT = "Last-Event-Id"
 
--- /dev/null
+++ b/rhubarblock/routing/endpointlimits/__init__.py
@@ -0,0 +1,4 @@
+"""Rate limits that endpoints name for themselves, kept by all instances.
+
+``book`` holds what endpoints said.
+"""
