--- a/rhubarblock/daemon/exchangeinstance_test.py
+++ b/rhubarblock/daemon/exchangeinstance_test.py
@@ -82,9 +82,9 @@
         return settings_lib.SocketAddress("127.0.0.1", probe.getsockname()[1])
 
 
-def make_settings():
+def make_settings(instance_id="i1"):
     return settings_lib.ExchangeSettings(
-        instance_id="i1",
+        instance_id=instance_id,
         data_centre="osu-hall",
         callers=find_port(),
         readiness=find_port(),
