Keep to the limit that an endpoint names, over all instances together

What callers saw: nothing yet; an engine in need got 13 to 14 requests in 4 s where it takes one a second, which ends in refusals or a lost engine.

Cause: the answers' Server-Limit was handed to callers and read by nobody, so placements went on as before at each instance (seven each in 4 s).

Every way to an endpoint goes through the list of candidates, so an endpoint that named a limit is a candidate only with a permit, which the placement uses: first attempts, repeats, moved streams, parts, trials. Permits are spaced by one coordinator for each endpoint, drawn by rendezvous hashing. By asking, an instance pledges its equal share of the limit to the one it asks, and a coordinator grants what is pledged to it: all of it in calm times, on each side of a cut that side's part, and nothing twice when a coordinator changes. Long prompts leave such an engine alone while another has room. Where all endpoints named limits a caller waits up to a second, or is refused at once and told when there is room. A limit ends with a signed answer to a later request that names none, with the endpoint's start or its entry; a permit for which nobody has asked for 5 s goes to the next short request, so that somebody hears of the end.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -26,6 +26,7 @@
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
 from rhubarblock.exchange import transport as transports
+from rhubarblock.exchange.peering import limitnews
 from rhubarblock.exchange.peering import news as news_lib
 from rhubarblock.exchange.peering import table as peer_table
 from rhubarblock.exchange.state import authority as authorities
@@ -40,7 +41,6 @@
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import health as healths
-from rhubarblock.routing.endpointlimits import book as limitbook
 from rhubarblock.routing.placement import enginebook
 from rhubarblock.settings import exchange as settings_lib
 from rhubarblock.store import store as stores
@@ -111,10 +111,6 @@
         )
         self.book = enginebook.EngineBook()
         self.health = healths.Health(settings.data_centre)
-        self.limits = endpointlimits.EndpointLimits(
-            limitbook.LimitBook(self.metrics), self.timers
-        )
-        self.directory.on_restart = self._forget_start
         self._dialect = dialect
         self._make_store = make_store
         self._make_leases = make_leases
@@ -135,12 +131,6 @@
             await stop.wait()
             await self._drain()
 
-    def _forget_start(self, endpoint_id: str) -> None:
-        """Holds nothing against an endpoint that started again."""
-        self.book.remove_engine(endpoint_id)
-        self.health.forget(endpoint_id)
-        self.limits.forget(endpoint_id)
-
     async def _start(self, stack: contextlib.AsyncExitStack) -> None:
         """Opens all parts; the stack closes them in the opposite order."""
         settings = self.settings
@@ -164,20 +154,54 @@
             self.metrics,
             settings.capacity,
         )
+        limits = self._make_limits(news)
+        self.directory.on_restart = lambda endpoint_id: self._forget_start(
+            endpoint_id, limits
+        )
         await stack.enter_async_context(
             news.open(settings.peers.host, settings.peers.port)
         )
-        relay = await self._open_relay(stack, session, news)
+        relay = await self._open_relay(stack, session, news, limits)
         await self._listen(stack, relay, news)
         follower = self._make_follower(session, store)
         following = asyncio.create_task(self._follow(store, news, follower))
         stack.callback(following.cancel)
 
+    def _forget_start(
+        self, endpoint_id: str, limits: endpointlimits.EndpointLimits
+    ) -> None:
+        """Holds nothing against an endpoint that started again."""
+        self.book.remove_engine(endpoint_id)
+        self.health.forget(endpoint_id)
+        limits.forget(endpoint_id)
+
+    def _make_limits(
+        self, news: news_lib.News
+    ) -> endpointlimits.EndpointLimits:
+        """Returns what keeps to the rate limits of endpoints."""
+        settings = self.settings
+        limits = endpointlimits.EndpointLimits(
+            limitnews.NewsLimitPeers(
+                news,
+                self.peers,
+                self.subsets,
+                settings.instance_id,
+                settings.data_centre,
+                self.timers,
+            ),
+            self._rng,
+            self.timers,
+            self.metrics,
+        )
+        limitnews.connect(news, limits)
+        return limits
+
     async def _open_relay(
         self,
         stack: contextlib.AsyncExitStack,
         session: aiohttp.ClientSession,
         news: news_lib.News,
+        limits: endpointlimits.EndpointLimits,
     ) -> relays.ExchangeRelay:
         """Puts together what serves an exchange."""
         bounds = self.settings.bounds
@@ -190,17 +214,20 @@
                 self.directory,
                 self.health,
                 self.subsets,
+                limits,
                 self.settings.instance_id,
                 self.settings.data_centre,
                 self.timers,
             ),
-            self.limits,
+            limits,
             self.settings.data_centre,
             self.timers,
         )
         stack.enter_context(self.timers.subscribe(TIDY_S, placer.tidy))
         lease_holder = await stack.enter_async_context(
-            leases.open_holder(self._make_leases(session), bounds, self.timers)
+            leases.open_holder(
+                self._make_leases(session), bounds, limits, self.timers
+            )
         )
         endpoint_sessions = await stack.enter_async_context(
             transports.open_sessions(self._attempt_header)
@@ -210,7 +237,7 @@
             transports.EndpointTransport(endpoint_sessions, self._dialect),
             self.health,
             lease_holder,
-            self.limits,
+            limits,
             self.timers,
         )
         outcome = outcomes.Outcomes(
@@ -222,7 +249,9 @@
             self.metrics,
         )
         crash_watch = crashes.CrashWatch(news, self.timers)
-        return relays.ExchangeRelay(placer, runner, outcome, crash_watch)
+        return relays.ExchangeRelay(
+            placer, runner, outcome, crash_watch, self.timers
+        )
 
     async def _listen(
         self,
--- a/rhubarblock/exchange/attempts.py
+++ b/rhubarblock/exchange/attempts.py
@@ -203,11 +203,14 @@
         self, place: placers.Place, answer: transports.Answer, sent_s: float
     ) -> None:
         """Takes in the limit that an answer names, if it is the endpoint's."""
-        if answer.fields.misdirected:
+        fields = answer.fields
+        if fields.misdirected:
             return
-        self._limits.note_answer(
-            place.endpoint.endpoint_id, answer.fields.limit, sent_s
-        )
+        endpoint_id = place.endpoint.endpoint_id
+        if fields.sealed and not fields.refused:
+            self._limits.note_answer(endpoint_id, fields.limit, sent_s)
+        else:
+            self._limits.note_named(endpoint_id, fields.limit, sent_s)
 
     async def _pass_on(
         self,
--- a/rhubarblock/exchange/candidates.py
+++ b/rhubarblock/exchange/candidates.py
@@ -1,13 +1,15 @@
 """The endpoints that an exchange may go to.
 
 Of those that the list names an instance uses a part, leaves alone those that
-failed lately, and gives an endpoint that is on trial short work only.
+failed lately or have no permit within their rate limit, and gives an endpoint
+that is on trial short work only.
 """
 
 import dataclasses
 
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import listed as lists
+from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange.state import directory as directories
 from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.kernel import timers as timer_service
@@ -37,6 +39,7 @@
         "_data_centre",
         "_directory",
         "_health",
+        "_limits",
         "_own_id",
         "_subsets",
         "_timers",
@@ -48,6 +51,7 @@
         directory: directories.Directory,
         health: healths.Health,
         subsets_: subsets.Subsets,
+        limits: endpointlimits.EndpointLimits,
         instance_id: str,
         data_centre: str,
         timers: timer_service.Timers,
@@ -58,6 +62,7 @@
           directory: endpoints that are known.
           health: endpoints to leave alone.
           subsets_: which endpoints of a large pool an instance uses.
+          limits: rate limits that endpoints name.
           instance_id: name of this instance.
           data_centre: where it runs.
           timers: the clock.
@@ -65,6 +70,7 @@
         self._directory = directory
         self._health = health
         self._subsets = subsets_
+        self._limits = limits
         self._own_id = instance_id
         self._data_centre = data_centre
         self._timers = timers
@@ -83,9 +89,7 @@
           avoid: endpoints that failed it.
         """
         now_s = self._timers.read_monotonic()
-        usable = self._list_used(exchange.service.name)
-        if avoid:
-            usable = [e for e in usable if e.endpoint_id not in avoid]
+        usable = self._list_open(exchange, avoid)
         sound = [
             endpoint
             for endpoint in usable
@@ -94,7 +98,10 @@
             )
         ]
         if exchange.prompt_tokens <= TRIAL_TOKENS:
-            return sound or usable
+            return self._limits.select_due(sound) or sound or usable
+        # Reading in parts takes many orders, and an endpoint that named a limit
+        # wants few requests.
+        sound = self._limits.select_unlimited(sound) or sound
         proven = [
             endpoint
             for endpoint in sound
@@ -102,6 +109,61 @@
         ]
         return proven or sound or usable
 
+    def predict_permit(
+        self, exchange: exchanges.Exchange, avoid: set[str]
+    ) -> float | None:
+        """Returns the seconds until a permit may be had for an exchange.
+
+        Args:
+          exchange: what is to be sent.
+          avoid: endpoints that failed it.
+
+        Returns:
+          None if no rate limit keeps it from any endpoint.
+        """
+        return self._limits.predict_permit(
+            self._list_unavoided(exchange, avoid)
+        )
+
+    def find_return(
+        self, exchange: exchanges.Exchange, avoid: set[str]
+    ) -> float | None:
+        """Returns the seconds after which a refused caller may come back.
+
+        Args:
+          exchange: what is to be sent.
+          avoid: endpoints that failed it.
+
+        Returns:
+          None if it was not refused for rate limits.
+        """
+        return self._limits.find_return(self._list_unavoided(exchange, avoid))
+
+    def _list_open(
+        self, exchange: exchanges.Exchange, avoid: set[str]
+    ) -> list[lists.ListedEndpoint]:
+        """Returns the endpoints that no rate limit forbids now.
+
+        A permit is asked for where it could be of use.
+        """
+        used = self._list_unavoided(exchange, avoid)
+        usable = self._limits.select_open(used)
+        if len(usable) == len(used):
+            return used
+        if not usable or exchange.prompt_tokens <= TRIAL_TOKENS:
+            self._limits.ask(used, exchange.request_id)
+            # This instance may grant the permit itself.
+            usable = self._limits.select_open(used)
+        return usable
+
+    def _list_unavoided(
+        self, exchange: exchanges.Exchange, avoid: set[str]
+    ) -> list[lists.ListedEndpoint]:
+        used = self._list_used(exchange.service.name)
+        if not avoid:
+            return used
+        return [e for e in used if e.endpoint_id not in avoid]
+
     def _list_used(self, service: str) -> list[lists.ListedEndpoint]:
         """Returns the endpoints of a service that this instance uses.
 
--- a/rhubarblock/exchange/candidates_test.py
+++ b/rhubarblock/exchange/candidates_test.py
@@ -17,10 +17,12 @@
         timers = timer_service.LoopTimers()
         self.directory = directories.Directory(timers)
         self.health = healths.Health("osu-hall")
+        self.limits = fakes.make_limits(timers)
         self.candidates = candidates.Candidates(
             self.directory,
             self.health,
             subsets.Subsets(self.directory),
+            self.limits,
             "i1",
             "osu-hall",
             timers,
--- a/rhubarblock/exchange/dialect.py
+++ b/rhubarblock/exchange/dialect.py
@@ -120,6 +120,19 @@
     UNSURE = "unsure"
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class LeaseReply:
+    """An engine's answer to an order about memory.
+
+    Attributes:
+      answer: what it said to the order.
+      limit: the rate limit that it names beside, if it does.
+    """
+
+    answer: LeaseAnswer
+    limit: ratelimits.StatedLimit = ratelimits.NONE_STATED
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class LeaseOrder:
     """Memory to set aside at an engine.
@@ -141,13 +154,13 @@
     @abc.abstractmethod
     async def reserve(
         self, endpoint: listed.ListedEndpoint, order: LeaseOrder
-    ) -> LeaseAnswer:
+    ) -> LeaseReply:
         """Sets memory aside, or renews what is set aside under the same id."""
 
     @abc.abstractmethod
     async def release(
         self, endpoint: listed.ListedEndpoint, lease_id: str
-    ) -> LeaseAnswer:
+    ) -> LeaseReply:
         """Gives memory back."""
 
 
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -22,6 +22,7 @@
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
 from rhubarblock.exchange import transport as transports
+from rhubarblock.exchange.peering import limitnews
 from rhubarblock.exchange.peering import news as news_lib
 from rhubarblock.exchange.peering import table as peer_table
 from rhubarblock.exchange.state import authority as authorities
@@ -33,7 +34,7 @@
 from rhubarblock.platform import dialect as platform_dialect
 from rhubarblock.platform import names
 from rhubarblock.routing import health as healths
-from rhubarblock.routing.endpointlimits import book as limitbook
+from rhubarblock.routing.endpointlimits import peers as limitpeers
 from rhubarblock.routing.placement import enginebook
 from rhubarblock.settings import exchange as settings_lib
 
@@ -180,10 +181,38 @@
 
 class NoLeases(dialects.LeaseClient):
     async def reserve(self, endpoint, order):
-        return dialects.LeaseAnswer.DONE
+        return dialects.LeaseReply(dialects.LeaseAnswer.DONE)
 
     async def release(self, endpoint, lease_id):
-        return dialects.LeaseAnswer.DONE
+        return dialects.LeaseReply(dialects.LeaseAnswer.DONE)
+
+
+class LonePeers(limitpeers.LimitPeers):
+    """No other instance."""
+
+    def count_users(self, endpoint_id):
+        return 1
+
+    def choose_coordinator(self, endpoint_id, silent):
+        return limitpeers.OWN
+
+    def send_request(self, peer, request):
+        raise AssertionError
+
+    def send_grant(self, peer, grant):
+        raise AssertionError
+
+    def send_report(self, peer, report):
+        raise AssertionError
+
+    def tell_report(self, report):
+        pass
+
+
+def make_limits(timers):
+    return endpointlimits.EndpointLimits(
+        LonePeers(), random.Random(1), timers, metric_store.Metrics()
+    )
 
 
 class MemorySink:
@@ -228,6 +257,7 @@
         self.listed.set()
         self.authority = authorities.Authority(BOUNDS.revoke_s)
         self.subsets = subsets.Subsets(self.directory)
+        table = peer_table.PeerTable("i1", "osu-hall", self.timers)
         self.news = news_lib.News(
             "i1",
             "s1",
@@ -235,12 +265,17 @@
             self.book,
             self.health,
             self.subsets,
-            peer_table.PeerTable("i1", "osu-hall", self.timers),
+            table,
             self.timers,
             self.metrics,
         )
         self.limits = endpointlimits.EndpointLimits(
-            limitbook.LimitBook(self.metrics), self.timers
+            limitnews.NewsLimitPeers(
+                self.news, table, self.subsets, "i1", "osu-hall", self.timers
+            ),
+            random.Random(1),
+            self.timers,
+            self.metrics,
         )
         self.placer = placers.Placer(
             self.directory,
@@ -251,6 +286,7 @@
                 self.directory,
                 self.health,
                 self.subsets,
+                self.limits,
                 "i1",
                 "osu-hall",
                 self.timers,
@@ -265,7 +301,7 @@
             self.placer,
             self.transport,
             self.health,
-            leases.LeaseHolder(NoLeases(), BOUNDS, self.timers),
+            leases.LeaseHolder(NoLeases(), BOUNDS, self.limits, self.timers),
             self.limits,
             self.timers,
         )
@@ -281,6 +317,7 @@
                 self.metrics,
             ),
             crashes.CrashWatch(self.news, self.timers),
+            self.timers,
         )
 
     def add_endpoints(self, *endpoints, service="desk"):
--- a/rhubarblock/exchange/leases.py
+++ b/rhubarblock/exchange/leases.py
@@ -18,6 +18,7 @@
 from rhubarblock.core import failure as failures
 from rhubarblock.core import listed as lists
 from rhubarblock.exchange import dialect as dialects
+from rhubarblock.exchange import endpointlimits
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.settings import exchange as settings_lib
 
@@ -70,16 +71,18 @@
 class LeaseHolder:
     """Holds the leases of one instance."""
 
-    __slots__ = ("_client", "_hold_s", "_tasks", "_timers")
+    __slots__ = ("_client", "_hold_s", "_limits", "_tasks", "_timers")
 
     def __init__(
         self,
         client: dialects.LeaseClient,
         bounds: settings_lib.ExchangeBounds,
+        limits: endpointlimits.EndpointLimits,
         timers: timer_service.Timers,
     ):
         """Creates a holder; see ``open_holder``."""
         self._client = client
+        self._limits = limits
         self._timers = timers
         self._hold_s = min(HOLD_PART * bounds.lease_free_s, bounds.lease_max_s)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -129,7 +132,10 @@
         # Cancelled on the way, it may have been carried out all the same.
         was_unsure = lease.lease_id in unsure
         unsure.add(lease.lease_id)
-        answer = await self._client.reserve(lease.endpoint, order)
+        sent_s = self._timers.read_monotonic()
+        reply = await self._client.reserve(lease.endpoint, order)
+        self._limits.note_named(lease.endpoint.endpoint_id, reply.limit, sent_s)
+        answer = reply.answer
         if answer is not dialects.LeaseAnswer.UNSURE and not was_unsure:
             unsure.discard(lease.lease_id)
         return answer
@@ -143,9 +149,9 @@
 
     async def _give_back(self, lease: Lease, was_unsure: bool) -> None:
         release = self._client.release
-        answer = await release(lease.endpoint, lease.lease_id)
-        if answer is dialects.LeaseAnswer.UNSURE:
-            answer = await release(lease.endpoint, lease.lease_id)
+        reply = await release(lease.endpoint, lease.lease_id)
+        if reply.answer is dialects.LeaseAnswer.UNSURE:
+            await release(lease.endpoint, lease.lease_id)
         if not was_unsure:
             return
         waited_s = 0.0
@@ -164,10 +170,18 @@
 async def open_holder(
     client: dialects.LeaseClient,
     bounds: settings_lib.ExchangeBounds,
+    limits: endpointlimits.EndpointLimits,
     timers: timer_service.Timers,
 ) -> AsyncIterator[LeaseHolder]:
-    """Opens a holder that gives everything back before it is closed."""
-    holder = LeaseHolder(client, bounds, timers)
+    """Opens a holder that gives everything back before it is closed.
+
+    Args:
+      client: orders memory at engines.
+      bounds: how long it may be held.
+      limits: hears of rate limits that engines name.
+      timers: the clock.
+    """
+    holder = LeaseHolder(client, bounds, limits, timers)
     try:
         yield holder
     finally:
--- a/rhubarblock/exchange/leases_test.py
+++ b/rhubarblock/exchange/leases_test.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from rhubarblock.core import ratelimit as ratelimits
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.exchange import leases
@@ -26,6 +27,7 @@
         self.late_s = late_s
         self.until_s = {}
         self.orders = 0
+        self.limit = ratelimits.NONE_STATED
 
     async def reserve(self, endpoint, order):
         self.orders += 1
@@ -36,11 +38,11 @@
             self._set(key, order.hold_s)
         if answer is _Answer.UNSURE:
             loop.call_later(self.late_s, self._set, key, order.hold_s)
-        return answer
+        return dialects.LeaseReply(answer, self.limit)
 
     async def release(self, endpoint, lease_id):
         self.until_s.pop((endpoint.endpoint_id, lease_id), None)
-        return _Answer.DONE
+        return dialects.LeaseReply(_Answer.DONE)
 
     def _set(self, key, hold_s):
         self.until_s[key] = asyncio.get_running_loop().time() + hold_s
@@ -59,7 +61,8 @@
 def run(engines, step):
     async def main():
         timers = timer_service.LoopTimers(0.0)
-        holder = leases.LeaseHolder(engines, fakes.BOUNDS, timers)
+        limits = fakes.make_limits(timers)
+        holder = leases.LeaseHolder(engines, fakes.BOUNDS, limits, timers)
         return await step(holder, timers)
 
     return virtualloop.run(main())
@@ -145,3 +148,21 @@
             return engines.orders
 
     assert run(engines, step) == 0
+
+
+def test_limit_that_an_engine_names_beside_an_order_is_heard():
+    engines = Engines()
+    engines.limit = ratelimits.StatedLimit(2.0)
+
+    async def main():
+        timers = timer_service.LoopTimers(0.0)
+        limits = fakes.make_limits(timers)
+        holder = leases.LeaseHolder(engines, fakes.BOUNDS, limits, timers)
+        async with holder.hold(WANTED):
+            named = limits.find_rate("e1")
+            engines.limit = ratelimits.NONE_STATED
+            await timers.sleep(10.0)
+            # Only answers to requests tell that a limit ended.
+            return named, limits.find_rate("e1")
+
+    assert virtualloop.run(main()) == (2.0, 2.0)
--- /dev/null
+++ b/rhubarblock/exchange/peering/limitnews.py
@@ -0,0 +1,190 @@
+"""Carries the limits of endpoints and permits between instances.
+
+They go as datagrams beside other news: what is lost is asked for again.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from rhubarblock.exchange import endpointlimits
+from rhubarblock.exchange.peering import news as news_lib
+from rhubarblock.exchange.peering import table as peer_table
+from rhubarblock.exchange.state import subset as subsets
+from rhubarblock.fleet import rendezvous
+from rhubarblock.kernel import timers as timer_service
+from rhubarblock.routing.endpointlimits import messages
+from rhubarblock.routing.endpointlimits import peers as limitpeers
+
+_MS_PER_S = 1e3
+
+
+class NewsLimitPeers(limitpeers.LimitPeers):
+    """The other instances, reached through the news of this one.
+
+    A peer is named by the address of its datagrams, ``host:port``.
+    """
+
+    __slots__ = (
+        "_data_centre",
+        "_news",
+        "_own_id",
+        "_subsets",
+        "_table",
+        "_timers",
+    )
+
+    def __init__(
+        self,
+        news: news_lib.News,
+        table: peer_table.PeerTable,
+        subsets_: subsets.Subsets,
+        own_id: str,
+        data_centre: str,
+        timers: timer_service.Timers,
+    ):
+        """Creates peers over what is known of them.
+
+        Args:
+          news: sends and receives datagrams.
+          table: the other instances.
+          subsets_: which instances use which endpoints.
+          own_id: name of this instance.
+          data_centre: where it runs.
+          timers: the clock.
+        """
+        self._news = news
+        self._table = table
+        self._subsets = subsets_
+        self._own_id = own_id
+        self._data_centre = data_centre
+        self._timers = timers
+
+    def count_users(self, endpoint_id: str) -> int:
+        return 1 + len(self._list_users(endpoint_id))
+
+    def choose_coordinator(self, endpoint_id: str, silent: set[str]) -> str:
+        now_s = self._timers.read_monotonic()
+        best = rendezvous.compute_score(endpoint_id, self._own_id), ""
+        for address, peer in self._list_users(endpoint_id):
+            name = _name(address)
+            if name in silent or not peer.instance_id:
+                continue
+            if peer.is_alive(now_s, peer_table.FAR_GREETINGS):
+                score = rendezvous.compute_score(endpoint_id, peer.instance_id)
+                best = max(best, (score, name))
+        return best[1]
+
+    def send_request(self, peer: str, request: messages.PermitRequest) -> None:
+        fields = [
+            news_lib.PERMIT_REQUEST,
+            *_encode_report(request.report),
+            request.wanted,
+            _to_ms(request.free_in_s),
+        ]
+        self._news.send_to(_parse(peer), fields)
+
+    def send_grant(self, peer: str, grant: messages.PermitGrant) -> None:
+        fields = [
+            news_lib.PERMIT_GRANT,
+            grant.endpoint_id,
+            grant.count,
+            _to_ms(grant.delay_s),
+            _to_ms(grant.spacing_s),
+            _to_ms(grant.again_s),
+        ]
+        self._news.send_to(_parse(peer), fields)
+
+    def send_report(self, peer: str, report: messages.LimitReport) -> None:
+        fields = [news_lib.LIMIT_REPORT, *_encode_report(report)]
+        self._news.send_to(_parse(peer), fields)
+
+    def tell_report(self, report: messages.LimitReport) -> None:
+        fields = [news_lib.LIMIT_REPORT, *_encode_report(report)]
+        for address, _ in self._list_users(report.endpoint_id):
+            self._news.send_to(address, fields)
+
+    def _list_users(
+        self, endpoint_id: str
+    ) -> list[tuple[peer_table.Address, peer_table.Peer]]:
+        """Returns the peers that use an endpoint; one that is unknown may."""
+        uses = self._subsets.make_filter((endpoint_id,))
+        return [
+            (address, peer)
+            for address, peer in self._table.list_known()
+            if not peer.instance_id or uses(peer.instance_id, peer.data_centre)
+        ]
+
+
+def connect(news: news_lib.News, limits: endpointlimits.EndpointLimits) -> None:
+    """Lets limits hear what peers tell."""
+    steps: dict[str, Callable[[list[Any], str], None]] = {
+        news_lib.LIMIT_REPORT: lambda fields, peer: limits.hear_report(
+            _read_report(fields)
+        ),
+        news_lib.PERMIT_REQUEST: lambda fields, peer: limits.hear_request(
+            peer, _read_request(fields)
+        ),
+        news_lib.PERMIT_GRANT: lambda fields, peer: limits.hear_grant(
+            peer, _read_grant(fields)
+        ),
+    }
+    for code, step in steps.items():
+        news.listen(code, _make_listener(step))
+    news.on_start = lambda address: limits.tell_start(_name(address))
+
+
+def _make_listener(
+    step: Callable[[list[Any], str], None],
+) -> news_lib.Listener:
+    return lambda fields, address: step(fields, _name(address))
+
+
+def _encode_report(report: messages.LimitReport) -> list[Any]:
+    return [
+        report.endpoint_id,
+        report.per_s,
+        _to_ms(report.sent_age_s),
+        _to_ms(report.heard_age_s),
+    ]
+
+
+def _read_report(fields: list[Any]) -> messages.LimitReport:
+    endpoint_id, per_s, sent_ms, heard_ms = fields[:4]
+    return messages.LimitReport(
+        str(endpoint_id),
+        None if per_s is None else float(per_s),
+        sent_ms / _MS_PER_S,
+        heard_ms / _MS_PER_S,
+    )
+
+
+def _read_request(fields: list[Any]) -> messages.PermitRequest:
+    wanted, free_ms = fields[4:6]
+    return messages.PermitRequest(
+        _read_report(fields), int(wanted), free_ms / _MS_PER_S
+    )
+
+
+def _read_grant(fields: list[Any]) -> messages.PermitGrant:
+    endpoint_id, count, delay_ms, spacing_ms, again_ms = fields
+    return messages.PermitGrant(
+        str(endpoint_id),
+        int(count),
+        delay_ms / _MS_PER_S,
+        spacing_ms / _MS_PER_S,
+        again_ms / _MS_PER_S,
+    )
+
+
+def _to_ms(seconds: float) -> float:
+    """Returns milliseconds, to the microsecond."""
+    return round(seconds * _MS_PER_S, 3)
+
+
+def _name(address: peer_table.Address) -> str:
+    return "{}:{}".format(*address)
+
+
+def _parse(peer: str) -> peer_table.Address:
+    host, _, port = peer.rpartition(":")
+    return host, int(port)
--- a/rhubarblock/exchange/peering/news.py
+++ b/rhubarblock/exchange/peering/news.py
@@ -30,19 +30,34 @@
 _GREETING = "g"
 _BROKEN = "b"
 _CRASH = "c"
+# Codes of what others than this module send and take.
+LIMIT_REPORT = "l"
+PERMIT_REQUEST = "q"
+PERMIT_GRANT = "t"
 _COUNTERS = {
     _PLACED: "placed",
     _ENDED: "ended",
     _GREETING: "greeting",
     _BROKEN: "broken",
     _CRASH: "crash",
+    LIMIT_REPORT: "limit",
+    PERMIT_REQUEST: "permit_request",
+    PERMIT_GRANT: "permit_grant",
 }
+# What a listener takes: the fields after the code, and who sent them.
+Listener = Callable[[list[Any], peer_table.Address], None]
 
 _logger = logging.getLogger(__name__)
 
 
 class News(asyncio.DatagramProtocol):
-    """Tells peers of placed work and hears of theirs."""
+    """Tells peers of placed work and hears of theirs.
+
+    Attributes:
+      on_crash: called with an endpoint that crashed, and the ages of requests
+        that ran there by their digests.
+      on_start: called with the address of a peer that has just started.
+    """
 
     def __init__(
         self,
@@ -91,6 +106,10 @@
         self._greetings = 0
         self._peers = peers
         self._transport: asyncio.DatagramTransport | None = None
+        self._listeners: dict[str, Listener] = {}
+        self.on_start: Callable[[peer_table.Address], None] = lambda address: (
+            None
+        )
         self.on_crash: Callable[[str, dict[str, float]], None] = (
             lambda endpoint_id, ages: None
         )
@@ -165,6 +184,17 @@
             TELL_AGAIN_S, lambda: self._send(fields, _is_any)
         )
 
+    def listen(self, code: str, listener: Listener) -> None:
+        """Hands datagrams of a code to a listener.
+
+        What it raises for fields that can't be read is logged here.
+        """
+        self._listeners[code] = listener
+
+    def send_to(self, address: peer_table.Address, fields: list[Any]) -> None:
+        """Sends a datagram to one peer."""
+        self._send_to((address,), fields)
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         now_s = self._timers.read_monotonic()
         peer = self._peers.find(addr)
@@ -175,6 +205,10 @@
         self._metrics.count("news.received")
         try:
             fields = json.loads(data)
+            listener = self._listeners.get(fields[0])
+            if listener is not None:
+                listener(fields[1:], addr)
+                return
             self._take(fields, peer, now_s)
             if fields[0] == _GREETING:
                 self._take_greeting(fields, peer, addr, now_s)
@@ -225,6 +259,7 @@
         for job, placed_s in self._own_jobs.values():
             left_s = max(0.0, job.parts[0].read_s - (now_s - placed_s))
             self._send_to([address], _describe_job(job, left_s))
+        self.on_start(address)
 
     def _is_near(
         self, address: peer_table.Address, peer: peer_table.Peer
--- a/rhubarblock/exchange/peering/table.py
+++ b/rhubarblock/exchange/peering/table.py
@@ -212,6 +212,10 @@
         ]
         return [address for _, _, address in sorted(alive)][:MOST_ASKED]
 
+    def list_known(self) -> list[tuple[Address, Peer]]:
+        """Returns the peers with their addresses, silent ones too."""
+        return list(self._peers.items())
+
     def list_told(self, is_told: Filter) -> Iterator[Address]:
         """Gives the addresses of those that are to be told something.
 
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -205,6 +205,24 @@
         """Says whether an exchange that is under way has a place to go."""
         return self._foresee(flow, flow.history.failed_endpoints) is not None
 
+    def find_return(self, flow: flows.Flow) -> float | None:
+        """Returns the seconds after which a refused caller may come back.
+
+        None if it was not refused for rate limits.
+        """
+        return self._candidates.find_return(
+            flow.exchange, flow.history.failed_endpoints
+        )
+
+    def predict_permit(self, flow: flows.Flow) -> float | None:
+        """Returns the seconds until an endpoint may be used within its limit.
+
+        None if an endpoint that named no limit may be used.
+        """
+        return self._candidates.predict_permit(
+            flow.exchange, flow.history.failed_endpoints
+        )
+
     def predict_start(self, flow: flows.Flow) -> float:
         """Returns the seconds that an exchange had better wait here."""
         exchange = flow.exchange
@@ -310,13 +328,13 @@
         self._health.note_chosen(
             chosen.endpoint_id, self._timers.read_monotonic()
         )
+        self._limits.take(chosen.endpoint_id)
         self._calls[chosen.endpoint_id] = (
             self._calls.get(chosen.endpoint_id, 0) + 1
         )
         try:
-            yield Place(
-                chosen, limit_per_s=self._limits.find_rate(chosen.endpoint_id)
-            )
+            rate = self._limits.find_rate(chosen.endpoint_id)
+            yield Place(chosen, limit_per_s=rate)
         finally:
             self._calls[chosen.endpoint_id] -= 1
 
@@ -342,6 +360,7 @@
             return
         for engine in choice.engines:
             self._health.note_chosen(engine.endpoint_id, now_s)
+            self._limits.take(engine.endpoint_id)
         self._book.add(choice.job, now_s)
         self._news.tell_placed(choice.job)
         try:
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -20,6 +20,7 @@
 from rhubarblock.exchange import silence
 from rhubarblock.exchange import sink as sinks
 from rhubarblock.exchange import transport as transports
+from rhubarblock.kernel import timers as timer_service
 
 # Seconds after which a caller that was refused may come back.
 RETRY_AFTER_S = 0.5
@@ -27,6 +28,12 @@
 # slot is free again within a short stream's length.
 ROOM_TRIES = 30
 ROOM_S = 0.05
+# Longest seconds for which a new exchange waits for a permit to use an endpoint
+# that named a rate limit, the part of its time that this may take, and the
+# seconds between two looks.
+PERMIT_WAIT_S = 1.0
+PERMIT_PART = 0.3
+PERMIT_LOOK_S = 0.02
 # Longest seconds until it is asked again when a waiting exchange had better
 # begin: some prompts come or end meanwhile in a burst.
 START_S = 0.1
@@ -35,7 +42,7 @@
 class ExchangeRelay:
     """Serves exchanges at one instance."""
 
-    __slots__ = ("_crashes", "_outcomes", "_placer", "_runner")
+    __slots__ = ("_crashes", "_outcomes", "_placer", "_runner", "_timers")
 
     def __init__(
         self,
@@ -43,6 +50,7 @@
         runner: attempts.AttemptRunner,
         outcomes_: outcomes.Outcomes,
         crash_watch: crashes.CrashWatch,
+        timers: timer_service.Timers,
     ):
         """Creates a relay.
 
@@ -51,11 +59,13 @@
           runner: runs attempts.
           outcomes_: learns from how they end, and grants further ones.
           crash_watch: refuses what crashes endpoints.
+          timers: the clock.
         """
         self._placer = placer
         self._runner = runner
         self._outcomes = outcomes_
         self._crashes = crash_watch
+        self._timers = timers
 
     async def serve(
         self, exchange: exchanges.Exchange, sink: sinks.Sink
@@ -100,12 +110,13 @@
         """Makes one attempt and returns why it failed, if it did."""
         avoid = flow.history.failed_endpoints
         await self._wait_for_room(flow)
+        await self._wait_for_permit(flow)
         await self._wait_for_start(flow)
         with self._placer.hold(
             flow.exchange, avoid, flow.sink.begun, flow.refusals
         ) as place:
             if place is None:
-                raise _give_up(flow, "no endpoint has room")
+                raise self._refuse(flow)
             self._outcomes.note_placed(flow, place)
 
             def may_leave(reason: silence.Reason) -> bool:
@@ -173,6 +184,31 @@
                 return
             await asyncio.sleep(ROOM_S)
 
+    async def _wait_for_permit(self, flow: flows.Flow) -> None:
+        """Lets a new exchange wait a little where only rate limits stop it.
+
+        It is refused at once if no permit can be had in time.
+        """
+        if flow.history.attempts or self._placer.predict_permit(flow) is None:
+            return
+        now_s = self._timers.read_monotonic()
+        left_s = flow.exchange.deadline_s - now_s
+        until_s = now_s + min(PERMIT_WAIT_S, PERMIT_PART * left_s)
+        while not self._placer.has_room(flow):
+            wait_s = self._placer.predict_permit(flow)
+            now_s = self._timers.read_monotonic()
+            if wait_s is None or now_s + wait_s > until_s or now_s >= until_s:
+                return
+            await asyncio.sleep(PERMIT_LOOK_S)
+
+    def _refuse(self, flow: flows.Flow) -> failures.FailureError:
+        """Returns the failure of an exchange that has no place to go."""
+        return_s = self._placer.find_return(flow)
+        if return_s is None:
+            return _give_up(flow, "no endpoint has room")
+        message = "the rate limits of endpoints leave no room"
+        return _give_up(flow, message, max(RETRY_AFTER_S, round(return_s, 2)))
+
     async def _wait_for_start(self, flow: flows.Flow) -> None:
         """Lets a new exchange begin when that costs all callers least."""
         if flow.history.attempts:
@@ -216,15 +252,23 @@
         return self._outcomes.grant(flow.exchange)
 
 
-def _give_up(flow: flows.Flow, message: str) -> failures.FailureError:
-    """Returns the final failure of an exchange."""
+def _give_up(
+    flow: flows.Flow, message: str, retry_after_s: float = RETRY_AFTER_S
+) -> failures.FailureError:
+    """Returns the final failure of an exchange.
+
+    Args:
+      flow: the exchange.
+      message: why.
+      retry_after_s: seconds after which its caller may come back.
+    """
     verdict = flow.history.verdict
     if verdict is verdicts.Verdict.NOT_RUN:
         return failures.FailureError(
             failures.Failure(
                 failures.FailureCode.NO_ENDPOINT,
                 message,
-                retry_after_s=RETRY_AFTER_S,
+                retry_after_s=retry_after_s,
             )
         )
     return failures.FailureError(
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -476,3 +476,76 @@
     error, avoided = asyncio.run(main())
     assert error is not None
     assert avoided == blamed[:1]
+
+
+LIMITED = fakes.whole(b"ok", extra=f"{names.LIMIT}: 0.5\r\n")
+
+
+def serve_in_turn(count, *endpoints):
+    """Serves exchanges one after the other.
+
+    Returns:
+      The failures, None for what was served, and the arrivals by endpoint.
+    """
+
+    async def main():
+        async with fakes.open_parts(*endpoints) as parts:
+            ends = []
+            for _ in range(count):
+                try:
+                    await parts.relay.serve(
+                        fakes.make_exchange(ONCE), fakes.MemorySink()
+                    )
+                    ends.append(None)
+                except failures.FailureError as error:
+                    ends.append(error.failure)
+            return ends, [len(e.heads) for e in endpoints], parts.limits
+
+    return asyncio.run(main())
+
+
+def test_endpoint_that_named_a_limit_is_spared_while_another_has_room():
+    needy = fakes.ScriptedEndpoint(*[LIMITED] * 9)
+    sound = fakes.ScriptedEndpoint(*[fakes.whole(b"ok")] * 9)
+    ends, arrivals, _ = serve_in_turn(8, needy, sound)
+    assert ends == [None] * 8
+    assert arrivals == [1, 7]
+
+
+def test_where_all_named_limits_the_caller_is_told_when_there_is_room():
+    needy = fakes.ScriptedEndpoint(*[LIMITED] * 9)
+    ends, arrivals, _ = serve_in_turn(4, needy)
+    assert ends[0] is None
+    refused = [end for end in ends if end is not None]
+    assert refused
+    assert {end.verdict for end in refused} == {verdicts.Verdict.NOT_RUN}
+    assert {end.message for end in refused} == {
+        "the rate limits of endpoints leave no room"
+    }
+    # Not all come back at the same moment.
+    assert len({end.retry_after_s for end in refused}) == len(refused)
+
+
+@pytest.mark.parametrize(
+    ("second", "rate"),
+    [
+        (fakes.whole(b"ok"), None),
+        # A refusal, or a failure that nobody signed, says nothing of it.
+        (SHED, 5_000.0),
+        (fakes.whole(b"", "500 Internal Server Error", seal=False), 5_000.0),
+        (fakes.whole(b"ok", extra=f"{names.LIMIT}: soon\r\n"), 5_000.0),
+        (fakes.whole(b"ok", extra=f"{names.LIMIT}: 7000\r\n"), 7_000.0),
+    ],
+)
+def test_limit_holds_until_a_signed_answer_names_none(second, rate):
+    first = fakes.whole(b"ok", extra=f"{names.LIMIT}: 5000\r\n")
+    endpoint = fakes.ScriptedEndpoint(first, second)
+    _, arrivals, limits = serve_in_turn(2, endpoint)
+    assert arrivals == [2]
+    assert limits.find_rate("e1") == rate
+
+
+def test_limit_of_an_endpoint_is_passed_on_to_the_caller():
+    sink, _, _ = run(LIMITED, route=ONCE)
+    passed = {header.name: header.value for header in sink.headers}
+    assert passed[names.LIMIT] == "0.5"
--- a/rhubarblock/platform/orders.py
+++ b/rhubarblock/platform/orders.py
@@ -6,6 +6,7 @@
 
 from rhubarblock.core import listed
 from rhubarblock.exchange import dialect as dialects
+from rhubarblock.platform import heads
 from rhubarblock.platform import names
 from rhubarblock.store import sendonce
 
@@ -27,7 +28,7 @@
 
     async def reserve(
         self, endpoint: listed.ListedEndpoint, order: dialects.LeaseOrder
-    ) -> dialects.LeaseAnswer:
+    ) -> dialects.LeaseReply:
         return await self._send(
             endpoint,
             {
@@ -41,14 +42,14 @@
 
     async def release(
         self, endpoint: listed.ListedEndpoint, lease_id: str
-    ) -> dialects.LeaseAnswer:
+    ) -> dialects.LeaseReply:
         return await self._send(
             endpoint, {"operation": "release", "id": lease_id}
         )
 
     async def _send(
         self, endpoint: listed.ListedEndpoint, body: dict[str, Any]
-    ) -> dialects.LeaseAnswer:
+    ) -> dialects.LeaseReply:
         try:
             async with self._session.post(
                 f"http://{endpoint.address}/order",
@@ -58,10 +59,12 @@
                 middlewares=(sendonce.send_once,),
             ) as response:
                 await response.read()
-                if response.status == 200:
-                    return _Answer.DONE
-                return _Answer.REFUSED
+                done = response.status == 200
+                return dialects.LeaseReply(
+                    _Answer.DONE if done else _Answer.REFUSED,
+                    heads.read_limit(response.headers),
+                )
         except aiohttp.ClientConnectorError:
-            return _Answer.REFUSED
+            return dialects.LeaseReply(_Answer.REFUSED)
         except (aiohttp.ClientError, OSError):
-            return _Answer.UNSURE
+            return dialects.LeaseReply(_Answer.UNSURE)
--- a/rhubarblock/routing/endpointlimits/book.py
+++ b/rhubarblock/routing/endpointlimits/book.py
@@ -1,8 +1,10 @@
 """What endpoints said of their rate limits.
 
-Answers overtake each other, and so does news from peers. A lower limit counts
-at once. A higher one, or none, counts only if its request was sent after the
-present limit was heard: an answer to an earlier request may be the older word.
+Answers overtake each other, and so does news from peers. An answer that was
+heard before the request of the present one was sent is older, one whose request
+was sent after the present one was heard is newer, and between the two the lower
+limit counts. That a limit ended is kept too, so that older news can't bring it
+back.
 """
 
 import dataclasses
@@ -10,6 +12,7 @@
 
 from rhubarblock.core import ratelimit as ratelimits
 from rhubarblock.kernel import metrics as metric_store
+from rhubarblock.routing.endpointlimits import messages
 
 # Highest limit that is kept, in requests a second; more than any endpoint runs.
 MOST_PER_S = 1e6
@@ -53,7 +56,7 @@
 class LimitBook:
     """The limits that one instance knows, by endpoint."""
 
-    __slots__ = ("_limits", "_metrics")
+    __slots__ = ("_ended", "_limits", "_metrics")
 
     def __init__(self, metrics: metric_store.Metrics):
         """Starts without limits.
@@ -62,6 +65,7 @@
           metrics: counts changes and what can't be read.
         """
         self._limits: dict[str, Limit] = {}
+        self._ended: dict[str, Statement] = {}
         self._metrics = metrics
 
     def __bool__(self) -> bool:
@@ -118,19 +122,18 @@
         Returns:
           Whether the limit changed.
         """
+        if statement.per_s is not None and statement.per_s > MOST_PER_S:
+            statement = dataclasses.replace(statement, per_s=MOST_PER_S)
         known = self._limits.get(endpoint_id)
+        last = known.statement if known else self._ended.get(endpoint_id)
         per_s = statement.per_s
-        if known is None and per_s is None:
+        if last is None and per_s is None:
             return False
-        if known is not None and not _is_newer(statement, known):
+        if last is not None and not _replaces(statement, last):
             return False
         before = known.per_s if known else None
         since_s = known.since_s if known else statement.heard_s
-        if per_s is None:
-            del self._limits[endpoint_id]
-        else:
-            per_s = min(per_s, MOST_PER_S)
-            self._limits[endpoint_id] = Limit(per_s, since_s, statement)
+        self._put(endpoint_id, statement, since_s)
         if per_s == before:
             return False
         self._metrics.count("limits.changed")
@@ -146,8 +149,47 @@
         )
         return True
 
+    def describe(
+        self, endpoint_id: str, now_s: float
+    ) -> messages.LimitReport | None:
+        """Returns what peers are told of a limit that is or was in force.
+
+        Args:
+          endpoint_id: the endpoint.
+          now_s: the present moment, in monotonic seconds.
+        """
+        limit = self._limits.get(endpoint_id)
+        last = limit.statement if limit else self._ended.get(endpoint_id)
+        if last is None:
+            return None
+        return messages.LimitReport(
+            endpoint_id, last.per_s, now_s - last.sent_s, now_s - last.heard_s
+        )
+
+    def hear(self, report: messages.LimitReport, now_s: float) -> bool:
+        """Takes in what a peer tells.
+
+        Returns:
+          Whether the limit changed.
+        """
+        statement = Statement(
+            report.per_s, now_s - report.sent_age_s, now_s - report.heard_age_s
+        )
+        return self.take(report.endpoint_id, statement, "peer")
+
+    def _put(
+        self, endpoint_id: str, statement: Statement, since_s: float
+    ) -> None:
+        if statement.per_s is None:
+            self._limits.pop(endpoint_id, None)
+            self._ended[endpoint_id] = statement
+            return
+        self._ended.pop(endpoint_id, None)
+        self._limits[endpoint_id] = Limit(statement.per_s, since_s, statement)
+
     def forget(self, endpoint_id: str) -> None:
         """Forgets the limit of an endpoint that ended or started again."""
+        self._ended.pop(endpoint_id, None)
         if self._limits.pop(endpoint_id, None) is not None:
             _logger.info(
                 "endpoint limit forgotten", extra={"endpoint": endpoint_id}
@@ -155,14 +197,16 @@
 
     def keep_only(self, endpoint_ids: set[str]) -> None:
         """Forgets endpoints that are not there any more."""
-        for endpoint_id in self.list_ids():
-            if endpoint_id not in endpoint_ids:
-                self.forget(endpoint_id)
+        for endpoint_id in {*self._limits, *self._ended} - endpoint_ids:
+            self.forget(endpoint_id)
 
 
-def _is_newer(statement: Statement, known: Limit) -> bool:
-    """Says whether a statement replaces the present limit."""
-    per_s = statement.per_s
-    if per_s is not None and per_s < known.per_s:
+def _replaces(statement: Statement, last: Statement) -> bool:
+    """Says whether a statement replaces the one before."""
+    if statement.sent_s >= last.heard_s:
         return True
-    return statement.sent_s >= known.statement.heard_s
+    if statement.heard_s <= last.sent_s:
+        return False
+    if statement.per_s is None:
+        return False
+    return last.per_s is None or statement.per_s < last.per_s
--- /dev/null
+++ b/rhubarblock/routing/endpointlimits/coordinator_test.py
@@ -0,0 +1,90 @@
+"""What a coordinator may grant of a limit."""
+
+import random
+
+from rhubarblock.core import ratelimit as ratelimits
+from rhubarblock.exchange import fakeparts_test as fakes
+from rhubarblock.kernel import metrics as metric_store
+from rhubarblock.routing.endpointlimits import book as limitbook
+from rhubarblock.routing.endpointlimits import coordinator as coordinators
+from rhubarblock.routing.endpointlimits import messages
+
+USERS = 4
+RATE = 8.0
+
+
+class Peers(fakes.LonePeers):
+    def count_users(self, endpoint_id):
+        return USERS
+
+
+def make_coordinator(rate=RATE):
+    metrics = metric_store.Metrics()
+    book = limitbook.LimitBook(metrics)
+    book.note_answer("e1", ratelimits.StatedLimit(rate), 0.0, 0.0)
+    coordinator = coordinators.PermitCoordinator(
+        book, Peers(), random.Random(1), metrics
+    )
+    return book, coordinator
+
+
+def ask(coordinator, peer, now_s, wanted=0, free_in_s=0.0):
+    report = messages.LimitReport("e1", RATE, 1.0, 1.0)
+    request = messages.PermitRequest(report, wanted, free_in_s)
+    return coordinator.grant(peer, request, now_s)
+
+
+def count_granted(coordinator, peers, from_s, until_s):
+    """Returns what is granted to one of some peers that all ask."""
+    granted = 0
+    for step in range(int(10 * from_s), int(10 * until_s)):
+        for peer in peers:
+            grant = ask(coordinator, peer, step / 10.0, 16)
+            granted += grant.count
+    return granted / (until_s - from_s)
+
+
+def test_all_of_a_limit_is_granted_where_everybody_asks():
+    _, coordinator = make_coordinator()
+    peers = [f"p{n}" for n in range(USERS)]
+    assert 7.5 <= count_granted(coordinator, peers, 0.0, 10.0) <= 9.0
+
+
+def test_only_the_shares_that_are_pledged_are_granted():
+    _, coordinator = make_coordinator()
+    assert 1.9 <= count_granted(coordinator, ["p1"], 0.0, 10.0) <= 2.3
+
+
+def test_pledge_lapses_and_one_that_is_not_free_yet_does_not_count():
+    _, coordinator = make_coordinator()
+    ask(coordinator, "p1", 0.0)
+    ask(coordinator, "p2", 0.0, free_in_s=3.0)
+    shared = coordinator._shared["e1"]
+    counts = [shared.count_pledged(at_s) for at_s in (0.0, 2.9, 3.0, 3.9, 4.0)]
+    assert counts == [1, 1, 2, 2, 0]
+
+
+def test_pledge_that_is_not_free_yet_grants_nothing():
+    _, coordinator = make_coordinator()
+    grant = ask(coordinator, "p1", 0.0, 5, free_in_s=3.0)
+    assert (grant.count, grant.again_s) == (0, 3.0)
+
+
+def test_those_that_get_nothing_do_not_ask_again_together():
+    _, coordinator = make_coordinator(1.0)
+    peers = [f"p{n}" for n in range(USERS)]
+    grants = [ask(coordinator, peer, 0.0, 1) for peer in peers]
+    again = [grant.again_s for grant in grants if not grant.count]
+    assert len(set(again)) == len(again) >= 2
+
+
+def test_endpoint_that_takes_nothing_is_still_tried():
+    _, coordinator = make_coordinator(0.0)
+    peers = [f"p{n}" for n in range(USERS)]
+    assert 0.08 <= count_granted(coordinator, peers, 0.0, 60.0) <= 0.12
+
+
+def test_limit_that_ended_grants_nothing():
+    book, coordinator = make_coordinator()
+    book.note_answer("e1", ratelimits.NONE_STATED, 1.0, 2.0)
+    assert ask(coordinator, "p1", 3.0, 1) is None
