Let endpoints of the soak name rate limits, and check them

An endpoint, or all of a service, name a limit of 0 to 2.5 requests a second for some seconds, beside all other faults. Requests of processes that had passed on that word half a second before are counted over four seconds; one that was frozen or signalled lately is excused, as is what a broken way kept back. Tests show that the check can fail.

--- a/features/soak_test.py
+++ b/features/soak_test.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from tools.soak import evidence as evidences
+from tools.soak import ratewatch
 from tools.soak import run
 
 # Removed keys count from here in the tests of the checks.
@@ -74,6 +75,34 @@
     ]
 
 
+def count_faults(monkeypatch, arrivals, told_s=REMOVED_S, disturbed_s=None):
+    """Sends requests to an endpoint that named a limit, ten a second."""
+    clock = [REMOVED_S]
+    monkeypatch.setattr(evidences, "read_clock", lambda: clock[0])
+    seen = make_evidence(process_id=5)
+    rate = ratewatch.RateWatch("e1", seen)
+    rate.name(1.0)
+    if told_s is not None:
+        seen.note_told(rate.mark, 5)
+    if disturbed_s is not None:
+        seen.disturbed_s[5] = disturbed_s
+    clock[0] += ratewatch.STABLE_S
+    for _ in range(arrivals):
+        rate.note_arrival("q1", 0.0)
+        clock[0] += 0.1
+    return len(seen.faults)
+
+
+def test_more_requests_than_an_endpoint_takes_are_a_fault(monkeypatch):
+    assert count_faults(monkeypatch, 11) == 0
+    assert count_faults(monkeypatch, 12) == 1
+
+
+def test_process_that_was_not_told_or_was_frozen_breaks_no_limit(monkeypatch):
+    assert count_faults(monkeypatch, 20, told_s=None) == 0
+    assert count_faults(monkeypatch, 20, disturbed_s=REMOVED_S + 2.0) == 0
+
+
 def test_refusal_by_a_process_that_was_replaced_proves_nothing():
     seen = make_evidence(process_id=5, status=401)
     seen.note_answer(seen.sent["q1"], 6)
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -62,6 +62,9 @@
                 data=b"body",
                 timeout=aiohttp.ClientTimeout(total=WAIT_S),
             ) as answer:
+                if names.LIMIT in answer.headers:
+                    mark = answer.headers.get(names.SEAL, "")
+                    self._evidence.note_told(mark, sent.process_id)
                 body = await answer.read()
                 sent.status = answer.status
                 sent.whole = self._is_own(sent, answer, body)
--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -11,6 +11,7 @@
 from rhubarblock.platform import names
 from tools.soak import evidence as evidences
 from tools.soak import proxy as proxies
+from tools.soak import ratewatch
 from tools.soak import store as stores
 
 # Seconds between two events of a stream.
@@ -32,6 +33,7 @@
       service: the service that it belongs to.
       mode: how it behaves; empty is sound.
       way: the proxy that instances reach it by.
+      rate: the limit that it names, and what arrives.
     """
 
     def __init__(
@@ -46,6 +48,8 @@
         self.service = service
         self.mode = ""
         self.way = proxies.SoakProxy()
+        self.id = ""
+        self.rate = ratewatch.RateWatch("", evidence)
         self._data_centre = data_centre
         self._store = store
         self._evidence = evidence
@@ -63,6 +67,7 @@
                 self.id = f"i-{self._rng.getrandbits(32):08x}"
             self._has_left = False
             self._born_ms = round(time.time() * 1e3)
+            self.rate = ratewatch.RateWatch(self.id, self._evidence)
             self._ended = asyncio.Event()
             async with (
                 stores.serve(self._handle) as (_, target),
@@ -107,13 +112,16 @@
         answer = {names.ATTEMPT_ID: request_id}
         if request.headers.get(names.TARGET) != self.id:
             return web.Response(status=421, headers=answer)
+        self.rate.note_arrival(request_id, self.way.healed_s)
+        if self.rate.per_s is not None:
+            answer[names.LIMIT] = f"{self.rate.per_s:g}"
         if self.mode == "shed":
             answer[names.NOT_EXECUTED] = "1"
             return web.Response(status=503, headers=answer)
         await request.read()
         self._evidence.note_run(request_id, self.id)
         self._evidence.check_revoked(request_id, self._revoke_s)
-        answer[names.SEAL] = f"seal-{self.id}"
+        answer[names.SEAL] = self.rate.mark
         if request.path.startswith("/s/"):
             return await self._stream(request, answer, request_id)
         await asyncio.sleep(CALL_S)
--- a/tools/soak/evidence.py
+++ b/tools/soak/evidence.py
@@ -5,6 +5,8 @@
 
 # Seconds after which a leaving endpoint gets no new work.
 DRAIN_S = 2.0
+# Seconds for which a process that was disturbed is not held to limits.
+CALM_S = 4.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,6 +43,9 @@
       runs: endpoints that ran a request, by its id.
       revoked_s: when the removal of a key was acknowledged, by key.
       refused_s: when a process first refused a key, by process id and key.
+      told_s: when a process first passed on an endpoint's word on its limit, by
+        the mark of that word and the process id.
+      disturbed_s: when a process was last frozen or signalled, by its id.
       left_s: when the leaving of an endpoint was acknowledged, by its id.
       calm_s: since when nothing is disturbed; None while something is.
       faults: rules that were broken, in words.
@@ -52,6 +57,10 @@
     refused_s: dict[tuple[int, str], float] = dataclasses.field(
         default_factory=dict
     )
+    told_s: dict[tuple[str, int], float] = dataclasses.field(
+        default_factory=dict
+    )
+    disturbed_s: dict[int, float] = dataclasses.field(default_factory=dict)
     left_s: dict[str, float] = dataclasses.field(default_factory=dict)
     calm_s: float | None = None
     faults: list[str] = dataclasses.field(default_factory=list)
@@ -108,6 +117,23 @@
                 "said that it leaves"
             )
 
+    def note_told(self, mark: str, process_id: int) -> None:
+        """Takes in that a process passed on an endpoint's word on its limit."""
+        self.told_s.setdefault((mark, process_id), read_clock())
+
+    def find_told(self, mark: str, request_id: str) -> float | None:
+        """Returns when the sender of a request had passed on such a word.
+
+        None if it had not, or was disturbed lately.
+        """
+        sent = self.sent.get(request_id)
+        if sent is None:
+            return None
+        disturbed_s = self.disturbed_s.get(sent.process_id)
+        if disturbed_s is not None and read_clock() < disturbed_s + CALM_S:
+            return None
+        return self.told_s.get((mark, sent.process_id))
+
     def check_revoked(self, request_id: str, revoke_s: float) -> None:
         """Checks that a request's key was still good when it was sent."""
         sent = self.sent.get(request_id)
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -18,11 +18,13 @@
       mode: empty passes on; ``silent`` keeps everything; ``reset`` breaks each
         connection; ``deaf`` keeps what comes back, so that calls are done and
         not answered; ``mute`` keeps what goes there; ``slow`` is late.
+      healed_s: when it passed on again after it was broken.
       target: port that connections are passed on to.
     """
 
     def __init__(self, target: int = 0):
         self.mode = ""
+        self.healed_s = 0.0
         self.target = target
 
     @contextlib.asynccontextmanager
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 import pathlib
 import random
 import signal
@@ -19,6 +20,10 @@
 from tools.soak import store as stores
 
 REVOKE_S = 3.0
+# Limits that endpoints name, in requests a second, and the share of the times
+# that all of a service name one.
+LIMITS_PER_S = (0.0, 0.2, 0.5, 1.0, 2.5)
+ALL_SHARE = 0.3
 DATA_CENTRES = ("osu", "tema")
 INSTANCES = 4
 CALLERS = 10
@@ -201,6 +206,7 @@
             self._break_endpoint,
             self._end_endpoint,
             self._revoke,
+            self._name_limit,
         )
         running: set[asyncio.Task[None]] = set()
         while True:
@@ -214,9 +220,12 @@
 
     async def _freeze(self) -> None:
         instance = self.rng.choice(self.instances)
+        process_id = instance.process_id
         instance.send(signal.SIGSTOP)
+        self.evidence.disturbed_s[process_id] = math.inf
         await asyncio.sleep(self.rng.uniform(0.5, REVOKE_S + 2.0))
         instance.send(signal.SIGCONT)
+        self.evidence.disturbed_s[process_id] = evidences.read_clock()
 
     async def _terminate(self) -> None:
         instance = self.rng.choice(self.instances)
@@ -229,6 +238,7 @@
         way.mode = self.rng.choice(proxies.MODES)
         await asyncio.sleep(self.rng.uniform(0.5, REVOKE_S + 2.0))
         way.mode = ""
+        way.healed_s = evidences.read_clock()
 
     async def _break_store(self) -> None:
         step = self.rng.choice(["refuses", "slow", "forgets"])
@@ -252,6 +262,18 @@
         endpoint = self.rng.choice(self.endpoints)
         endpoint.end(self.rng.choice(["crash", "drain"]))
 
+    async def _name_limit(self) -> None:
+        """Lets an endpoint, or all of a service, name limits that change."""
+        service = self.rng.choice(["pool", "desk"])
+        own = [e for e in self.endpoints if e.service == service]
+        chosen = own if self.rng.random() < ALL_SHARE else own[:1]
+        for _ in range(self.rng.randint(1, 2)):
+            for endpoint in chosen:
+                endpoint.rate.name(self.rng.choice(LIMITS_PER_S))
+            await asyncio.sleep(self.rng.uniform(4.0, 8.0))
+        for endpoint in chosen:
+            endpoint.rate.name(None)
+
     async def _revoke(self) -> None:
         self._revoke_one()
 
@@ -270,6 +292,7 @@
             endpoint.way.mode = ""
             if endpoint.mode != "drain":
                 endpoint.mode = ""
+            endpoint.rate.name(None)
         for instance in self.instances:
             instance.send(signal.SIGCONT)
 
