Heed the idle time that an endpoint states

Kept connections were used again for up to 4 s whatever the endpoint's Keep-Alive said, so a call that may run once could meet a connection that is being closed, and end as one that may have run. A connection is now left half a second before the endpoint's own time is over.

The test failed before for the two statements of a time that is too short.

--- a/rhubarblock/exchange/transport.py
+++ b/rhubarblock/exchange/transport.py
@@ -12,6 +12,8 @@
 import contextlib
 import dataclasses
 import functools
+import math
+import re
 import socket
 from typing import Any
 
@@ -32,6 +34,9 @@
 # Seconds for which a kept connection is used again. An endpoint closes idle
 # ones by itself; one that is about to be closed would lose the next request.
 KEEP_S = 4.0
+# Seconds before the end of an endpoint's own idle time from which a connection
+# is not used: a request must be there before the endpoint closes it.
+KEEP_MARGIN_S = 0.5
 # Milliseconds after which unacknowledged bytes break a connection, so that a
 # silent one does not hold its request until the deadline.
 SILENT_MS = 2_000
@@ -62,15 +67,22 @@
       was_reset: whether the connection ended with an error.
     """
 
+    # The field in which an endpoint says how long it keeps an idle connection.
+    _IDLE_TIME = re.compile(r"\btimeout=(\d{1,9})(?!\w)", re.IGNORECASE)
+
     def __init__(self, loop: asyncio.AbstractEventLoop, attempt_header: str):
         super().__init__(loop)
         self._attempt_header = attempt_header
         self.expected_id = ""
         self.was_reset = False
+        self._idle_s = math.inf
+        self._used_s = loop.time()
 
     def is_connected(self) -> bool:
         # Bytes that came while nothing was asked belong to no request.
-        return super().is_connected() and not self.should_close
+        if not super().is_connected() or self.should_close:
+            return False
+        return self._loop.time() <= self._used_s + self._idle_s - KEEP_MARGIN_S
 
     def connection_lost(self, exc: BaseException | None) -> None:
         if exc is not None:
@@ -81,12 +93,22 @@
         """Returns the next answer that echoes the expected id."""
         while True:
             message, payload = await super().read()
+            self._note_idle_time(message.headers.get("Keep-Alive", ""))
             echoed = message.headers.get(self._attempt_header)
             if echoed is None or echoed == self.expected_id:
                 return message, payload
             # A late answer to a request that was given up.
             await payload.read()
 
+    def data_received(self, data: bytes) -> None:
+        self._used_s = self._loop.time()
+        super().data_received(data)
+
+    def _note_idle_time(self, text: str) -> None:
+        found = self._IDLE_TIME.search(text)
+        if found is not None:
+            self._idle_s = float(found[1])
+
 
 class EndpointRequest(aiohttp.ClientRequest):
     """Tells the connection which answer it is to expect."""
--- a/rhubarblock/exchange/transport_test.py
+++ b/rhubarblock/exchange/transport_test.py
@@ -86,6 +86,27 @@
     assert endpoint.connections == 2
 
 
+@pytest.mark.parametrize(
+    ("field", "connections"),
+    [
+        ("", 1),
+        ("Keep-Alive: timeout=60\r\n", 1),
+        ("Keep-Alive: max=5, timeout=60\r\n", 1),
+        ("Keep-Alive: timeout=soon\r\n", 1),
+        # Less than the way there may take.
+        ("Keep-Alive: timeout=0\r\n", 2),
+        ("Keep-Alive: max=5, Timeout=0\r\n", 2),
+    ],
+)
+def test_connection_is_not_used_when_the_endpoint_may_close_it(
+    field, connections
+):
+    script = fakes.whole(extra=field)
+    _, endpoint = run([script, script], call, call)
+    assert len(endpoint.heads) == 2
+    assert endpoint.connections == connections
+
+
 def test_answer_without_length_that_is_reset_is_not_whole():
     async def unframed_reset(head, writer):
         writer.write(
