Let workspaces take turns at permits

Where all endpoints named limits, whoever looked first took the next permit, so a workspace with many waiting requests got most of what a limit leaves. Those that wait at an instance now go on in turns of their workspaces. A test of the relay with 30 requests of one workspace and one of another, and tests of the queue.

--- /dev/null
+++ b/rhubarblock/exchange/permitqueue_test.py
@@ -0,0 +1,41 @@
+"""Workspaces take turns at permits."""
+
+import contextlib
+
+from rhubarblock.exchange import permitqueue
+
+
+def play(waiting, turns):
+    """Lets workspaces with so many requests each go on, one at a time."""
+    queue = permitqueue.PermitQueue()
+    order = []
+    with contextlib.ExitStack() as stack:
+        for workspace, count in waiting.items():
+            for _ in range(count):
+                stack.enter_context(queue.wait("desk", workspace))
+        for _ in range(turns):
+            names = [w for w in waiting if queue.is_next("desk", w)]
+            queue.note_passed("desk", names[0])
+            order.append(names[0])
+    return order
+
+
+def test_workspaces_take_turns_however_many_requests_they_have():
+    assert play({"a": 50, "b": 1, "c": 2}, 6) == ["a", "b", "c"] * 2
+
+
+def test_one_that_waits_alone_is_always_next():
+    assert play({"a": 3}, 3) == ["a"] * 3
+
+
+def test_services_and_those_that_left_do_not_hold_others_up():
+    queue = permitqueue.PermitQueue()
+    with queue.wait("desk", "a"):
+        queue.note_passed("desk", "a")
+        assert queue.is_next("desk", "a")
+        with queue.wait("pool", "b"):
+            assert queue.is_next("desk", "a")
+        with queue.wait("desk", "b"):
+            assert not queue.is_next("desk", "a")
+            assert queue.is_next("desk", "b")
+        assert queue.is_next("desk", "a")
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -17,6 +17,7 @@
 from rhubarblock.exchange import flow as flows
 from rhubarblock.exchange import leases
 from rhubarblock.exchange import outcomes
+from rhubarblock.exchange import permitqueue
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import silence
 from rhubarblock.exchange import sink as sinks
@@ -40,7 +41,14 @@
 class ExchangeRelay:
     """Serves exchanges at one instance."""
 
-    __slots__ = ("_crashes", "_outcomes", "_placer", "_runner", "_timers")
+    __slots__ = (
+        "_crashes",
+        "_outcomes",
+        "_placer",
+        "_queue",
+        "_runner",
+        "_timers",
+    )
 
     def __init__(
         self,
@@ -64,6 +72,7 @@
         self._outcomes = outcomes_
         self._crashes = crash_watch
         self._timers = timers
+        self._queue = permitqueue.PermitQueue()
 
     async def serve(
         self, exchange: exchanges.Exchange, sink: sinks.Sink
@@ -189,12 +198,29 @@
         """
         if flow.history.attempts or self._placer.predict_permit(flow) is None:
             return
-        while not self._placer.has_room(flow):
+        service = flow.exchange.service.name
+        workspace = flow.exchange.workspace
+        with self._queue.wait(service, workspace):
+            if await self._wait_for_turn(flow):
+                self._queue.note_passed(service, workspace)
+
+    async def _wait_for_turn(self, flow: flows.Flow) -> bool:
+        """Waits until a permit is there and no other workspace is next.
+
+        Returns:
+          Whether there is one.
+        """
+        service = flow.exchange.service.name
+        workspace = flow.exchange.workspace
+        while True:
+            has_room = self._placer.has_room(flow)
+            if has_room and self._queue.is_next(service, workspace):
+                return True
             wait_s = self._placer.predict_permit(flow)
             now_s = self._timers.read_monotonic()
             left_s = endpointlimits.find_patience(flow.exchange, now_s)
             if wait_s is None or wait_s > left_s or not left_s:
-                return
+                return has_room
             await asyncio.sleep(PERMIT_LOOK_S)
 
     def _refuse(self, flow: flows.Flow) -> failures.FailureError:
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -7,6 +7,7 @@
 from rhubarblock.core import failure as failures
 from rhubarblock.core import route as routes
 from rhubarblock.core import verdict as verdicts
+from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.exchange import flow as flows
 from rhubarblock.platform import names
@@ -478,7 +479,8 @@
     assert avoided == blamed[:1]
 
 
-LIMITED = fakes.whole(b"ok", extra=f"{names.LIMIT}: 0.5\r\n")
+# So low that no further permit comes within a test.
+LIMITED = fakes.whole(b"ok", extra=f"{names.LIMIT}: 0.01\r\n")
 
 
 def serve_in_turn(count, *endpoints):
@@ -548,4 +550,33 @@
 def test_limit_of_an_endpoint_is_passed_on_to_the_caller():
     sink, _, _ = run(LIMITED, route=ONCE)
     passed = {header.name: header.value for header in sink.headers}
-    assert passed[names.LIMIT] == "0.5"
+    assert passed[names.LIMIT] == "0.01"
+
+
+def test_workspace_with_one_request_is_not_held_up_by_one_with_many(
+    monkeypatch,
+):
+    monkeypatch.setattr(endpointlimits, "WAIT_S", 60.0)
+    many = 30
+
+    async def main():
+        script = fakes.whole(b"ok", extra=f"{names.LIMIT}: 20\r\n")
+        needy = fakes.ScriptedEndpoint(*[script] * (2 * many))
+        async with fakes.open_parts(needy) as parts:
+            order = []
+
+            async def serve(workspace):
+                exchange = fakes.make_exchange(ONCE, workspace=workspace)
+                exchange.deadline_s += 200.0
+                await parts.relay.serve(exchange, fakes.MemorySink())
+                order.append(workspace)
+
+            await serve("first")
+            tasks = [asyncio.ensure_future(serve("a")) for _ in range(many)]
+            await asyncio.sleep(0)
+            tasks.append(asyncio.ensure_future(serve("b")))
+            await asyncio.gather(*tasks, return_exceptions=True)
+            return order
+
+    order = asyncio.run(main())
+    assert "b" in order[:6]
