--- a/conftest.py
+++ b/conftest.py
@@ -17,7 +17,10 @@
     if not KNOWN_RED.exists():
         return {}
     lines = [line for line in KNOWN_RED.read_text().splitlines() if line]
-    return {line.split("|")[0].strip(): line for line in lines}
+    known = {line.split("|")[0].strip(): line for line in lines}
+    if "" in known:
+        raise pytest.UsageError(f"{KNOWN_RED.name}: a line names no test")
+    return known
 
 
 def pytest_collection_modifyitems(items):
@@ -30,7 +33,5 @@
 
 
 def pytest_terminal_summary(terminalreporter):
-    for test_id, line in read_known().items():
+    for line in read_known().values():
         terminalreporter.write_line(f"known red: {line}")
-        if not test_id:
-            terminalreporter.write_line("a line of the list names no test")
