--- a/rhubarblock/experiments/endpointlimits/fleet_test.py
+++ b/rhubarblock/experiments/endpointlimits/fleet_test.py
@@ -36,10 +36,10 @@
 @pytest.mark.parametrize("limit", [0.2, 1.0, 20.0])
 def test_all_instances_together_keep_to_the_limit(count, limit):
     async def step():
-        net = fleets.LimitFleet(count, limited(limit))
-        await net.load(net.limits, 100.0 / count, 15.0)
-        used = sum(at_s > 3.0 for at_s in net.arrived_s) / 12.0
-        return net.count_most(1.0), used
+        fleet = fleets.LimitFleet(count, limited(limit))
+        await fleet.load(fleet.limits, 100.0 / count, 15.0)
+        used = sum(at_s > 3.0 for at_s in fleet.arrived_s) / 12.0
+        return fleet.count_most(1.0), used
 
     most, used = run(step)
     assert most <= WINDOW_S * 1.15 * limit + 2
@@ -49,27 +49,29 @@
 @pytest.mark.parametrize("count", [7, 300])
 def test_limit_is_used_where_callers_wait_for_it(count):
     async def step():
-        net = fleets.LimitFleet(count, limited(20.0))
-        await net.load(net.limits, 40.0 / count, 10.0, waits=True)
-        return sum(at_s > 3.0 for at_s in net.arrived_s) / 7.0
+        fleet = fleets.LimitFleet(count, limited(20.0))
+        await fleet.load(fleet.limits, 40.0 / count, 10.0, waits=True)
+        return sum(at_s > 3.0 for at_s in fleet.arrived_s) / 7.0
 
     assert run(step) >= 0.7 * 20.0
 
 
 def test_one_instance_with_all_the_load_gets_the_whole_limit():
     async def step():
-        net = fleets.LimitFleet(7, limited(5.0))
-        await net.load(["i3"], 20.0, 15.0, waits=True)
-        return sum(at_s > 3.0 for at_s in net.arrived_s) / 12.0
+        fleet = fleets.LimitFleet(7, limited(5.0))
+        await fleet.load(["i3"], 20.0, 15.0, waits=True)
+        return sum(at_s > 3.0 for at_s in fleet.arrived_s) / 12.0
 
     assert 4.0 <= run(step) <= 5.5
 
 
 def test_limit_of_zero_leaves_a_trial_now_and_then():
     async def step():
-        net = fleets.LimitFleet(7, limited(0.0))
-        await net.load(net.limits, 5.0, 60.0)
-        return net.count_most(2.0), len([x for x in net.arrived_s if x > 2.0])
+        fleet = fleets.LimitFleet(7, limited(0.0))
+        await fleet.load(fleet.limits, 5.0, 60.0)
+        return fleet.count_most(2.0), len(
+            [x for x in fleet.arrived_s if x > 2.0]
+        )
 
     most, count = run(step)
     assert most <= 1
@@ -78,27 +80,27 @@
 
 def test_end_of_a_limit_is_heard_by_all():
     async def step():
-        net = fleets.LimitFleet(7, limited(1.0))
-        await net.load(net.limits, 20.0, 5.0)
-        net.stated = ratelimits.NONE_STATED
-        await net.load(net.limits, 20.0, 5.0)
+        fleet = fleets.LimitFleet(7, limited(1.0))
+        await fleet.load(fleet.limits, 20.0, 5.0)
+        fleet.stated = ratelimits.NONE_STATED
+        await fleet.load(fleet.limits, 20.0, 5.0)
         await asyncio.sleep(1.0)
-        return [x.find_rate(ENDPOINT_ID) for x in net.limits.values()]
+        return [x.find_rate(ENDPOINT_ID) for x in fleet.limits.values()]
 
     assert run(step) == [None] * 7
 
 
 def test_limit_that_changes_is_followed_up_and_down():
     async def step():
-        net = fleets.LimitFleet(7, limited(1.0))
+        fleet = fleets.LimitFleet(7, limited(1.0))
         used = []
         for per_s in (1.0, 30.0, 3.0):
-            net.stated = limited(per_s)
-            await net.load(net.limits, 6.0, 6.0, waits=True)
-            begun_s = net.timers.read_monotonic()
-            await net.load(net.limits, 6.0, 6.0, waits=True)
-            length_s = net.timers.read_monotonic() - begun_s
-            later = [x for x in net.arrived_s if x > begun_s]
+            fleet.stated = limited(per_s)
+            await fleet.load(fleet.limits, 6.0, 6.0, waits=True)
+            begun_s = fleet.timers.read_monotonic()
+            await fleet.load(fleet.limits, 6.0, 6.0, waits=True)
+            length_s = fleet.timers.read_monotonic() - begun_s
+            later = [x for x in fleet.arrived_s if x > begun_s]
             used.append(len(later) / length_s)
         return used
 
@@ -110,14 +112,14 @@
 
 def test_death_of_the_coordinator_costs_time_and_no_promise():
     async def step():
-        net = fleets.LimitFleet(7, limited(4.0))
-        await net.load(net.limits, 5.0, 5.0, waits=True)
-        chosen = net.peers["i0"].choose_coordinator(ENDPOINT_ID, set())
-        net.dead.add("i0" if chosen == limitpeers.OWN else chosen)
-        begun_s = net.timers.read_monotonic()
-        await net.load(net.limits, 5.0, 20.0, waits=True)
-        later = [x for x in net.arrived_s if x > begun_s + 12.0]
-        return net.count_most(1.0), len(later) / 8.0
+        fleet = fleets.LimitFleet(7, limited(4.0))
+        await fleet.load(fleet.limits, 5.0, 5.0, waits=True)
+        chosen = fleet.peers["i0"].choose_coordinator(ENDPOINT_ID, set())
+        fleet.dead.add("i0" if chosen == limitpeers.OWN else chosen)
+        begun_s = fleet.timers.read_monotonic()
+        await fleet.load(fleet.limits, 5.0, 20.0, waits=True)
+        later = [x for x in fleet.arrived_s if x > begun_s + 12.0]
+        return fleet.count_most(1.0), len(later) / 8.0
 
     most, used = run(step)
     assert most <= allow(4.0)
@@ -129,58 +131,58 @@
 @pytest.mark.parametrize("count", [7, 80])
 def test_sides_of_a_cut_together_keep_to_the_limit(count, limit):
     async def step():
-        net = fleets.LimitFleet(count, limited(limit))
-        await net.load(net.limits, 150.0 / count, 5.0)
-        names = list(net.limits)
-        net.sides = [set(names[: count // 2]), set(names[count // 2 :])]
-        await net.load(net.limits, 150.0 / count, 12.0)
-        net.sides = []
-        await net.load(net.limits, 150.0 / count, 12.0)
-        return net.count_most(1.0)
+        fleet = fleets.LimitFleet(count, limited(limit))
+        await fleet.load(fleet.limits, 150.0 / count, 5.0)
+        names = list(fleet.limits)
+        fleet.sides = [set(names[: count // 2]), set(names[count // 2 :])]
+        await fleet.load(fleet.limits, 150.0 / count, 12.0)
+        fleet.sides = []
+        await fleet.load(fleet.limits, 150.0 / count, 12.0)
+        return fleet.count_most(1.0)
 
     assert run(step) <= WINDOW_S * 1.15 * limit + 2
 
 
 def test_cuts_that_come_and_go_do_not_double_a_share():
     async def step():
-        net = fleets.LimitFleet(8, limited(20.0))
-        names = list(net.limits)
-        await net.load(names, 15.0, 5.0)
+        fleet = fleets.LimitFleet(8, limited(20.0))
+        names = list(fleet.limits)
+        await fleet.load(names, 15.0, 5.0)
         for _ in range(6):
-            net.sides = [set(names[:4]), set(names[4:])]
-            await net.load(names, 15.0, 2.5)
-            net.sides = []
-            await net.load(names, 15.0, 3.5)
-        return net.count_most(1.0)
+            fleet.sides = [set(names[:4]), set(names[4:])]
+            await fleet.load(names, 15.0, 2.5)
+            fleet.sides = []
+            await fleet.load(names, 15.0, 3.5)
+        return fleet.count_most(1.0)
 
     assert run(step) <= WINDOW_S * 1.15 * 20.0 + 2
 
 
 def test_instance_that_starts_later_hears_of_the_limit():
     async def step():
-        net = fleets.LimitFleet(3, limited(1.0))
-        net.dead.add("i2")
-        await net.load(["i0", "i1"], 20.0, 3.0)
-        net.dead.clear()
-        net.limits["i0"].tell_start("i2")
+        fleet = fleets.LimitFleet(3, limited(1.0))
+        fleet.dead.add("i2")
+        await fleet.load(["i0", "i1"], 20.0, 3.0)
+        fleet.dead.clear()
+        fleet.limits["i0"].tell_start("i2")
         await asyncio.sleep(1.0)
-        return net.limits["i2"].find_rate(ENDPOINT_ID)
+        return fleet.limits["i2"].find_rate(ENDPOINT_ID)
 
     assert run(step) == 1.0
 
 
 def test_news_of_a_limit_that_ended_does_not_bring_it_back():
     async def step():
-        net = fleets.LimitFleet(2, limited(1.0))
-        net.sides = [{"i0"}, {"i1"}]
-        await net.call("i0")
-        await net.call("i1")
+        fleet = fleets.LimitFleet(2, limited(1.0))
+        fleet.sides = [{"i0"}, {"i1"}]
+        await fleet.call("i0")
+        await fleet.call("i1")
         await asyncio.sleep(3.0)
-        net.stated = ratelimits.NONE_STATED
-        await net.load(["i0"], 10.0, 4.0)
-        net.sides = []
-        await net.load(["i1"], 10.0, 4.0)
-        return [x.find_rate(ENDPOINT_ID) for x in net.limits.values()]
+        fleet.stated = ratelimits.NONE_STATED
+        await fleet.load(["i0"], 10.0, 4.0)
+        fleet.sides = []
+        await fleet.load(["i1"], 10.0, 4.0)
+        return [x.find_rate(ENDPOINT_ID) for x in fleet.limits.values()]
 
     assert run(step) == [None, None]
 
@@ -190,9 +192,9 @@
     for seed in range(1, 7):
 
         async def step(seed=seed):
-            net = fleets.LimitFleet(7, limited(5.0), seed=seed)
-            await net.load(net.limits, 2.0, 40.0, waits=True)
-            return net.served
+            fleet = fleets.LimitFleet(7, limited(5.0), seed=seed)
+            await fleet.load(fleet.limits, 2.0, 40.0, waits=True)
+            return fleet.served
 
         for name, count in run(step).items():
             served[name] += count
@@ -201,11 +203,11 @@
 
 def test_messages_do_not_grow_with_what_is_asked_for():
     async def step():
-        net = fleets.LimitFleet(75, limited(1.0))
-        await net.load(net.limits, 20.0, 5.0)
-        before = net.messages
-        await net.load(net.limits, 20.0, 10.0)
-        return (net.messages - before) / 10.0
+        fleet = fleets.LimitFleet(75, limited(1.0))
+        await fleet.load(fleet.limits, 20.0, 5.0)
+        before = fleet.messages
+        await fleet.load(fleet.limits, 20.0, 10.0)
+        return (fleet.messages - before) / 10.0
 
     # All of them pass the coordinator, which may spend this much on control.
     assert run(step) * MESSAGE_BYTES <= CONTROL_BYTES_PER_S
