Take the rate of trials from the coordinator in the spread of refused callers

The least rate that a caller's return is reckoned with was a second constant of the same value and meaning as the rate at which an endpoint that takes nothing is tried. Found on reading the diff. Behaviour is the same; formatter, linter, types, and the tests of exchange, endpoint limits and whole instances with limits pass.

--- a/rhubarblock/exchange/endpointlimits.py
+++ b/rhubarblock/exchange/endpointlimits.py
@@ -36,8 +36,6 @@
 # Seconds over which callers that were refused come back: at least, and at most.
 LEAST_SPREAD_S = 0.5
 LONGEST_SPREAD_S = 5.0
-# Requests a second that are reckoned with where endpoints take none.
-MIN_RATE_PER_S = 0.1
 
 
 def find_patience(exchange: exchanges.Exchange, now_s: float) -> float:
@@ -220,7 +218,8 @@
         if wait_s is None:
             return None
         rates = [self.find_rate(e.endpoint_id) or 0.0 for e in endpoints]
-        spread_s = min(LONGEST_SPREAD_S, 1.0 / max(sum(rates), MIN_RATE_PER_S))
+        rate = max(sum(rates), coordinators.TRIAL_PER_S)
+        spread_s = min(LONGEST_SPREAD_S, 1.0 / rate)
         return wait_s + max(LEAST_SPREAD_S, spread_s) * self._rng.random()
 
     def take(self, endpoint_id: str) -> None:
