Tell in the log what connections owe at the steps of a planned stop

Callers saw answers closed in their middle after a SIGTERM. The output told how many handlers ran, but not which connections had read a request, or a part of one, without a handler, so the hypotheses could not be told apart.

A connection now counts what it owes by the requests that its parser found and the answers that ended; the instance writes the counts when it leaves its connections and when it closes them. What a stop does is unchanged.

--- /dev/null
+++ b/rhubarblock/daemon/connections.py
@@ -0,0 +1,122 @@
+"""Connections of callers that know what they owe.
+
+A handler begins later than its request: bytes may have been read, or a whole
+request parsed, while no handler runs yet. What is owed is therefore counted
+here, from the first byte of a request to the last byte of its answer.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import enum
+from typing import Any
+
+from aiohttp import streams
+from aiohttp import web
+
+
+class ConnectionState(enum.Enum):
+    """What a connection owes.
+
+    IDLE: nothing; no byte of an unanswered request has been read.
+    READING: a request has been read in part.
+    ANSWERING: a request has been read whole, and its answer hasn't ended.
+    """
+
+    IDLE = "idle"
+    READING = "reading"
+    ANSWERING = "answering"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ConnectionCounts:
+    """How many open connections are in each state."""
+
+    idle: int = 0
+    reading: int = 0
+    answering: int = 0
+
+
+class Registry:
+    """The open connections of one server."""
+
+    __slots__ = ("connections",)
+
+    def __init__(self) -> None:
+        self.connections: set[OwingConnection] = set()
+
+    def count(self) -> ConnectionCounts:
+        """Returns how many connections are in each state."""
+        states = [connection.state for connection in self.connections]
+        return ConnectionCounts(
+            states.count(ConnectionState.IDLE),
+            states.count(ConnectionState.READING),
+            states.count(ConnectionState.ANSWERING),
+        )
+
+
+class OwingConnection(web.RequestHandler):
+    """A caller's connection that knows whether it owes an answer."""
+
+    __slots__ = ("_bodies", "_has_part", "_registry", "owes_answer")
+
+    def __init__(self, server: web.Server, registry: Registry, **options: Any):
+        """Creates a connection.
+
+        Args:
+          server: the server that it belongs to.
+          registry: knows it as long as it is open.
+          **options: options of the library.
+        """
+        super().__init__(server, **options)
+        self._registry = registry
+        # Bodies of the requests whose answers haven't ended, oldest first.
+        self._bodies: collections.deque[streams.StreamReader] = (
+            collections.deque()
+        )
+        # Whether a part of the next head has been read.
+        self._has_part = False
+        self.owes_answer = False
+
+    @property
+    def state(self) -> ConnectionState:
+        """What the connection owes at present."""
+        if self._bodies:
+            if self._bodies[0].is_eof():
+                return ConnectionState.ANSWERING
+            return ConnectionState.READING
+        if self._has_part:
+            return ConnectionState.READING
+        return ConnectionState.IDLE
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._registry.connections.add(self)
+        super().connection_made(transport)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        self._registry.connections.discard(self)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        # From the first byte, as the request may be whole before its handler
+        # has begun to run.
+        self.owes_answer = True
+        has_part = bool(data) and not self._bodies
+        parsed = self._request_count
+        super().data_received(data)
+        new = self._request_count - parsed
+        if new:
+            has_part = False
+            waiting = list(self._messages)[-new:]
+            self._bodies.extend(body for _, body in waiting)
+        self._has_part = has_part
+
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        finished = await super().finish_response(request, resp, start_time)
+        self._bodies.popleft()
+        return finished
--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -371,6 +371,7 @@
             self.timers.read_monotonic() + self.settings.bounds.grace_s - EXIT_S
         )
         await self.timers.sleep(LEAVE_S)
+        self._log_connections("leaving connections")
         self._callers.refuse_new()
         while self.life.in_flight:
             if self.timers.read_monotonic() >= latest_s:
@@ -379,8 +380,22 @@
                 )
                 break
             await self.timers.sleep(CHECK_S)
+        self._log_connections("closing connections")
         self._log_life(self.life.mark_stopped)
 
+    def _log_connections(self, message: str) -> None:
+        """Tells what callers' connections owe at a step of a planned stop."""
+        counts = self._callers.count_connections()
+        _logger.info(
+            message,
+            extra={
+                "idle": counts.idle,
+                "reading": counts.reading,
+                "answering": counts.answering,
+                "in_flight": self.life.in_flight,
+            },
+        )
+
     async def _answer_readiness(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
--- a/rhubarblock/daemon/listener.py
+++ b/rhubarblock/daemon/listener.py
@@ -5,10 +5,10 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
-from typing import Any
 
 from aiohttp import web
 
+from rhubarblock.daemon import connections
 from rhubarblock.settings import exchange as settings_lib
 
 # Connections that may wait to be accepted.
@@ -19,36 +19,6 @@
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
-class CallerConnection(web.RequestHandler):
-    """A caller's connection that knows whether it owes an answer."""
-
-    __slots__ = ("_registry", "owes_answer")
-
-    def __init__(
-        self,
-        server: web.Server,
-        registry: set["CallerConnection"],
-        **options: Any,
-    ):
-        super().__init__(server, **options)
-        self._registry = registry
-        self.owes_answer = False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._registry.add(self)
-        super().connection_made(transport)
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        self._registry.discard(self)
-        super().connection_lost(exc)
-
-    def data_received(self, data: bytes) -> None:
-        # From the first byte, as the request may be whole before its handler
-        # has begun to run.
-        self.owes_answer = True
-        super().data_received(data)
-
-
 class Listener:
     """A listening HTTP server that knows which connections are in use.
 
@@ -56,24 +26,28 @@
       listener: the listening socket.
     """
 
-    __slots__ = ("_connections", "_handler", "_keepalive_s", "listener")
+    __slots__ = ("_handler", "_keepalive_s", "_registry", "listener")
 
     def __init__(self, handler: Handler, keepalive_s: float):
         self._handler = handler
         self._keepalive_s = keepalive_s
-        self._connections: set[CallerConnection] = set()
+        self._registry = connections.Registry()
         self.listener: asyncio.Server
 
-    def connect(self, server: web.Server) -> CallerConnection:
+    def connect(self, server: web.Server) -> connections.OwingConnection:
         """Makes the protocol of a new connection."""
-        return CallerConnection(
+        return connections.OwingConnection(
             server,
-            self._connections,
+            self._registry,
             loop=asyncio.get_running_loop(),
             keepalive_timeout=self._keepalive_s,
             access_log=None,
         )
 
+    def count_connections(self) -> connections.ConnectionCounts:
+        """Returns how many connections are open, by what they owe."""
+        return self._registry.count()
+
     def refuse_new(self) -> None:
         """Closes idle connections now and the others after their answers.
 
@@ -81,7 +55,7 @@
         not, until the process ends.
         """
         self.listener.close()
-        for connection in list(self._connections):
+        for connection in list(self._registry.connections):
             if connection.owes_answer:
                 connection.close()
             else:
@@ -93,7 +67,7 @@
             return await self._handler(request)
         finally:
             connection = request.protocol
-            if isinstance(connection, CallerConnection):
+            if isinstance(connection, connections.OwingConnection):
                 connection.owes_answer = False
 
 
