Wait at a planned stop for connections, not only for handlers

Callers saw answers closed in their middle 3.2 s after the SIGTERM of their instance, though they were sent in time.

Cause: the stop asked how many handlers run. A request that was read in the same turn of the loop, or whose handler had not begun, was in no count; with nothing else in flight the instance went on to its exit, where the waits for its listeners (0.3 s each) added up to the moment at which the answer was cut. A second count, a mark on the connection from its first byte, chose which connections to close, and the two were never compared; the mark was also taken back by a handler that ended while the next request came in.

Now the connection alone counts, from the first byte of a request to the last byte of its answer that is sent, and the stop waits until no connection is left; the library's connections end only when their bytes are flushed, so an answer to a slow caller is no longer cut by the exit either. A connection that is made after the others were left is closed unread. The planned stop is a module of its own.

--- a/rhubarblock/daemon/connections.py
+++ b/rhubarblock/daemon/connections.py
@@ -38,27 +38,65 @@
 
 
 class Registry:
-    """The open connections of one server."""
+    """The open connections of one server.
 
-    __slots__ = ("connections",)
+    A connection belongs to it until the last byte of its last answer is sent.
+
+    Attributes:
+      is_leaving: whether connections are closed once they owe nothing.
+    """
+
+    __slots__ = ("_connections", "_empty", "is_leaving")
 
     def __init__(self) -> None:
-        self.connections: set[OwingConnection] = set()
+        self._connections: set[OwingConnection] = set()
+        self._empty = asyncio.Event()
+        self._empty.set()
+        self.is_leaving = False
+
+    def add(self, connection: "OwingConnection") -> None:
+        """Takes in a connection that was made."""
+        self._connections.add(connection)
+        self._empty.clear()
+
+    def remove(self, connection: "OwingConnection") -> None:
+        """Forgets a connection that sent all that it held, or broke."""
+        self._connections.discard(connection)
+        if not self._connections:
+            self._empty.set()
+
+    def list_connections(self) -> list["OwingConnection"]:
+        """Returns the connections that are open."""
+        return list(self._connections)
 
     def count(self) -> ConnectionCounts:
         """Returns how many connections are in each state."""
-        states = [connection.state for connection in self.connections]
+        states = [connection.state for connection in self._connections]
         return ConnectionCounts(
             states.count(ConnectionState.IDLE),
             states.count(ConnectionState.READING),
             states.count(ConnectionState.ANSWERING),
         )
 
+    def leave(self) -> None:
+        """Closes each connection once it owes nothing.
+
+        One that is idle is closed without being read again, so a request that
+        crosses the close goes unread.
+        """
+        self.is_leaving = True
+        for connection in self.list_connections():
+            connection.leave()
+
+    async def wait_empty(self) -> None:
+        """Waits until no connection is open."""
+        await self._empty.wait()
+
 
 class OwingConnection(web.RequestHandler):
     """A caller's connection that knows whether it owes an answer."""
 
-    __slots__ = ("_bodies", "_has_part", "_registry", "owes_answer")
+    __slots__ = ("_bodies", "_has_part", "_registry")
 
     def __init__(self, server: web.Server, registry: Registry, **options: Any):
         """Creates a connection.
@@ -76,7 +114,6 @@
         )
         # Whether a part of the next head has been read.
         self._has_part = False
-        self.owes_answer = False
 
     @property
     def state(self) -> ConnectionState:
@@ -89,18 +126,25 @@
             return ConnectionState.READING
         return ConnectionState.IDLE
 
+    def leave(self) -> None:
+        """Closes the connection once it owes nothing."""
+        if self.state is ConnectionState.IDLE:
+            self.force_close()
+        else:
+            self.close()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._registry.connections.add(self)
+        self._registry.add(self)
         super().connection_made(transport)
+        # Accepted in the turn of the loop in which connections were left.
+        if self._registry.is_leaving:
+            self.force_close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        self._registry.connections.discard(self)
+        self._registry.remove(self)
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        # From the first byte, as the request may be whole before its handler
-        # has begun to run.
-        self.owes_answer = True
         has_part = bool(data) and not self._bodies
         parsed = self._request_count
         super().data_received(data)
--- a/rhubarblock/daemon/endpointlimit_test.py
+++ b/rhubarblock/daemon/endpointlimit_test.py
@@ -8,6 +8,7 @@
 
 from rhubarblock.daemon import exchangeinstance
 from rhubarblock.daemon import exchangeinstance_test as wholes
+from rhubarblock.daemon import plannedstop
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.platform import names
 
@@ -100,7 +101,7 @@
 
 
 def test_endpoint_gets_no_more_than_its_limit_from_all_instances(monkeypatch):
-    monkeypatch.setattr(exchangeinstance, "LEAVE_S", 0.0)
+    monkeypatch.setattr(plannedstop, "LEAVE_S", 0.0)
 
     async def main():
         needy = CountingEndpoint(f"{names.LIMIT}: {LIMIT_PER_S}\r\n")
--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -15,6 +15,7 @@
 
 from rhubarblock.daemon import listener as listeners
 from rhubarblock.daemon import peersearch
+from rhubarblock.daemon import plannedstop
 from rhubarblock.exchange import attempts
 from rhubarblock.exchange import candidates
 from rhubarblock.exchange import crashes
@@ -45,15 +46,8 @@
 from rhubarblock.settings import exchange as settings_lib
 from rhubarblock.store import store as stores
 
-# Seconds after the signal to stop for which new connections are still taken:
-# a balancer that asks once a second needs two refusals to see it.
-LEAVE_S = 2.6
-# Seconds that are kept of the grace for the last bytes and the exit.
-EXIT_S = 0.6
 # Seconds after which a wait for the configuration begins anew.
 LOOK_S = 10.0
-# Seconds between two looks at whether the last request ended.
-CHECK_S = 0.1
 # Seconds for which an idle connection of a caller is kept.
 KEEPALIVE_S = 20.0
 # Seconds between two times at which endpoints that left are forgotten.
@@ -129,7 +123,13 @@
             _logger.info("listening")
             await self._become_ready(stop)
             await stop.wait()
-            await self._drain()
+            await plannedstop.PlannedStop(
+                self.settings.instance_id,
+                self.life,
+                self._callers,
+                self.settings.bounds.grace_s,
+                self.timers,
+            ).run()
 
     async def _start(self, stack: contextlib.AsyncExitStack) -> None:
         """Opens all parts; the stack closes them in the opposite order."""
@@ -360,42 +360,6 @@
         while await self.authority.wait_valid(LOOK_S) is None:
             pass
 
-    async def _drain(self) -> None:
-        """Lets requests end; new connections come until the balancer knows.
-
-        Then idle connections are closed too: a caller that kept one would
-        else send a request so late that it could not end within the grace.
-        """
-        self._log_life(self.life.start_drain)
-        latest_s = (
-            self.timers.read_monotonic() + self.settings.bounds.grace_s - EXIT_S
-        )
-        await self.timers.sleep(LEAVE_S)
-        self._log_connections("leaving connections")
-        self._callers.refuse_new()
-        while self.life.in_flight:
-            if self.timers.read_monotonic() >= latest_s:
-                _logger.warning(
-                    "requests cut", extra={"count": self.life.in_flight}
-                )
-                break
-            await self.timers.sleep(CHECK_S)
-        self._log_connections("closing connections")
-        self._log_life(self.life.mark_stopped)
-
-    def _log_connections(self, message: str) -> None:
-        """Tells what callers' connections owe at a step of a planned stop."""
-        counts = self._callers.count_connections()
-        _logger.info(
-            message,
-            extra={
-                "idle": counts.idle,
-                "reading": counts.reading,
-                "answering": counts.answering,
-                "in_flight": self.life.in_flight,
-            },
-        )
-
     async def _answer_readiness(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
--- a/rhubarblock/daemon/exchangeinstance_test.py
+++ b/rhubarblock/daemon/exchangeinstance_test.py
@@ -10,6 +10,7 @@
 
 from rhubarblock.core import route as routes
 from rhubarblock.daemon import exchangeinstance
+from rhubarblock.daemon import plannedstop
 from rhubarblock.exchange import dialect as exchange_dialects
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.platform import dialect as dialects
@@ -128,7 +129,7 @@
 
 
 def test_planned_stop_ends_what_runs_and_closes_what_idles(monkeypatch):
-    monkeypatch.setattr(exchangeinstance, "LEAVE_S", 0.2)
+    monkeypatch.setattr(plannedstop, "LEAVE_S", 0.2)
     release = asyncio.Event()
 
     async def wait(head, writer):
--- a/rhubarblock/daemon/listener.py
+++ b/rhubarblock/daemon/listener.py
@@ -26,10 +26,9 @@
       listener: the listening socket.
     """
 
-    __slots__ = ("_handler", "_keepalive_s", "_registry", "listener")
+    __slots__ = ("_keepalive_s", "_registry", "listener")
 
-    def __init__(self, handler: Handler, keepalive_s: float):
-        self._handler = handler
+    def __init__(self, keepalive_s: float):
         self._keepalive_s = keepalive_s
         self._registry = connections.Registry()
         self.listener: asyncio.Server
@@ -48,27 +47,18 @@
         """Returns how many connections are open, by what they owe."""
         return self._registry.count()
 
-    def refuse_new(self) -> None:
-        """Closes idle connections now and the others after their answers.
+    def leave(self) -> None:
+        """Refuses new connections and closes the others once they owe nothing.
 
         The library's own ways would leave idle connections open, unread or
         not, until the process ends.
         """
         self.listener.close()
-        for connection in list(self._registry.connections):
-            if connection.owes_answer:
-                connection.close()
-            else:
-                connection.force_close()
-
-    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Runs the handler of a request."""
-        try:
-            return await self._handler(request)
-        finally:
-            connection = request.protocol
-            if isinstance(connection, connections.OwingConnection):
-                connection.owes_answer = False
+        self._registry.leave()
+
+    async def wait_closed(self) -> None:
+        """Waits until all connections are closed and their bytes are sent."""
+        await self._registry.wait_empty()
 
 
 @contextlib.asynccontextmanager
@@ -76,8 +66,8 @@
     handler: Handler, address: settings_lib.SocketAddress, keepalive_s: float
 ) -> AsyncIterator[Listener]:
     """Serves HTTP at an address while the context is open."""
-    served = Listener(handler, keepalive_s)
-    server = web.Server(served.handle, handler_cancellation=True)
+    served = Listener(keepalive_s)
+    server = web.Server(handler, handler_cancellation=True)
     loop = asyncio.get_running_loop()
     served.listener = await loop.create_server(
         lambda: served.connect(server),
--- /dev/null
+++ b/rhubarblock/daemon/plannedstop.py
@@ -0,0 +1,91 @@
+"""A planned stop: the balancer sees it, connections are left, answers end.
+
+It waits for connections and not only for handlers, since a request that has
+been read may have no handler yet, and the last bytes of an answer may still
+wait for a slow caller when its handler has returned.
+"""
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+from rhubarblock.daemon import listener as listeners
+from rhubarblock.kernel import life as lives
+from rhubarblock.kernel import timers as timer_service
+
+# Seconds after the signal to stop for which new connections are still taken:
+# a balancer that asks once a second needs two refusals to see it.
+LEAVE_S = 2.6
+# Seconds that are kept of the grace for the exit.
+EXIT_S = 0.6
+
+_logger = logging.getLogger(__name__)
+
+
+class PlannedStop:
+    """Stops one instance without cutting a request."""
+
+    __slots__ = ("_callers", "_grace_s", "_instance_id", "_life", "_timers")
+
+    def __init__(
+        self,
+        instance_id: str,
+        life: lives.InstanceLife,
+        callers: listeners.Listener,
+        grace_s: float,
+        timers: timer_service.Timers,
+    ):
+        """Creates a stop that has not begun.
+
+        Args:
+          instance_id: name of the instance.
+          life: its state and the count of its handlers.
+          callers: where its callers connect.
+          grace_s: seconds from the signal to stop to the kill.
+          timers: the clock.
+        """
+        self._instance_id = instance_id
+        self._life = life
+        self._callers = callers
+        self._grace_s = grace_s
+        self._timers = timers
+
+    async def run(self) -> None:
+        """Returns once nothing is owed any more, or the grace is nearly over.
+
+        Idle connections are closed when the balancer knows: a caller that kept
+        one would else send a request so late that it could not end in time.
+        """
+        self._log_life(self._life.start_drain)
+        latest_s = self._timers.read_monotonic() + self._grace_s - EXIT_S
+        await self._timers.sleep(LEAVE_S)
+        self._log_connections("leaving connections")
+        self._callers.leave()
+        try:
+            async with asyncio.timeout(
+                latest_s - self._timers.read_monotonic()
+            ):
+                await self._callers.wait_closed()
+                await self._life.wait_idle()
+        except TimeoutError:
+            _logger.warning(
+                "requests cut", extra={"count": self._life.in_flight}
+            )
+        self._log_connections("closing connections")
+        self._log_life(self._life.mark_stopped)
+
+    def _log_connections(self, message: str) -> None:
+        """Tells what callers' connections owe at a step of the stop."""
+        counts = self._callers.count_connections()
+        _logger.info(
+            message,
+            extra={
+                "idle": counts.idle,
+                "reading": counts.reading,
+                "answering": counts.answering,
+                "in_flight": self._life.in_flight,
+            },
+        )
+
+    def _log_life(self, step: Callable[[], None]) -> None:
+        lives.log_step(_logger, self._life, self._instance_id, step)
--- a/rhubarblock/daemon/plannedstop_test.py
+++ b/rhubarblock/daemon/plannedstop_test.py
@@ -3,9 +3,9 @@
 import asyncio
 
 from rhubarblock.daemon import connections
-from rhubarblock.daemon import exchangeinstance
 from rhubarblock.daemon import exchangeinstance_test as wholes
 from rhubarblock.daemon import listener as listeners
+from rhubarblock.daemon import plannedstop
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.platform import names
 
@@ -28,14 +28,14 @@
 
 def hook_leaving(monkeypatch, step):
     """Calls a step right before the instance leaves its connections."""
-    leave = listeners.Listener.refuse_new
+    leave = listeners.Listener.leave
 
     def leave_after(listener):
         step(listener)
         leave(listener)
 
-    monkeypatch.setattr(exchangeinstance, "LEAVE_S", 0.1)
-    monkeypatch.setattr(listeners.Listener, "refuse_new", leave_after)
+    monkeypatch.setattr(plannedstop, "LEAVE_S", 0.1)
+    monkeypatch.setattr(listeners.Listener, "leave", leave_after)
 
 
 async def stop_with_request(meet):
@@ -62,7 +62,7 @@
 
 def test_request_read_in_the_turn_of_leaving_gets_its_answer(monkeypatch):
     def read_request(listener):
-        (connection,) = listener._registry.connections
+        (connection,) = listener._registry.list_connections()
         connection.data_received(HEAD + BODY)
 
     hook_leaving(monkeypatch, read_request)
--- a/rhubarblock/kernel/life.py
+++ b/rhubarblock/kernel/life.py
@@ -132,11 +132,15 @@
         self.start_drain()
         try:
             async with asyncio.timeout(deadline_s):
-                await self._idle.wait()
+                await self.wait_idle()
         except TimeoutError:
             return False
         return True
 
+    async def wait_idle(self) -> None:
+        """Waits until no request is in flight."""
+        await self._idle.wait()
+
     def _check_ready(self) -> None:
         if self.state is LifeState.READY:
             return
