Read a request to its end on a connection that is left

Callers got no answer to a request of which a part had been sent when its instance left its connections: the connection was closed at the end of the grace, 8 s after the SIGTERM, and the stop took that long.

Cause: connections that owed an answer were closed by the library's close(), which ends them after the answer but drops all data from then on, so the rest of the body was never read and its handler waited for it.

Now leaving marks the registry only; the last answer of each connection closes it, by the field where its head is still to be sent. What a caller sends after that goes unread, and a request that was pipelined behind the last one is answered.

--- a/rhubarblock/daemon/connections.py
+++ b/rhubarblock/daemon/connections.py
@@ -127,11 +127,13 @@
         return ConnectionState.IDLE
 
     def leave(self) -> None:
-        """Closes the connection once it owes nothing."""
+        """Closes the connection once it owes nothing.
+
+        The library's ``close`` would drop the rest of a request that has been
+        read in part.
+        """
         if self.state is ConnectionState.IDLE:
             self.force_close()
-        else:
-            self.close()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._registry.add(self)
@@ -161,6 +163,12 @@
         resp: web.StreamResponse,
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
+        is_last = self._registry.is_leaving and len(self._bodies) == 1
+        if is_last:
+            resp.force_close()
         finished = await super().finish_response(request, resp, start_time)
-        self._bodies.popleft()
+        body = self._bodies.popleft()
+        if is_last and body.is_eof() and self.transport is not None:
+            # What comes until the close goes unread.
+            self.transport.pause_reading()
         return finished
