Test a planned stop at each 10 ms around the moment of leaving

1,092 stops on the virtual clock: a request on an open or a new connection, whole or in three pieces, at an endpoint of 0.1, 0.6 or 3 s, sent 2.3 to 3.2 s after the signal. Each is answered whole or goes unread, and the two parts meet at the moment of leaving. Also: a caller that is gone does not hold a stop, and one that outlasts the grace is cut within it.

--- /dev/null
+++ b/rhubarblock/daemon/memorytransport_test.py
@@ -0,0 +1,57 @@
+"""A caller's connection without sockets, for tests on the virtual clock."""
+
+import asyncio
+
+
+class MemoryTransport(asyncio.Transport):
+    """The instance's end of a connection; bytes are delivered at once.
+
+    Attributes:
+      sent: what the instance sent.
+      closed: set once the connection is closed.
+    """
+
+    def __init__(self, protocol):
+        super().__init__()
+        self._protocol = protocol
+        self._unread = b""
+        self._is_paused = False
+        self.sent = b""
+        self.closed = asyncio.Event()
+        protocol.connection_made(self)
+
+    def receive(self, data):
+        """Lets the instance read bytes, unless it has closed or paused."""
+        if self.is_closing():
+            return
+        if self._is_paused:
+            self._unread += data
+            return
+        self._protocol.data_received(data)
+
+    def write(self, data):
+        if not self.is_closing():
+            self.sent += bytes(data)
+
+    def is_closing(self):
+        return self.closed.is_set()
+
+    def close(self):
+        if not self.is_closing():
+            self.closed.set()
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._protocol.connection_lost, None)
+
+    abort = close
+
+    def pause_reading(self):
+        self._is_paused = True
+
+    def resume_reading(self):
+        self._is_paused = False
+        data, self._unread = self._unread, b""
+        if data:
+            self.receive(data)
+
+    def get_write_buffer_size(self):
+        return 0
--- a/rhubarblock/daemon/plannedstop_test.py
+++ b/rhubarblock/daemon/plannedstop_test.py
@@ -1,12 +1,20 @@
 """Planned stops of whole instances, met by requests at awkward moments."""
 
 import asyncio
+import dataclasses
+
+from aiohttp import web
+import pytest
 
 from rhubarblock.daemon import connections
 from rhubarblock.daemon import exchangeinstance_test as wholes
 from rhubarblock.daemon import listener as listeners
+from rhubarblock.daemon import memorytransport_test
 from rhubarblock.daemon import plannedstop
 from rhubarblock.exchange import fakeparts_test as fakes
+from rhubarblock.kernel import life as lives
+from rhubarblock.kernel import timers as timer_service
+from rhubarblock.kernel import virtualloop
 from rhubarblock.platform import names
 
 BODY = b"a body in two pieces"
@@ -19,6 +27,22 @@
 ).encode()
 # Seconds that the endpoint takes, over the waits of the exit.
 RUN_S = 1.2
+# Seconds from the signal to the kill, and between two pieces of a request.
+GRACE_S = 8.0
+PIECE_S = 0.03
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Outcome:
+    """What came of a request.
+
+    Attributes:
+      is_answered: whether its caller got the whole answer.
+      is_unread: whether it was neither answered nor handled.
+    """
+
+    is_answered: bool
+    is_unread: bool
 
 
 async def answer_late(head, writer):
@@ -100,3 +124,120 @@
     answer = asyncio.run(stop_with_request(meet))
     assert answer.startswith(b"HTTP/1.1 200 ")
     assert answer.endswith(b"late")
+
+
+class MemoryListener(listeners.Listener):
+    """Takes connections from memory.
+
+    Attributes:
+      runs: requests that were handed to the handler.
+    """
+
+    def __init__(self, life, run_s):
+        super().__init__(keepalive_s=20.0)
+        self._life = life
+        self._run_s = run_s
+        self.runs = 0
+        self.server = web.Server(self.handle, handler_cancellation=True)
+        self.listener = self
+
+    def close(self):
+        """Stands for the listening socket; ``connect_caller`` looks."""
+
+    def connect_caller(self):
+        """Returns a new connection, None if it is refused."""
+        if self._registry.is_leaving:
+            return None
+        return memorytransport_test.MemoryTransport(self.connect(self.server))
+
+    async def handle(self, request):
+        with self._life.hold_request():
+            await request.content.read()
+            self.runs += 1
+            await asyncio.sleep(self._run_s)
+            response = web.Response(body=b"late")
+            if self._life.state is lives.LifeState.DRAINING:
+                response.force_close()
+            return response
+
+
+async def send_during_stop(moment_s, run_s, pieces, is_open):
+    """Sends a request after the signal to stop; returns what came of it."""
+    life = lives.InstanceLife()
+    life.mark_ready()
+    listener = MemoryListener(life, run_s)
+    opened = listener.connect_caller() if is_open else None
+    loop = asyncio.get_running_loop()
+    stop = plannedstop.PlannedStop(
+        "i1", life, listener, GRACE_S, timer_service.LoopTimers()
+    )
+    running = asyncio.ensure_future(stop.run())
+    await asyncio.sleep(moment_s)
+    caller = opened or listener.connect_caller()
+    if caller is not None:
+        # The first piece is read in this turn of the loop, in which connections
+        # may be left too.
+        caller.receive(pieces[0])
+        for number, piece in enumerate(pieces[1:], 1):
+            loop.call_later(number * PIECE_S, caller.receive, piece)
+    await running
+    await listener.server.shutdown(listeners.SHUTDOWN_S)
+    assert loop.time() <= GRACE_S
+    answer = caller.sent if caller else b""
+    return Outcome(
+        is_answered=answer.startswith(b"HTTP/1.1 200 ")
+        and answer.endswith(b"late"),
+        is_unread=not answer and not listener.runs,
+    )
+
+
+@pytest.mark.parametrize("is_open", [True, False])
+@pytest.mark.parametrize("pieces", [[HEAD + BODY], [HEAD[:9], HEAD[9:], BODY]])
+@pytest.mark.parametrize("run_s", [0.1, 0.6, 3.0])
+def test_request_at_any_moment_of_a_stop_is_answered_or_unread(
+    run_s, pieces, is_open
+):
+    answered = []
+    for moment_ms in range(2_300, 3_201, 10):
+        outcome = virtualloop.run(
+            send_during_stop(moment_ms / 1e3, run_s, pieces, is_open)
+        )
+        assert outcome.is_answered or outcome.is_unread, moment_ms
+        answered.append(outcome.is_answered)
+    # Up to the moment of leaving all are answered, and after it none.
+    left = sum(answered)
+    assert answered == [True] * left + [False] * (len(answered) - left)
+    assert left * 10 + 2_300 in (2_600, 2_610)
+
+
+def test_answer_to_a_caller_that_is_gone_does_not_hold_a_stop():
+    async def main():
+        life = lives.InstanceLife()
+        life.mark_ready()
+        listener = MemoryListener(life, 3.0)
+        caller = listener.connect_caller()
+        caller.receive(HEAD + BODY)
+        await asyncio.sleep(0.1)
+        caller.close()
+        await plannedstop.PlannedStop(
+            "i1", life, listener, GRACE_S, timer_service.LoopTimers()
+        ).run()
+        return asyncio.get_running_loop().time()
+
+    assert virtualloop.run(main()) < plannedstop.LEAVE_S + 0.2
+
+
+def test_request_that_outlasts_the_grace_is_cut_within_it():
+    async def main():
+        life = lives.InstanceLife()
+        life.mark_ready()
+        listener = MemoryListener(life, 100.0)
+        listener.connect_caller().receive(HEAD + BODY)
+        await plannedstop.PlannedStop(
+            "i1", life, listener, GRACE_S, timer_service.LoopTimers()
+        ).run()
+        return asyncio.get_running_loop().time(), life.state
+
+    ended_s, state = virtualloop.run(main())
+    assert ended_s == pytest.approx(GRACE_S - plannedstop.EXIT_S)
+    assert state is lives.LifeState.STOPPED
