Let the product's own listeners read a request to its end at a stop

A caller of the completions API, or of the admin API, whose request was read in part when the listeners were closed got a closed connection after the whole drain time: AppRunner.cleanup closes connections by the library's close(), which drops what comes after it.

Both servers now share one kind of connection and one registry: they are left, get their time, and are aborted after it. The registry of transports that the callers' server had for slow readers goes. The listeners for peers and metrics close in the same way, so a long poll of a peer holds the exit for 0.3 s and no longer for 0.6.

--- a/rhubarblock/daemon/callerserver.py
+++ b/rhubarblock/daemon/callerserver.py
@@ -18,6 +18,7 @@
 
 from rhubarblock.core import failure as failures
 from rhubarblock.core import verdict as verdicts
+from rhubarblock.daemon import connections
 from rhubarblock.kernel import life as lives
 from rhubarblock.relay import apierrors
 from rhubarblock.relay import completionsapi
@@ -108,45 +109,15 @@
     shutdown_s: float = 2.0
 
 
-class OpenConnections:
-    """The transports of one server that are not closed to the end yet."""
-
-    __slots__ = ("_all_closed", "_transports")
-
-    def __init__(self) -> None:
-        self._transports: set[asyncio.BaseTransport] = set()
-        self._all_closed = asyncio.Event()
-        self._all_closed.set()
-
-    def add(self, transport: asyncio.BaseTransport) -> None:
-        """Notes a new connection."""
-        self._transports.add(transport)
-        self._all_closed.clear()
-
-    def remove(self, transport: asyncio.BaseTransport) -> None:
-        """Notes that a connection sent all that it held, or broke."""
-        self._transports.discard(transport)
-        if not self._transports:
-            self._all_closed.set()
-
-    async def flush(self, limit_s: float) -> None:
-        """Waits until closed connections have sent what they still hold."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(limit_s):
-                await self._all_closed.wait()
-        for transport in list(self._transports):
-            transport.abort()  # type: ignore[attr-defined]
-
-
-class CallerConnection(web.RequestHandler):
+class CallerConnection(connections.OwingConnection):
     """One connection; what is no HTTP request gets the usual error form too."""
 
-    __slots__ = ("_answer_bytes", "_own_transport", "_registry")
+    __slots__ = ("_answer_bytes",)
 
     def __init__(
         self,
         server: web.Server,
-        registry: OpenConnections,
+        registry: connections.Registry,
         answer_bytes: int,
         **options: Any,
     ):
@@ -158,23 +129,14 @@
           answer_bytes: see ``ServerBounds``.
           **options: options of the library.
         """
-        super().__init__(server, **options)
-        self._registry = registry
+        super().__init__(server, registry, **options)
         self._answer_bytes = answer_bytes
-        self._own_transport: asyncio.BaseTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.WriteTransport)
         transport.set_write_buffer_limits(high=self._answer_bytes)
-        self._own_transport = transport
-        self._registry.add(transport)
         super().connection_made(transport)
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        if self._own_transport is not None:
-            self._registry.remove(self._own_transport)
-        super().connection_lost(exc)
-
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -224,22 +186,22 @@
         shutdown_timeout=bounds.shutdown_s,
     )
     await runner.setup()
-    connections = OpenConnections()
+    registry = connections.Registry()
     try:
-        listener = await _listen(runner, connections, listen, bounds)
+        listener = await _listen(runner, registry, listen, bounds)
         try:
             host, port = listener.sockets[0].getsockname()[:2]
             yield f"{host}:{port}"
         finally:
             listener.close()
+            await registry.close(bounds.shutdown_s)
     finally:
         await runner.cleanup()
-        await connections.flush(bounds.shutdown_s)
 
 
 async def _listen(
     runner: web.AppRunner,
-    connections: OpenConnections,
+    registry: connections.Registry,
     listen: kinds.Address,
     bounds: ServerBounds,
 ) -> asyncio.Server:
@@ -250,7 +212,7 @@
     def connect() -> CallerConnection:
         return CallerConnection(
             server,
-            connections,
+            registry,
             bounds.answer_bytes,
             loop=loop,
             access_log=None,
--- a/rhubarblock/daemon/callerserver_test.py
+++ b/rhubarblock/daemon/callerserver_test.py
@@ -288,3 +288,40 @@
         received = b"".join(iter(lambda: sock.recv(65_536), b""))
     thread.join()
     assert received.count(b"x") == written.get()
+
+
+def test_stop_reads_the_rest_of_a_request_that_it_had_begun_to_read():
+    async def echo(request):
+        return web.Response(body=await request.read())
+
+    async def main():
+        app = web.Application()
+        app.router.add_post("/", echo)
+        free = kinds.Address("127.0.0.1", 0)
+        bounds = callerserver.ServerBounds(shutdown_s=loopback.PATIENCE_S)
+        stopped = asyncio.Event()
+
+        async def serve(address):
+            async with callerserver.run_server(app, free, bounds) as bound:
+                address.set_result(bound)
+                await stopped.wait()
+
+        address = asyncio.get_running_loop().create_future()
+        serving = asyncio.ensure_future(serve(address))
+        data = loopback.make_request(b"a body in two pieces", "/")
+        reader, writer = await loopback.connect(await address)
+        writer.write(data[:-5])
+        # Everything that was sent is read in the turns that the answer to a
+        # second request takes.
+        await loopback.exchange(await address, data)
+        stopped.set()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        writer.write(data[-5:])
+        answer = await loopback.read_answer(reader)
+        writer.close()
+        await serving
+        return answer
+
+    answer = asyncio.run(main())
+    assert (answer.status, answer.body) == (200, b"a body in two pieces")
--- a/rhubarblock/daemon/connections.py
+++ b/rhubarblock/daemon/connections.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import enum
 from typing import Any
@@ -92,11 +93,24 @@
         """Waits until no connection is open."""
         await self._empty.wait()
 
+    async def close(self, limit_s: float) -> None:
+        """Leaves all connections, and aborts those that are open too long.
+
+        Args:
+          limit_s: seconds that requests and the bytes of their answers get.
+        """
+        self.leave()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self.wait_empty()
+        for connection in self.list_connections():
+            connection.abort()
+
 
 class OwingConnection(web.RequestHandler):
     """A caller's connection that knows whether it owes an answer."""
 
-    __slots__ = ("_bodies", "_has_part", "_registry")
+    __slots__ = ("_bodies", "_has_part", "_own_transport", "_registry")
 
     def __init__(self, server: web.Server, registry: Registry, **options: Any):
         """Creates a connection.
@@ -114,6 +128,8 @@
         )
         # Whether a part of the next head has been read.
         self._has_part = False
+        # The library forgets its own once it was closed, flushed or not.
+        self._own_transport: asyncio.Transport | None = None
 
     @property
     def state(self) -> ConnectionState:
@@ -135,7 +151,14 @@
         if self.state is ConnectionState.IDLE:
             self.force_close()
 
+    def abort(self) -> None:
+        """Closes the connection and drops what it has not sent."""
+        if self._own_transport is not None:
+            self._own_transport.abort()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._own_transport = transport
         self._registry.add(self)
         super().connection_made(transport)
         # Accepted in the turn of the loop in which connections were left.
--- a/rhubarblock/daemon/listener.py
+++ b/rhubarblock/daemon/listener.py
@@ -13,7 +13,7 @@
 
 # Connections that may wait to be accepted.
 BACKLOG = 1024
-# Seconds that the bytes of the last answers get when the server is closed.
+# Seconds that the last answers get when the server is closed.
 SHUTDOWN_S = 0.3
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -56,6 +56,10 @@
         self.listener.close()
         self._registry.leave()
 
+    async def close_connections(self) -> None:
+        """Gives answers a moment to end, then aborts their connections."""
+        await self._registry.close(SHUTDOWN_S)
+
     async def wait_closed(self) -> None:
         """Waits until all connections are closed and their bytes are sent."""
         await self._registry.wait_empty()
@@ -79,4 +83,5 @@
         yield served
     finally:
         served.listener.close()
+        await served.close_connections()
         await server.shutdown(SHUTDOWN_S)
