Count what a connection owes anew after each step of the library

- A request behind an upgrade that isn't taken up is parsed while the answer to the upgrade ends.
It was in no count: the connection closed with an IndexError, and a stop cut it.
- Whether an answer was the last one was asked before a wait for a slow reader: connections that were left meanwhile stayed open to the end of the grace.
- A request that was read during that wait was dropped; reading pauses first now.
- A lone line end between requests counted as a part of one and held the stop.
- An early refusal of a long body was cut while the rest of the body came.

The list of owed bodies is taken anew from the library's queue after everything that may parse. The connection decides after each step whether it closes after the present answer, and its own data_received lifts the library's drop meanwhile.

--- a/rhubarblock/daemon/connections.py
+++ b/rhubarblock/daemon/connections.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import collections
 import contextlib
 import dataclasses
 import enum
@@ -103,6 +102,10 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(limit_s):
                 await self.wait_empty()
+        self.abort()
+
+    def abort(self) -> None:
+        """Closes all connections and drops what they have not sent."""
         for connection in self.list_connections():
             connection.abort()
 
@@ -123,9 +126,7 @@
         super().__init__(server, **options)
         self._registry = registry
         # Bodies of the requests whose answers haven't ended, oldest first.
-        self._bodies: collections.deque[streams.StreamReader] = (
-            collections.deque()
-        )
+        self._bodies: list[streams.StreamReader] = []
         # Whether a part of the next head has been read.
         self._has_part = False
         # The library forgets its own once it was closed, flushed or not.
@@ -140,16 +141,20 @@
             return ConnectionState.READING
         if self._has_part:
             return ConnectionState.READING
+        transport = self._own_transport
+        if transport is not None and transport.get_write_buffer_size():
+            return ConnectionState.ANSWERING
         return ConnectionState.IDLE
 
     def leave(self) -> None:
-        """Closes the connection once it owes nothing.
-
-        The library's ``close`` would drop the rest of a request that has been
-        read in part.
-        """
-        if self.state is ConnectionState.IDLE:
+        """Closes the connection once it owes nothing."""
+        if self._bodies or self._has_part:
+            self._plan_close()
+        elif self._waiter is not None or not self._request_count:
             self.force_close()
+        else:
+            # The rest of a request that was answered early is being read.
+            self._plan_close()
 
     def abort(self) -> None:
         """Closes the connection and drops what it has not sent."""
@@ -170,15 +175,16 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
-        has_part = bool(data) and not self._bodies
-        parsed = self._request_count
+        under_way = self._bodies[: len(self._bodies) - len(self._messages)]
+        if self._registry.is_leaving:
+            # The library drops what comes once a connection is to close.
+            self._close = False
         super().data_received(data)
-        new = self._request_count - parsed
-        if new:
-            has_part = False
-            waiting = list(self._messages)[-new:]
-            self._bodies.extend(body for _, body in waiting)
-        self._has_part = has_part
+        self._bodies = under_way + self._list_waiting()
+        # Line ends between two requests belong to neither.
+        is_part = self._has_part or bool(data.strip(b"\r\n"))
+        self._has_part = is_part and not self._bodies
+        self._plan_close()
 
     async def finish_response(
         self,
@@ -186,12 +192,23 @@
         resp: web.StreamResponse,
         start_time: float | None,
     ) -> tuple[web.StreamResponse, bool]:
-        is_last = self._registry.is_leaving and len(self._bodies) == 1
-        if is_last:
+        if self._registry.is_leaving and len(self._bodies) == 1:
             resp.force_close()
-        finished = await super().finish_response(request, resp, start_time)
-        body = self._bodies.popleft()
-        if is_last and body.is_eof() and self.transport is not None:
-            # What comes until the close goes unread.
-            self.transport.pause_reading()
-        return finished
+            if self._bodies[0].is_eof() and self.transport is not None:
+                # What comes until the close goes unread.
+                self.transport.pause_reading()
+        try:
+            return await super().finish_response(request, resp, start_time)
+        finally:
+            # The library may have parsed further requests meanwhile.
+            self._bodies = self._list_waiting()
+            self._plan_close()
+
+    def _list_waiting(self) -> list[streams.StreamReader]:
+        """Returns the bodies of requests that no handler has yet."""
+        return [body for _, body in self._messages]
+
+    def _plan_close(self) -> None:
+        """Lets the library close after this answer if no request waits."""
+        if self._registry.is_leaving:
+            self._close = not self._messages
--- a/rhubarblock/daemon/memorytransport_test.py
+++ b/rhubarblock/daemon/memorytransport_test.py
@@ -8,13 +8,14 @@
 
     Attributes:
       sent: what the instance sent.
+      unread: what came while the instance had paused.
       closed: set once the connection is closed.
     """
 
     def __init__(self, protocol):
         super().__init__()
         self._protocol = protocol
-        self._unread = b""
+        self.unread = b""
         self._is_paused = False
         self.sent = b""
         self.closed = asyncio.Event()
@@ -25,7 +26,7 @@
         if self.is_closing():
             return
         if self._is_paused:
-            self._unread += data
+            self.unread += data
             return
         self._protocol.data_received(data)
 
@@ -49,7 +50,7 @@
 
     def resume_reading(self):
         self._is_paused = False
-        data, self._unread = self._unread, b""
+        data, self.unread = self.unread, b""
         if data:
             self.receive(data)
 
