Cut what outlasts the grace before the exit, and leave in time if it is short

And connections were left 2.6 s after the signal whatever the grace, which settings allow to be 1 s.

Callers' connections that are still open when the exit begins are closed first, which cancels their handlers; connections are left after half of the time at the latest.

--- a/rhubarblock/daemon/listener.py
+++ b/rhubarblock/daemon/listener.py
@@ -60,6 +60,10 @@
         """Gives answers a moment to end, then aborts their connections."""
         await self._registry.close(SHUTDOWN_S)
 
+    def abort(self) -> None:
+        """Closes all connections at once; their handlers are cancelled."""
+        self._registry.abort()
+
     async def wait_closed(self) -> None:
         """Waits until all connections are closed and their bytes are sent."""
         await self._registry.wait_empty()
--- a/rhubarblock/daemon/plannedstop.py
+++ b/rhubarblock/daemon/plannedstop.py
@@ -16,8 +16,10 @@
 # Seconds after the signal to stop for which new connections are still taken:
 # a balancer that asks once a second needs two refusals to see it.
 LEAVE_S = 2.6
-# Seconds that are kept of the grace for the exit.
+# Seconds that are kept of the grace for the exit, and the share of the rest
+# after which connections are left at the latest.
 EXIT_S = 0.6
+LEAVE_PART = 0.5
 
 _logger = logging.getLogger(__name__)
 
@@ -57,8 +59,9 @@
         one would else send a request so late that it could not end in time.
         """
         self._log_life(self._life.start_drain)
-        latest_s = self._timers.read_monotonic() + self._grace_s - EXIT_S
-        await self._timers.sleep(LEAVE_S)
+        length_s = max(0.0, self._grace_s - EXIT_S)
+        latest_s = self._timers.read_monotonic() + length_s
+        await self._timers.sleep(min(LEAVE_S, LEAVE_PART * length_s))
         self._log_connections("leaving connections")
         self._callers.leave()
         try:
@@ -72,6 +75,8 @@
                 "requests cut", extra={"count": self._life.in_flight}
             )
         self._log_connections("closing connections")
+        # What is cut gives back now what it holds elsewhere.
+        self._callers.abort()
         self._log_life(self._life.mark_stopped)
 
     def _log_connections(self, message: str) -> None:
--- a/rhubarblock/daemon/plannedstop_test.py
+++ b/rhubarblock/daemon/plannedstop_test.py
@@ -227,17 +227,20 @@
     assert virtualloop.run(main()) < plannedstop.LEAVE_S + 0.2
 
 
-def test_request_that_outlasts_the_grace_is_cut_within_it():
+@pytest.mark.parametrize("grace_s", [1.0, 2.0, GRACE_S])
+def test_request_that_outlasts_the_grace_is_cut_within_it(grace_s):
     async def main():
         life = lives.InstanceLife()
         life.mark_ready()
         listener = MemoryListener(life, 100.0)
         listener.connect_caller().receive(HEAD + BODY)
         await plannedstop.PlannedStop(
-            "i1", life, listener, GRACE_S, timer_service.LoopTimers()
+            "i1", life, listener, grace_s, timer_service.LoopTimers()
         ).run()
-        return asyncio.get_running_loop().time(), life.state
+        # The handler gives back what it holds before the exit begins.
+        await asyncio.sleep(0.01)
+        return asyncio.get_running_loop().time(), life.state, life.in_flight
 
-    ended_s, state = virtualloop.run(main())
-    assert ended_s == pytest.approx(GRACE_S - plannedstop.EXIT_S)
-    assert state is lives.LifeState.STOPPED
+    ended_s, state, in_flight = virtualloop.run(main())
+    assert ended_s == pytest.approx(grace_s - plannedstop.EXIT_S, abs=0.02)
+    assert (state, in_flight) == (lives.LifeState.STOPPED, 0)
