Answer a request that was sent behind another one while draining

Found by the review: an instance that drains closed each connection after the present answer, also where the next request had been read already; it got no answer (test: one of two before). It is answered first now.

docs: none; callers that send the next request before an answer came are rare.

--- a/rhubarblock/daemon/plannedstop_test.py
+++ b/rhubarblock/daemon/plannedstop_test.py
@@ -244,3 +244,28 @@
     ended_s, state, in_flight = virtualloop.run(main())
     assert ended_s == pytest.approx(grace_s - plannedstop.EXIT_S, abs=0.02)
     assert (state, in_flight) == (lives.LifeState.STOPPED, 0)
+
+
+def test_request_behind_another_one_of_a_draining_instance_is_answered():
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(
+            fakes.whole(b"first"), fakes.whole(b"second")
+        )
+        async with (
+            endpoint.open(),
+            wholes.open_instance(endpoint) as (settings, session, stop, _),
+        ):
+            stop.set()
+            while await wholes.ask_ready(session, settings) == 200:
+                await asyncio.sleep(0.01)
+            reader, writer = await asyncio.open_connection(
+                settings.callers.host, settings.callers.port
+            )
+            writer.write(2 * (HEAD + BODY))
+            answers = await reader.read()
+            writer.close()
+            return answers
+
+    answers = asyncio.run(main())
+    assert answers.count(b"HTTP/1.1 200 ") == 2
+    assert answers.endswith(b"second")
--- a/rhubarblock/exchange/frontdoor.py
+++ b/rhubarblock/exchange/frontdoor.py
@@ -123,7 +123,8 @@
         if failure.retry_after_s is not None:
             # Callers here read fractions, which spread them better.
             response.headers["Retry-After"] = f"{failure.retry_after_s:g}"
-        self._mark_closing(response)
+        if _is_last(request, self._life):
+            response.force_close()
         return response
 
     def _describe_age(self) -> float | None:
@@ -132,10 +133,6 @@
             return None
         return round(self._authority.age_s, 2)
 
-    def _mark_closing(self, response: web.StreamResponse) -> None:
-        if self._life.state is lives.LifeState.DRAINING:
-            response.force_close()
-
     async def _check(
         self, request: web.BaseRequest, arrived_s: float
     ) -> exchanges.Exchange:
@@ -228,7 +225,7 @@
             response.enable_chunked_encoding()
         else:
             response.content_length = length
-        if self._life.state is lives.LifeState.DRAINING:
+        if _is_last(self._request, self._life):
             response.force_close()
         self.response = response
         await response.prepare(self._request)
@@ -250,6 +247,16 @@
             transport.close()
 
 
+def _is_last(request: web.BaseRequest, life: lives.InstanceLife) -> bool:
+    """Says whether a connection is to close after the answer to a request.
+
+    One that was sent behind it and has been read is answered first.
+    """
+    if life.state is not lives.LifeState.DRAINING:
+        return False
+    return not request.protocol._messages
+
+
 @contextlib.contextmanager
 def _caller_gone():  # type: ignore[no-untyped-def]
     """Ends an exchange like a cancelled one when its caller has left."""
