Tell in the log what endpoints say of rest and of leaving

All that a head says of its endpoint is decoded in one place into one typed statement (rate limit, rest, leaving, and the names of fields that nothing reads), and every answer hands it to one taker: those to exchanges, to reservations and now also to releases. A field about the endpoint that the adapter doesn't know leaves a warning once, so that the next one doesn't go unnoticed. Lines for a rest, an unreadable one and a leaving; rest_s on attempts that ended.

No placement uses it yet. Tests of adapter, exchange and instance pass.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -26,6 +26,7 @@
 from rhubarblock.exchange import outcomes
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
+from rhubarblock.exchange import statements
 from rhubarblock.exchange import transport as transports
 from rhubarblock.exchange.peering import limitnews
 from rhubarblock.exchange.peering import news as news_lib
@@ -224,9 +225,10 @@
             self.timers,
         )
         stack.enter_context(self.timers.subscribe(TIDY_S, placer.tidy))
+        taker = statements.StatementTaker(limits, self.metrics)
         lease_holder = await stack.enter_async_context(
             leases.open_holder(
-                self._make_leases(session), bounds, limits, self.timers
+                self._make_leases(session), bounds, taker, self.timers
             )
         )
         endpoint_sessions = await stack.enter_async_context(
@@ -237,7 +239,7 @@
             transports.EndpointTransport(endpoint_sessions, self._dialect),
             self.health,
             lease_holder,
-            limits,
+            taker,
             self.timers,
         )
         outcome = outcomes.Outcomes(
--- a/rhubarblock/exchange/attempts.py
+++ b/rhubarblock/exchange/attempts.py
@@ -7,13 +7,13 @@
 from rhubarblock.core import route as routes
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.exchange import dialect as dialects
-from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange import flow as flows
 from rhubarblock.exchange import leases
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import places
 from rhubarblock.exchange import silence
 from rhubarblock.exchange import sink as sinks
+from rhubarblock.exchange import statements
 from rhubarblock.exchange import transport as transports
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import health as healths
@@ -40,6 +40,8 @@
     Attributes:
       at_fault: address of the endpoint that made it refuse, or empty.
       misdirected: whether another endpoint has its address now.
+      rest_s: seconds for which the endpoint wants nothing; None if it named
+        none.
     """
 
     def __init__(self, status: int, fields: dialects.AnswerFields):
@@ -51,6 +53,7 @@
         )
         self.at_fault = fields.at_fault
         self.misdirected = fields.misdirected
+        self.rest_s = fields.statement.rest.length_s
 
 
 class LeftError(transports.AttemptError):
@@ -100,8 +103,8 @@
     __slots__ = (
         "_health",
         "_leases",
-        "_limits",
         "_placer",
+        "_statements",
         "_timers",
         "_transport",
     )
@@ -112,7 +115,7 @@
         transport: transports.EndpointTransport,
         health: healths.Health,
         lease_holder: leases.LeaseHolder,
-        limits: endpointlimits.EndpointLimits,
+        statement_taker: statements.StatementTaker,
         timers: timer_service.Timers,
     ):
         """Creates a runner.
@@ -122,14 +125,14 @@
           transport: sends to endpoints.
           health: hears of endpoints that answered.
           lease_holder: holds memory at engines.
-          limits: hears of rate limits that endpoints name.
+          statement_taker: hears what endpoints say of themselves.
           timers: the clock.
         """
         self._placer = placer
         self._transport = transport
         self._health = health
         self._leases = lease_holder
-        self._limits = limits
+        self._statements = statement_taker
         self._timers = timers
 
     async def run(
@@ -196,23 +199,12 @@
                 self._health.note_success(
                     place.endpoint.endpoint_id, place.endpoint.data_centre
                 )
-                self._note_limit(place, answer, sent_s)
+                self._statements.note_answer(
+                    place.endpoint, answer.fields, sent_s
+                )
                 _check_refusal(answer)
                 await self._pass_on(flow, answer, watch)
 
-    def _note_limit(
-        self, place: places.Place, answer: transports.Answer, sent_s: float
-    ) -> None:
-        """Takes in the limit that an answer names, if it is the endpoint's."""
-        fields = answer.fields
-        if fields.misdirected:
-            return
-        endpoint_id = place.endpoint.endpoint_id
-        if fields.sealed and not fields.refused:
-            self._limits.note_answer(endpoint_id, fields.limit, sent_s)
-        else:
-            self._limits.note_named(endpoint_id, fields.limit, sent_s)
-
     async def _pass_on(
         self,
         flow: flows.Flow,
--- a/rhubarblock/exchange/dialect.py
+++ b/rhubarblock/exchange/dialect.py
@@ -14,8 +14,8 @@
 from rhubarblock.core import document as documents
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import listed
-from rhubarblock.core import ratelimit as ratelimits
 from rhubarblock.core import route as routes
+from rhubarblock.core import statement as statements
 from rhubarblock.store import store as stores
 
 
@@ -87,7 +87,7 @@
       refused: whether the endpoint says that it did not run the request.
       misdirected: whether another endpoint has the address now.
       at_fault: address of the endpoint that made it fail, or empty.
-      limit: what the endpoint takes from all instances together.
+      statement: what it says of the endpoint itself.
     """
 
     request_id: str
@@ -95,7 +95,7 @@
     refused: bool
     misdirected: bool
     at_fault: str
-    limit: ratelimits.StatedLimit = ratelimits.NONE_STATED
+    statement: statements.Statement = statements.NOTHING
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -126,11 +126,11 @@
 
     Attributes:
       answer: what it said to the order.
-      limit: the rate limit that it names beside, if it does.
+      statement: what it says of itself beside.
     """
 
     answer: LeaseAnswer
-    limit: ratelimits.StatedLimit = ratelimits.NONE_STATED
+    statement: statements.Statement = statements.NOTHING
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -21,6 +21,7 @@
 from rhubarblock.exchange import outcomes
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
+from rhubarblock.exchange import statements
 from rhubarblock.exchange import transport as transports
 from rhubarblock.exchange.peering import limitnews
 from rhubarblock.exchange.peering import news as news_lib
@@ -209,6 +210,10 @@
         pass
 
 
+def make_taker(limits):
+    return statements.StatementTaker(limits, metric_store.Metrics())
+
+
 def make_limits(timers):
     return endpointlimits.EndpointLimits(
         LonePeers(), random.Random(1), timers, metric_store.Metrics()
@@ -295,14 +300,17 @@
             "osu-hall",
             self.timers,
         )
+        self.statements = statements.StatementTaker(self.limits, self.metrics)
         self.sessions = sessions
         self.transport = transports.EndpointTransport(sessions, self.dialect)
         runner = attempts.AttemptRunner(
             self.placer,
             self.transport,
             self.health,
-            leases.LeaseHolder(NoLeases(), BOUNDS, self.limits, self.timers),
-            self.limits,
+            leases.LeaseHolder(
+                NoLeases(), BOUNDS, self.statements, self.timers
+            ),
+            self.statements,
             self.timers,
         )
         self.relay = relays.ExchangeRelay(
--- a/rhubarblock/exchange/leases.py
+++ b/rhubarblock/exchange/leases.py
@@ -18,7 +18,7 @@
 from rhubarblock.core import failure as failures
 from rhubarblock.core import listed as lists
 from rhubarblock.exchange import dialect as dialects
-from rhubarblock.exchange import endpointlimits
+from rhubarblock.exchange import statements
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.settings import exchange as settings_lib
 
@@ -71,18 +71,18 @@
 class LeaseHolder:
     """Holds the leases of one instance."""
 
-    __slots__ = ("_client", "_hold_s", "_limits", "_tasks", "_timers")
+    __slots__ = ("_client", "_hold_s", "_statements", "_tasks", "_timers")
 
     def __init__(
         self,
         client: dialects.LeaseClient,
         bounds: settings_lib.ExchangeBounds,
-        limits: endpointlimits.EndpointLimits,
+        statement_taker: statements.StatementTaker,
         timers: timer_service.Timers,
     ):
         """Creates a holder; see ``open_holder``."""
         self._client = client
-        self._limits = limits
+        self._statements = statement_taker
         self._timers = timers
         self._hold_s = min(HOLD_PART * bounds.lease_free_s, bounds.lease_max_s)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -134,7 +134,7 @@
         unsure.add(lease.lease_id)
         sent_s = self._timers.read_monotonic()
         reply = await self._client.reserve(lease.endpoint, order)
-        self._limits.note_named(lease.endpoint.endpoint_id, reply.limit, sent_s)
+        self._statements.note_order(lease.endpoint, reply.statement, sent_s)
         answer = reply.answer
         if answer is not dialects.LeaseAnswer.UNSURE and not was_unsure:
             unsure.discard(lease.lease_id)
@@ -148,17 +148,22 @@
             )
 
     async def _give_back(self, lease: Lease, was_unsure: bool) -> None:
-        release = self._client.release
-        reply = await release(lease.endpoint, lease.lease_id)
+        reply = await self._release(lease)
         if reply.answer is dialects.LeaseAnswer.UNSURE:
-            await release(lease.endpoint, lease.lease_id)
+            await self._release(lease)
         if not was_unsure:
             return
         waited_s = 0.0
         for moment_s in LATE_RELEASES_S:
             await self._timers.sleep(moment_s - waited_s)
             waited_s = moment_s
-            await release(lease.endpoint, lease.lease_id)
+            await self._release(lease)
+
+    async def _release(self, lease: Lease) -> dialects.LeaseReply:
+        sent_s = self._timers.read_monotonic()
+        reply = await self._client.release(lease.endpoint, lease.lease_id)
+        self._statements.note_order(lease.endpoint, reply.statement, sent_s)
+        return reply
 
     def _start(self, step: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(step)
@@ -170,7 +175,7 @@
 async def open_holder(
     client: dialects.LeaseClient,
     bounds: settings_lib.ExchangeBounds,
-    limits: endpointlimits.EndpointLimits,
+    statement_taker: statements.StatementTaker,
     timers: timer_service.Timers,
 ) -> AsyncIterator[LeaseHolder]:
     """Opens a holder that gives everything back before it is closed.
@@ -178,10 +183,10 @@
     Args:
       client: orders memory at engines.
       bounds: how long it may be held.
-      limits: hears of rate limits that engines name.
+      statement_taker: hears what engines say of themselves.
       timers: the clock.
     """
-    holder = LeaseHolder(client, bounds, limits, timers)
+    holder = LeaseHolder(client, bounds, statement_taker, timers)
     try:
         yield holder
     finally:
--- a/rhubarblock/exchange/leases_test.py
+++ b/rhubarblock/exchange/leases_test.py
@@ -5,6 +5,7 @@
 import pytest
 
 from rhubarblock.core import ratelimit as ratelimits
+from rhubarblock.core import statement as statements
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.exchange import leases
@@ -38,7 +39,9 @@
             self._set(key, order.hold_s)
         if answer is _Answer.UNSURE:
             loop.call_later(self.late_s, self._set, key, order.hold_s)
-        return dialects.LeaseReply(answer, self.limit)
+        return dialects.LeaseReply(
+            answer, statements.Statement(limit=self.limit)
+        )
 
     async def release(self, endpoint, lease_id):
         self.until_s.pop((endpoint.endpoint_id, lease_id), None)
@@ -62,7 +65,9 @@
     async def main():
         timers = timer_service.LoopTimers(0.0)
         limits = fakes.make_limits(timers)
-        holder = leases.LeaseHolder(engines, fakes.BOUNDS, limits, timers)
+        holder = leases.LeaseHolder(
+            engines, fakes.BOUNDS, fakes.make_taker(limits), timers
+        )
         return await step(holder, timers)
 
     return virtualloop.run(main())
@@ -157,7 +162,9 @@
     async def main():
         timers = timer_service.LoopTimers(0.0)
         limits = fakes.make_limits(timers)
-        holder = leases.LeaseHolder(engines, fakes.BOUNDS, limits, timers)
+        holder = leases.LeaseHolder(
+            engines, fakes.BOUNDS, fakes.make_taker(limits), timers
+        )
         async with holder.hold(WANTED):
             named = limits.find_rate("e1")
             engines.limit = ratelimits.NONE_STATED
--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -140,6 +140,7 @@
         place: places.Place,
         failure: failures.Failure,
         blamed_id: str,
+        rest_s: float | None = None,
     ) -> None:
         """Takes in that an endpoint did not run an exchange.
 
@@ -149,9 +150,10 @@
           failure: why it ended.
           blamed_id: the endpoint that refused, which is avoided from now on; a
             plan of many engines is not given up for one of them.
+          rest_s: seconds for which it wants nothing, None if it named none.
         """
         self._metrics.count("exchange.refused")
-        self._log(flow, place, failure, "refused", blamed_id)
+        self._log(flow, place, failure, "refused", blamed_id, rest_s)
         flow.refusals += 1
         flow.history.note_failure(failure, blamed_id)
 
@@ -213,6 +215,7 @@
         failure: failures.Failure,
         outcome: str,
         blamed_id: str = "",
+        rest_s: float | None = None,
     ) -> None:
         """Writes why an attempt did not give its answer."""
         _logger.info(
@@ -223,6 +226,7 @@
                 "blamed": blamed_id or place.endpoint.endpoint_id,
                 "verdict": failure.verdict.value,
                 "reason": failure.message,
+                "rest_s": rest_s,
             },
         )
 
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -156,7 +156,7 @@
         """Avoids the engine that refused, be it the one asked or a helper."""
         blamed = place.find_helper(error.at_fault) or place.endpoint
         self._outcomes.note_refused(
-            flow, place, error.failure, blamed.endpoint_id
+            flow, place, error.failure, blamed.endpoint_id, error.rest_s
         )
         if error.misdirected:
             self._placer.forget(blamed)
--- a/rhubarblock/platform/heads.py
+++ b/rhubarblock/platform/heads.py
@@ -6,9 +6,13 @@
 
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import ratelimit as ratelimits
+from rhubarblock.core import statement as statements
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.platform import names
 
+# Status with which an endpoint says that a request is meant for another one.
+MISDIRECTED = 421
+
 _MS_PER_S = 1000.0
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 
@@ -28,6 +32,20 @@
         "expect",
     }
 )
+# Statuses with which an endpoint turns a request away.
+_TURNED_AWAY = frozenset({429, 503})
+# An endpoint's own fields that are known.
+_KNOWN = frozenset(
+    name.lower()
+    for name in (
+        names.ATTEMPT_ID,
+        names.SEAL,
+        names.NOT_EXECUTED,
+        names.LIMIT,
+        names.LEAVING,
+        *names.PASSED_ON,
+    )
+)
 # Fields that this system sets itself, whatever the caller sent.
 _OWN = frozenset(
     name.lower()
@@ -103,12 +121,57 @@
     return dialects.AnswerFields(
         request_id=fields.get(names.ATTEMPT_ID, ""),
         sealed=names.SEAL in fields,
-        # 421 says that another endpoint has the address now.
-        refused=names.NOT_EXECUTED in fields or status == 421,
-        misdirected=status == 421,
+        refused=names.NOT_EXECUTED in fields or status == MISDIRECTED,
+        misdirected=status == MISDIRECTED,
         at_fault=fields.get(names.AT_SERVER, ""),
+        statement=read_statement(status, fields),
+    )
+
+
+def read_statement(
+    status: int, fields: Mapping[str, str]
+) -> statements.Statement:
+    """Decodes what the head of an answer says of its endpoint.
+
+    Args:
+      status: status of the answer.
+      fields: the fields of the head.
+    """
+    if status == MISDIRECTED:
+        # It tells of the endpoint that has the address now.
+        return statements.NOTHING
+    statement = statements.Statement(
         limit=read_limit(fields),
+        rest=_read_rest(status, fields),
+        is_leaving="1" in _read_texts(fields, names.LEAVING),
+        unknown=tuple(name for name in fields if _is_unknown(name.lower())),
     )
+    return statements.NOTHING if statement == statements.NOTHING else statement
+
+
+def _is_unknown(name: str) -> bool:
+    return name.startswith(names.ENDPOINT_PREFIXES) and name not in _KNOWN
+
+
+def _read_rest(status: int, fields: Mapping[str, str]) -> statements.StatedRest:
+    """Decodes a rest, the longest one if a head names several."""
+    if status not in _TURNED_AWAY or names.RETRY_AFTER not in fields:
+        return statements.NO_REST
+    texts = _read_texts(fields, names.RETRY_AFTER)
+    lengths = [float(text) for text in texts if _DECIMAL.fullmatch(text)]
+    unreadable = [text for text in texts if not _DECIMAL.fullmatch(text)]
+    return statements.StatedRest(
+        max(lengths, default=None),
+        (unreadable[0] or "(empty)") if unreadable else "",
+    )
+
+
+def _read_texts(fields: Mapping[str, str], name: str) -> list[str]:
+    """Returns the values of a field, which may come more than once."""
+    if name not in fields:
+        return []
+    wanted = name.lower()
+    return sorted({v.strip() for n, v in fields.items() if n.lower() == wanted})
 
 
 def read_limit(fields: Mapping[str, str]) -> ratelimits.StatedLimit:
@@ -120,9 +183,7 @@
     """
     if names.LIMIT not in fields:
         return ratelimits.NONE_STATED
-    wanted = names.LIMIT.lower()
-    texts = {v.strip() for n, v in fields.items() if n.lower() == wanted}
-    text = ", ".join(sorted(texts))
+    text = ", ".join(_read_texts(fields, names.LIMIT))
     if not _DECIMAL.fullmatch(text):
         return ratelimits.StatedLimit(unreadable=text or "(empty)")
     return ratelimits.StatedLimit(float(text))
--- a/rhubarblock/platform/heads_test.py
+++ b/rhubarblock/platform/heads_test.py
@@ -3,9 +3,11 @@
 
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import ratelimit as ratelimits
+from rhubarblock.core import statement as statements
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.platform import heads
+from rhubarblock.platform import names
 
 
 def test_caller_fields_are_decoded():
@@ -128,4 +130,70 @@
     answer = heads.read_answer(
         200, CIMultiDict({"x-rhubarblock-attempt-id": "q"})
     )
-    assert answer.limit == ratelimits.NONE_STATED
+    assert answer.statement is statements.NOTHING
+
+
+def read_rest(status, *texts):
+    fields = CIMultiDict([(names.RETRY_AFTER, t) for t in texts])
+    return heads.read_statement(status, fields).rest
+
+
+@pytest.mark.parametrize(
+    "text, length_s",
+    [
+        ("3", 3.0),
+        ("0", 0.0),
+        ("0.25", 0.25),
+        (" 2 ", 2.0),
+        ("9" * 12, 1e12 - 1),
+    ],
+)
+def test_rest_is_read_in_seconds(text, length_s):
+    assert read_rest(503, text) == statements.StatedRest(length_s)
+
+
+@pytest.mark.parametrize(
+    "text", ["-1", "soon", "1e3", "nan", "Thu, 03 Dec 2026 10:00:00 GMT", ""]
+)
+def test_rest_that_is_no_number_of_seconds_is_told(text):
+    rest = read_rest(503, text)
+    assert rest == statements.StatedRest(None, text or "(empty)")
+
+
+def test_longest_of_several_rests_is_taken():
+    assert read_rest(503, "2", "3") == statements.StatedRest(3.0)
+    assert read_rest(503, "2", "soon") == statements.StatedRest(2.0, "soon")
+
+
+@pytest.mark.parametrize(
+    "status, is_read",
+    [(503, True), (429, True), (200, False), (421, False), (500, False)],
+)
+def test_rest_is_asked_by_turning_a_request_away(status, is_read):
+    assert (read_rest(status, "3").length_s is not None) == is_read
+
+
+@pytest.mark.parametrize(
+    "texts, is_leaving",
+    [(["1"], True), (["1", "1"], True), ([], False), (["0"], False)],
+)
+def test_leaving_is_read_from_any_answer(texts, is_leaving):
+    fields = CIMultiDict([(names.LEAVING, t) for t in texts])
+    for status in (200, 500, 503):
+        assert heads.read_statement(status, fields).is_leaving == is_leaving
+    assert heads.read_statement(421, fields) is statements.NOTHING
+
+
+def test_fields_about_an_endpoint_that_nothing_reads_are_named():
+    fields = CIMultiDict(
+        {
+            names.SEAL: "s",
+            names.LEAVING: "1",
+            "Server-Mood": "sour",
+            "x-rhubarblock-colour": "red",
+            "Server": "engine",
+            "Content-Type": "text/plain",
+        }
+    )
+    statement = heads.read_statement(200, fields)
+    assert statement.unknown == ("Server-Mood", "x-rhubarblock-colour")
--- a/rhubarblock/platform/names.py
+++ b/rhubarblock/platform/names.py
@@ -24,6 +24,18 @@
 AT_SERVER = "At-Server"
 # Requests a second that an endpoint in need takes from all instances together.
 LIMIT = "Server-Limit"
+# An endpoint's word that it is about to end.
+LEAVING = "Server-Leaving"
+# Seconds for which an endpoint that turned a request away wants no other.
+RETRY_AFTER = "Retry-After"
+# Fields of endpoints' answers that are passed on and decide nothing.
+PASSED_ON = (
+    "X-Rhubarblock-Cold-Remaining",
+    "X-Rhubarblock-Instance-Id",
+    "X-Rhubarblock-Weight-Versions",
+)
+# What the names of an endpoint's own fields begin with.
+ENDPOINT_PREFIXES = ("x-rhubarblock-", "server-")
 # Number of the last event that the caller of a stream has.
 LAST_EVENT = "Last-Event-Id"
 
--- a/rhubarblock/platform/orders.py
+++ b/rhubarblock/platform/orders.py
@@ -62,7 +62,7 @@
                 done = response.status == 200
                 return dialects.LeaseReply(
                     _Answer.DONE if done else _Answer.REFUSED,
-                    heads.read_limit(response.headers),
+                    heads.read_statement(response.status, response.headers),
                 )
         except aiohttp.ClientConnectorError:
             return dialects.LeaseReply(_Answer.REFUSED)
