--- a/rhubarblock/daemon/endpointlimit_test.py
+++ b/rhubarblock/daemon/endpointlimit_test.py
@@ -62,7 +62,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_fleet(*endpoints):
+async def open_fleet(*endpoints, count=INSTANCES):
     """Opens instances that share a store; gives a session and their URLs."""
     async with contextlib.AsyncExitStack() as stack:
         for endpoint in endpoints:
@@ -72,7 +72,7 @@
         stop = asyncio.Event()
         urls = []
         running = []
-        for number in range(INSTANCES):
+        for number in range(count):
             settings = wholes.make_settings(f"i{number}")
             instance = exchangeinstance.ExchangeInstance(
                 settings,
