Send nothing to an endpoint that asked for rest

An endpoint that turned requests away and asked for 3 s of rest got four and five more in that time; its callers were served elsewhere, each after a repeat.

Cause: nothing read Retry-After, so a refusal made only its own request avoid the endpoint.

A rest is kept for as long as was asked, the longest of several, whatever else is left: it is asked where candidates are listed, so it holds for first attempts, repeats, trials of failed endpoints, parts of prompts and streams that move, and once more right before the send, since orders about memory may come in between. It outlasts an entry that is not listed for a moment and ends with a new start. After it one request tries the endpoint; the others follow when it took one.

Where all endpoints of a service rest, a request waits if one ends soon, within the time and the turns of workspaces that rate limits have, and is refused at once otherwise, with a Retry-After at the end of the first rest, spread over a second. losses knows the cause. Renewals of memory that is held go on: they are orders and no requests, and a prompt that runs would be lost.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -43,6 +43,7 @@
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import health as healths
+from rhubarblock.routing import rests
 from rhubarblock.routing.placement import enginebook
 from rhubarblock.settings import exchange as settings_lib
 from rhubarblock.store import store as stores
@@ -106,6 +107,7 @@
         )
         self.book = enginebook.EngineBook()
         self.health = healths.Health(settings.data_centre)
+        self.rests = rests.Rests(self.metrics)
         self._dialect = dialect
         self._make_store = make_store
         self._make_leases = make_leases
@@ -175,6 +177,7 @@
         self.book.remove_engine(endpoint_id)
         self.health.forget(endpoint_id)
         limits.forget(endpoint_id)
+        self.rests.forget(endpoint_id)
 
     def _make_limits(
         self, news: news_lib.News
@@ -216,16 +219,21 @@
                 self.health,
                 self.subsets,
                 limits,
+                self.rests,
                 self.settings.instance_id,
                 self.settings.data_centre,
                 self.timers,
+                self._rng,
             ),
             limits,
+            self.rests,
             self.settings.data_centre,
             self.timers,
         )
         stack.enter_context(self.timers.subscribe(TIDY_S, placer.tidy))
-        taker = statements.StatementTaker(limits, self.metrics)
+        taker = statements.StatementTaker(
+            limits, self.rests, self.timers, self.metrics
+        )
         lease_holder = await stack.enter_async_context(
             leases.open_holder(
                 self._make_leases(session), bounds, taker, self.timers
--- a/rhubarblock/exchange/attempts.py
+++ b/rhubarblock/exchange/attempts.py
@@ -56,6 +56,19 @@
         self.rest_s = fields.statement.rest.length_s
 
 
+class ClosedError(failures.FailureError):
+    """An endpoint came to want no requests before this one was sent."""
+
+    def __init__(self, endpoint_id: str):
+        super().__init__(
+            failures.Failure(
+                failures.FailureCode.NO_ENDPOINT,
+                "the endpoint asked for rest before it was sent",
+            )
+        )
+        self.endpoint_id = endpoint_id
+
+
 class LeftError(transports.AttemptError):
     """The attempt was given up for another one, which is paid for.
 
@@ -151,6 +164,7 @@
 
         Raises:
           RefusedError: the endpoint did not run it.
+          ClosedError: it was not sent.
           leases.LeaseError: memory for it could not be had.
           transports.AttemptError: it failed.
         """
@@ -176,6 +190,8 @@
         watch: silence.SilenceWatch,
     ) -> None:
         exchange = flow.exchange
+        if not self._statements.may_send(place.endpoint):
+            raise ClosedError(place.endpoint.endpoint_id)
         order = dialects.SendOrder(
             place.endpoint.endpoint_id,
             exchange.deadline_s - self._timers.read_monotonic(),
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -35,6 +35,7 @@
 from rhubarblock.platform import dialect as platform_dialect
 from rhubarblock.platform import names
 from rhubarblock.routing import health as healths
+from rhubarblock.routing import rests
 from rhubarblock.routing.endpointlimits import peers as limitpeers
 from rhubarblock.routing.placement import enginebook
 from rhubarblock.settings import exchange as settings_lib
@@ -210,8 +211,11 @@
         pass
 
 
-def make_taker(limits):
-    return statements.StatementTaker(limits, metric_store.Metrics())
+def make_taker(limits, timers):
+    metrics = metric_store.Metrics()
+    return statements.StatementTaker(
+        limits, rests.Rests(metrics), timers, metrics
+    )
 
 
 def make_limits(timers):
@@ -282,6 +286,7 @@
             self.timers,
             self.metrics,
         )
+        self.rests = rests.Rests(self.metrics)
         self.placer = placers.Placer(
             self.directory,
             self.book,
@@ -292,15 +297,20 @@
                 self.health,
                 self.subsets,
                 self.limits,
+                self.rests,
                 "i1",
                 "osu-hall",
                 self.timers,
+                random.Random(1),
             ),
             self.limits,
+            self.rests,
             "osu-hall",
             self.timers,
         )
-        self.statements = statements.StatementTaker(self.limits, self.metrics)
+        self.statements = statements.StatementTaker(
+            self.limits, self.rests, self.timers, self.metrics
+        )
         self.sessions = sessions
         self.transport = transports.EndpointTransport(sessions, self.dialect)
         runner = attempts.AttemptRunner(
--- a/rhubarblock/exchange/leases_test.py
+++ b/rhubarblock/exchange/leases_test.py
@@ -66,7 +66,7 @@
         timers = timer_service.LoopTimers(0.0)
         limits = fakes.make_limits(timers)
         holder = leases.LeaseHolder(
-            engines, fakes.BOUNDS, fakes.make_taker(limits), timers
+            engines, fakes.BOUNDS, fakes.make_taker(limits, timers), timers
         )
         return await step(holder, timers)
 
@@ -163,7 +163,7 @@
         timers = timer_service.LoopTimers(0.0)
         limits = fakes.make_limits(timers)
         holder = leases.LeaseHolder(
-            engines, fakes.BOUNDS, fakes.make_taker(limits), timers
+            engines, fakes.BOUNDS, fakes.make_taker(limits, timers), timers
         )
         async with holder.hold(WANTED):
             named = limits.find_rate("e1")
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -16,6 +16,7 @@
 from rhubarblock.exchange.state import directory as directories
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import health as healths
+from rhubarblock.routing import rests
 from rhubarblock.routing.placement import enginebook
 from rhubarblock.routing.placement import parting
 from rhubarblock.routing.placement import prompt as prompts
@@ -45,6 +46,7 @@
         "_news",
         "_numbers",
         "_parter",
+        "_rests",
         "_timers",
     )
 
@@ -56,6 +58,7 @@
         news: news_lib.News,
         candidates_: candidates.Candidates,
         limits: endpointlimits.EndpointLimits,
+        rests_: rests.Rests,
         data_centre: str,
         timers: timer_service.Timers,
     ):
@@ -68,6 +71,7 @@
           news: tells peers what was placed.
           candidates_: endpoints to choose from.
           limits: rate limits that endpoints name.
+          rests_: endpoints that asked for rest.
           data_centre: where this instance runs.
           timers: the clock.
         """
@@ -76,6 +80,7 @@
         self._health = health
         self._candidates = candidates_
         self._limits = limits
+        self._rests = rests_
         self._news = news
         self._timers = timers
         self._data_centre = data_centre
@@ -145,6 +150,8 @@
         self._health.keep_only(ids)
         self._limits.keep_only(ids)
         self._calls.keep_only(ids)
+        # An endpoint that is not listed for a moment rests all the same.
+        self._rests.expire(self._timers.read_monotonic())
 
     def predict_free(self, place: places.Place, begun: bool) -> float:
         """Returns when the engines of a place have read what they were given.
@@ -168,19 +175,19 @@
         """Says whether an exchange that is under way has a place to go."""
         return self._foresee(flow, flow.history.failed_endpoints) is not None
 
-    def find_return(self, flow: flows.Flow) -> float | None:
-        """Returns the seconds after which a refused caller may come back.
+    def find_return(self, flow: flows.Flow) -> candidates.Opening | None:
+        """Returns when a refused caller may come back.
 
-        None if it was not refused for rate limits.
+        None if neither rate limits nor rests of endpoints were why.
         """
         return self._candidates.find_return(
             flow.exchange, flow.history.failed_endpoints
         )
 
     def predict_permit(self, flow: flows.Flow) -> float | None:
-        """Returns the seconds until an endpoint may be used within its limit.
+        """Returns the seconds until an endpoint may be open.
 
-        None if an endpoint that named no limit may be used.
+        None if one is open that named no limit.
         """
         return self._candidates.predict_permit(
             flow.exchange, flow.history.failed_endpoints
@@ -285,15 +292,19 @@
                 stack.enter_context(watch)
             yield
 
+    def _note_chosen(
+        self, endpoint: lists.ListedEndpoint, now_s: float
+    ) -> None:
+        self._health.note_chosen(endpoint.endpoint_id, now_s)
+        self._rests.note_chosen(endpoint.endpoint_id, now_s)
+        self._limits.take(endpoint.endpoint_id)
+
     @contextlib.contextmanager
     def _hold_call(
         self, endpoints: list[lists.ListedEndpoint]
     ) -> Iterator[places.Place]:
         chosen = self._calls.choose(endpoints)
-        self._health.note_chosen(
-            chosen.endpoint_id, self._timers.read_monotonic()
-        )
-        self._limits.take(chosen.endpoint_id)
+        self._note_chosen(chosen, self._timers.read_monotonic())
         with self._calls.hold(chosen.endpoint_id):
             rate = self._limits.find_rate(chosen.endpoint_id)
             yield places.Place(chosen, limit_per_s=rate)
@@ -312,8 +323,7 @@
             yield None
             return
         for engine in choice.engines:
-            self._health.note_chosen(engine.endpoint_id, now_s)
-            self._limits.take(engine.endpoint_id)
+            self._note_chosen(engine, now_s)
         self._book.add(choice.job, now_s)
         self._news.tell_placed(choice.job)
         try:
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -132,7 +132,7 @@
 
             try:
                 await self._run_noted(flow, place, may_leave)
-            except leases.LeaseError as error:
+            except (leases.LeaseError, attempts.ClosedError) as error:
                 self._outcomes.note_refused(
                     flow, place, error.failure, error.endpoint_id
                 )
@@ -193,9 +193,9 @@
             await asyncio.sleep(ROOM_S)
 
     async def _wait_for_permit(self, flow: flows.Flow) -> None:
-        """Lets a new exchange wait a little where only rate limits stop it.
+        """Lets a new exchange wait a little where endpoints' wishes stop it.
 
-        It is refused at once if no permit can be had in time.
+        It is refused at once if no rate limit has room and no rest ends soon.
         """
         if flow.history.attempts or self._placer.predict_permit(flow) is None:
             return
@@ -226,11 +226,11 @@
 
     def _refuse(self, flow: flows.Flow) -> failures.FailureError:
         """Returns the failure of an exchange that has no place to go."""
-        return_s = self._placer.find_return(flow)
-        if return_s is None:
+        opening = self._placer.find_return(flow)
+        if opening is None:
             return _give_up(flow, "no endpoint has room")
-        message = "the rate limits of endpoints leave no room"
-        return _give_up(flow, message, max(RETRY_AFTER_S, round(return_s, 2)))
+        after_s = max(RETRY_AFTER_S, round(opening.after_s, 2))
+        return _give_up(flow, opening.reason, after_s)
 
     async def _wait_for_start(self, flow: flows.Flow) -> None:
         """Lets a new exchange begin when that costs all callers least."""
--- a/rhubarblock/exchange/statements.py
+++ b/rhubarblock/exchange/statements.py
@@ -11,6 +11,8 @@
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import endpointlimits
 from rhubarblock.kernel import metrics as metric_store
+from rhubarblock.kernel import timers as timer_service
+from rhubarblock.routing import rests
 
 # Characters of an unreadable text that a log line holds.
 SHOWN_CHARACTERS = 40
@@ -23,24 +25,42 @@
 class StatementTaker:
     """Hands what endpoints say to what decides by it."""
 
-    __slots__ = ("_leaving", "_limits", "_metrics", "_unknown")
+    __slots__ = (
+        "_leaving",
+        "_limits",
+        "_metrics",
+        "_rests",
+        "_timers",
+        "_unknown",
+    )
 
     def __init__(
         self,
         limits: endpointlimits.EndpointLimits,
+        rests_: rests.Rests,
+        timers: timer_service.Timers,
         metrics: metric_store.Metrics,
     ):
         """Starts with nothing heard.
 
         Args:
           limits: keeps to rate limits.
+          rests_: keeps rests.
+          timers: the clock.
           metrics: counts what was said and what can't be read.
         """
         self._limits = limits
+        self._rests = rests_
+        self._timers = timers
         self._metrics = metrics
         self._unknown: set[str] = set()
         self._leaving: set[str] = set()
 
+    def may_send(self, endpoint: lists.ListedEndpoint) -> bool:
+        """Says whether an endpoint wants a request at this moment."""
+        now_s = self._timers.read_monotonic()
+        return not self._rests.is_resting(endpoint.endpoint_id, now_s)
+
     def note_answer(
         self,
         endpoint: lists.ListedEndpoint,
@@ -56,6 +76,8 @@
         """
         if fields.misdirected:
             return
+        if not fields.refused and fields.statement.rest == statements.NO_REST:
+            self._rests.note_taken(endpoint.endpoint_id)
         if fields.refused or not fields.sealed:
             self.note_order(endpoint, fields.statement, sent_s)
             return
@@ -103,7 +125,8 @@
                 },
             )
         if rest.length_s:
-            self._metrics.count("rests.asked")
+            now_s = self._timers.read_monotonic()
+            self._rests.note(endpoint.endpoint_id, rest.length_s, now_s)
             _logger.info(
                 "endpoint asks for rest",
                 extra={
--- /dev/null
+++ b/rhubarblock/exchange/statements_test.py
@@ -0,0 +1,119 @@
+"""What endpoints say beside their answers, as exchanges meet it."""
+
+import asyncio
+
+import pytest
+
+from rhubarblock.core import failure as failures
+from rhubarblock.core import statement as statements
+from rhubarblock.exchange import attempts
+from rhubarblock.exchange import dialect as dialects
+from rhubarblock.exchange import fakeparts_test as fakes
+from rhubarblock.exchange import flow as flows
+from rhubarblock.exchange import leases
+from rhubarblock.exchange import places
+from rhubarblock.platform import names
+
+
+def turn_away(length, status="503 Service Unavailable"):
+    return fakes.whole(
+        b"",
+        status,
+        f"{names.NOT_EXECUTED}: 1\r\n{names.RETRY_AFTER}: {length}\r\n",
+    )
+
+
+async def serve(parts, **changes):
+    sink = fakes.MemorySink()
+    try:
+        await parts.relay.serve(fakes.make_exchange(**changes), sink)
+    except failures.FailureError as error:
+        return error.failure
+    return sink.status
+
+
+def test_caller_is_refused_at_once_while_all_endpoints_rest():
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(turn_away(600))
+        async with fakes.open_parts(endpoint) as parts:
+            both = [await serve(parts) for _ in range(2)]
+            return both, len(endpoint.heads)
+
+    both, arrived = asyncio.run(main())
+    assert arrived == 1
+    for failure in both:
+        assert failure.code is failures.FailureCode.NO_ENDPOINT
+        assert failure.message == "endpoints ask for rest"
+        assert failure.retry_after_s >= 599.0
+
+
+def test_request_waits_for_a_rest_that_ends_soon():
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(turn_away("0.2"), fakes.whole())
+        async with fakes.open_parts(endpoint) as parts:
+            return await serve(parts), await serve(parts)
+
+    refused, status = asyncio.run(main())
+    assert refused.message == "endpoints ask for rest"
+    assert status == 200
+
+
+def test_rest_that_no_caller_may_be_told_of_is_kept():
+    """A call that may not be repeated, turned away without a promise."""
+
+    async def main():
+        extra = f"{names.RETRY_AFTER}: 600\r\n"
+        unsigned = fakes.whole(b"", "503 Full", extra, seal=False)
+        endpoint = fakes.ScriptedEndpoint(unsigned)
+        async with fakes.open_parts(endpoint) as parts:
+            await serve(parts)
+            await serve(parts)
+            return len(endpoint.heads)
+
+    assert asyncio.run(main()) == 1
+
+
+def test_rest_that_another_endpoint_asked_at_its_address_is_not_its_own():
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(turn_away(600, "421 Misdirected"))
+        async with fakes.open_parts(endpoint) as parts:
+            await serve(parts)
+            return bool(parts.rests)
+
+    assert not asyncio.run(main())
+
+
+class RestingEngines(fakes.NoLeases):
+    """Ask for rest in answer to orders."""
+
+    async def reserve(self, endpoint, order):
+        rest = statements.StatedRest(600.0)
+        return dialects.LeaseReply(
+            dialects.LeaseAnswer.DONE, statements.Statement(rest=rest)
+        )
+
+
+def test_request_is_not_sent_after_its_engine_asked_for_rest_in_between():
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(fakes.whole())
+        async with fakes.open_parts(endpoint) as parts:
+            engine = parts.directory.find("e1")
+            holder = leases.LeaseHolder(
+                RestingEngines(), fakes.BOUNDS, parts.statements, parts.timers
+            )
+            runner = attempts.AttemptRunner(
+                parts.placer,
+                parts.transport,
+                parts.health,
+                holder,
+                parts.statements,
+                parts.timers,
+            )
+            lease = leases.Lease(engine, "l1", 1000)
+            place = places.Place(engine, held=(lease,))
+            flow = flows.Flow(fakes.make_exchange(), fakes.MemorySink())
+            with pytest.raises(attempts.ClosedError):
+                await runner.run(flow, place, lambda reason: False)
+            return flow.history.sent, endpoint.heads
+
+    assert asyncio.run(main()) == (False, [])
