Give an endpoint that said that it leaves no new work, whatever lists name it

An endpoint had said in its answers that it leaves, while the store was out of reach; an instance that had passed such an answer on sent it requests 2.04 and 2.24 s later, where 2 s are allowed. The endpoint still served them.

Cause: nothing read Server-Leaving; only the list told who leaves.

The directory takes the word of the endpoint: from any answer but one that is meant for another endpoint, streams at their head and orders about memory too. What is under way there ends there.

Peers are not told: an endpoint that leaves still serves, each instance hears it with its first answer, and the list tells it to all.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -94,7 +94,9 @@
         self.metrics = metric_store.Metrics()
         self.timers = timer_service.LoopTimers()
         self.authority = authorities.Authority(settings.bounds.revoke_s)
-        self.directory = directories.Directory(self.timers)
+        self.directory = directories.Directory(
+            self.timers, settings.bounds.drain_s
+        )
         self.subsets = subsets.Subsets(self.directory)
         self.state = statebook.StateBook(
             dialect, self.authority, self.directory, self.timers
@@ -232,7 +234,7 @@
         )
         stack.enter_context(self.timers.subscribe(TIDY_S, placer.tidy))
         taker = statements.StatementTaker(
-            limits, self.rests, self.timers, self.metrics
+            self.directory, limits, self.rests, self.timers, self.metrics
         )
         lease_holder = await stack.enter_async_context(
             leases.open_holder(
--- a/rhubarblock/exchange/attempts.py
+++ b/rhubarblock/exchange/attempts.py
@@ -63,7 +63,7 @@
         super().__init__(
             failures.Failure(
                 failures.FailureCode.NO_ENDPOINT,
-                "the endpoint asked for rest before it was sent",
+                "the endpoint wanted no more requests before it was sent",
             )
         )
         self.endpoint_id = endpoint_id
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -155,12 +155,12 @@
     return script
 
 
-def events(*numbers, end=True, rest=b""):
+def events(*numbers, end=True, rest=b"", extra=""):
     """A script that sends events in chunks, and the end unless told not to."""
 
     async def script(head, writer):
         writer.write(
-            f"HTTP/1.1 200 OK\r\n{ATTEMPT}: q1\r\n{SEAL}: s\r\n"
+            f"HTTP/1.1 200 OK\r\n{ATTEMPT}: q1\r\n{SEAL}: s\r\n{extra}"
             "Content-Type: text/event-stream\r\n"
             "Transfer-Encoding: chunked\r\n\r\n".encode()
         )
@@ -214,7 +214,11 @@
 def make_taker(limits, timers):
     metrics = metric_store.Metrics()
     return statements.StatementTaker(
-        limits, rests.Rests(metrics), timers, metrics
+        directories.Directory(timers),
+        limits,
+        rests.Rests(metrics),
+        timers,
+        metrics,
     )
 
 
@@ -309,7 +313,7 @@
             self.timers,
         )
         self.statements = statements.StatementTaker(
-            self.limits, self.rests, self.timers, self.metrics
+            self.directory, self.limits, self.rests, self.timers, self.metrics
         )
         self.sessions = sessions
         self.transport = transports.EndpointTransport(sessions, self.dialect)
--- a/rhubarblock/exchange/statements.py
+++ b/rhubarblock/exchange/statements.py
@@ -10,6 +10,7 @@
 from rhubarblock.core import statement as statements
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import endpointlimits
+from rhubarblock.exchange.state import directory as directories
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import rests
@@ -26,7 +27,7 @@
     """Hands what endpoints say to what decides by it."""
 
     __slots__ = (
-        "_leaving",
+        "_directory",
         "_limits",
         "_metrics",
         "_rests",
@@ -36,6 +37,7 @@
 
     def __init__(
         self,
+        directory: directories.Directory,
         limits: endpointlimits.EndpointLimits,
         rests_: rests.Rests,
         timers: timer_service.Timers,
@@ -44,22 +46,25 @@
         """Starts with nothing heard.
 
         Args:
+          directory: keeps who leaves.
           limits: keeps to rate limits.
           rests_: keeps rests.
           timers: the clock.
           metrics: counts what was said and what can't be read.
         """
+        self._directory = directory
         self._limits = limits
         self._rests = rests_
         self._timers = timers
         self._metrics = metrics
         self._unknown: set[str] = set()
-        self._leaving: set[str] = set()
 
     def may_send(self, endpoint: lists.ListedEndpoint) -> bool:
         """Says whether an endpoint wants a request at this moment."""
-        now_s = self._timers.read_monotonic()
-        return not self._rests.is_resting(endpoint.endpoint_id, now_s)
+        name = endpoint.endpoint_id
+        if self._directory.is_closed(name):
+            return False
+        return not self._rests.is_resting(name, self._timers.read_monotonic())
 
     def note_answer(
         self,
@@ -136,13 +141,16 @@
             )
 
     def _note_leaving(self, endpoint: lists.ListedEndpoint) -> None:
-        if endpoint.endpoint_id in self._leaving:
-            return
-        self._leaving.add(endpoint.endpoint_id)
-        _logger.info(
-            "endpoint says that it leaves",
-            extra={"endpoint": endpoint.endpoint_id},
-        )
+        if self._directory.note_leaving(endpoint):
+            self._metrics.count("endpoints.leaving")
+            _logger.info(
+                "endpoint says that it leaves",
+                extra={
+                    "endpoint": endpoint.endpoint_id,
+                    "service": endpoint.service,
+                    "born_ms": endpoint.born_ms,
+                },
+            )
 
     def _tell_unknown(
         self, endpoint: lists.ListedEndpoint, unknown: tuple[str, ...]
--- a/rhubarblock/exchange/statements_test.py
+++ b/rhubarblock/exchange/statements_test.py
@@ -5,6 +5,7 @@
 import pytest
 
 from rhubarblock.core import failure as failures
+from rhubarblock.core import route as routes
 from rhubarblock.core import statement as statements
 from rhubarblock.exchange import attempts
 from rhubarblock.exchange import dialect as dialects
@@ -117,3 +118,66 @@
             return flow.history.sent, endpoint.heads
 
     assert asyncio.run(main()) == (False, [])
+
+
+LEAVES = f"{names.LEAVING}: 1\r\n"
+STREAM = fakes.make_route(routes.RouteKind.STREAMING)
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        fakes.whole(extra=LEAVES),
+        fakes.whole(b"bad", "500 Internal Server Error", LEAVES),
+        fakes.whole(b"", "503 Full", f"{names.NOT_EXECUTED}: 1\r\n{LEAVES}"),
+        fakes.whole(b"", "503 Full", LEAVES, seal=False),
+    ],
+)
+def test_endpoint_leaves_with_any_answer_that_says_so(script):
+    async def main():
+        leaving = fakes.ScriptedEndpoint(script)
+        async with fakes.open_parts(leaving) as parts:
+            # With another one, it is no last resort.
+            parts.directory.update(fakes.make_endpoint(2))
+            await serve(parts)
+            usable = parts.directory.list_usable("desk")
+            return [endpoint.endpoint_id for endpoint in usable]
+
+    assert asyncio.run(main()) == ["e2"]
+
+
+def test_stream_of_an_endpoint_that_leaves_ends_there():
+    async def main():
+        leaving = fakes.ScriptedEndpoint(fakes.events(1, 2, 3, extra=LEAVES))
+        other = fakes.ScriptedEndpoint()
+        async with fakes.open_parts(leaving, other) as parts:
+            sink = fakes.MemorySink()
+            await parts.relay.serve(fakes.make_exchange(STREAM), sink)
+            usable = parts.directory.list_usable("desk")
+            return sink.finished, len(usable), other.heads
+
+    assert asyncio.run(main()) == (True, 1, [])
+
+
+class LeavingEngines(fakes.NoLeases):
+    """Say in answer to a release that they leave."""
+
+    async def release(self, endpoint, lease_id):
+        return dialects.LeaseReply(
+            dialects.LeaseAnswer.DONE, statements.Statement(is_leaving=True)
+        )
+
+
+def test_engine_leaves_with_the_answer_to_an_order():
+    async def main():
+        async with fakes.open_parts(fakes.ScriptedEndpoint()) as parts:
+            engine = parts.directory.find("e1")
+            holder = leases.LeaseHolder(
+                LeavingEngines(), fakes.BOUNDS, parts.statements, parts.timers
+            )
+            async with holder.hold([leases.Lease(engine, "l1", 1000)]):
+                before = parts.directory.is_closed("e1")
+            await holder.wait()
+            return before, parts.directory.is_closed("e1")
+
+    assert asyncio.run(main()) == (False, True)
--- a/rhubarblock/loganalysis/causes.py
+++ b/rhubarblock/loganalysis/causes.py
@@ -38,7 +38,7 @@
     NO_CONNECTION = "no connection could be opened"
     ENGINE_REFUSED = "an engine refused it"
     RATE_LIMITED = "endpoints' rate limits left no room"
-    RESTING = "endpoints asked for rest"
+    RESTING = "endpoints wanted no more requests"
     OVERTAKEN = "overtaken by later reading"
     PAUSED = "paused by other reading"
     SLOW = "slower than predicted"
@@ -60,7 +60,8 @@
     ("set no memory aside", Cause.ENGINE_REFUSED),
     ("no endpoint has room", Cause.ENGINE_REFUSED),
     ("rate limits of endpoints", Cause.RATE_LIMITED),
-    ("for rest", Cause.RESTING),
+    ("ask for rest", Cause.RESTING),
+    ("wanted no more requests", Cause.RESTING),
     ("reads for others", Cause.PAUSED),
     ("answered 5", Cause.ENDPOINT_FAILED),
     ("time for the request", Cause.TIME_OVER),
--- a/rhubarblock/platform/settings.py
+++ b/rhubarblock/platform/settings.py
@@ -125,6 +125,7 @@
 
     return settings_lib.ExchangeBounds(
         grace_s=read("graceS", 1.0, usual.grace_s),
+        drain_s=read("drainMs", _MS_PER_S, usual.drain_s),
         apply_s=read("configApplyMs", _MS_PER_S, usual.apply_s),
         revoke_s=read("revokeMs", _MS_PER_S, usual.revoke_s),
         retry_ratio=read("retryBudgetRatio", 1.0, usual.retry_ratio),
--- a/rhubarblock/settings/exchange.py
+++ b/rhubarblock/settings/exchange.py
@@ -34,6 +34,7 @@
 
     Attributes:
       grace_s: seconds from the signal to stop until the process is killed.
+      drain_s: seconds for which an endpoint that leaves may get new work.
       apply_s: seconds until a configuration is in force everywhere.
       revoke_s: seconds until a removed key is refused everywhere.
       retry_ratio: repeats allowed for each request of a service.
@@ -44,6 +45,7 @@
     """
 
     grace_s: float = 8.0
+    drain_s: float = 2.0
     apply_s: float = 2.0
     revoke_s: float = 5.0
     retry_ratio: float = 0.1
