Read a refusal as neither success nor an empty endpoint

Callers' requests took one repeat each while an endpoint turned them away: each plain call of the near instances went there first, although two others had room.

Cause: any answer counted as a success and lowered the endpoint's share of failures, and an endpoint that refuses within a millisecond never has calls under way, so it always looked the best of its service. Without a rest that it asks for, nothing ended that.

A refusal still shows that the way is sound, and no more.

--- a/rhubarblock/exchange/attempts.py
+++ b/rhubarblock/exchange/attempts.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from rhubarblock.core import failure as failures
+from rhubarblock.core import listed as lists
 from rhubarblock.core import route as routes
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.exchange import dialect as dialects
@@ -212,15 +213,22 @@
             async with self._transport.send(
                 exchange, place.endpoint.address, order
             ) as answer:
-                self._health.note_success(
-                    place.endpoint.endpoint_id, place.endpoint.data_centre
-                )
+                self._note_health(place.endpoint, answer)
                 self._statements.note_answer(
                     place.endpoint, answer.fields, sent_s
                 )
                 _check_refusal(answer)
                 await self._pass_on(flow, answer, watch)
 
+    def _note_health(
+        self, endpoint: lists.ListedEndpoint, answer: transports.Answer
+    ) -> None:
+        """Takes in that an endpoint answered; a refusal is no success."""
+        note = self._health.note_success
+        if answer.fields.refused:
+            note = self._health.note_reached
+        note(endpoint.endpoint_id, endpoint.data_centre)
+
     async def _pass_on(
         self,
         flow: flows.Flow,
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -85,7 +85,7 @@
         self._timers = timers
         self._data_centre = data_centre
         self._parter = parting.Parter(book, data_centre)
-        self._calls = callbook.CallBook(health, data_centre)
+        self._calls = callbook.CallBook(health, data_centre, timers)
         self._numbers = 0
 
     @contextlib.contextmanager
@@ -133,6 +133,10 @@
         """
         self._directory.remove(endpoint.endpoint_id)
 
+    def note_refused(self, endpoint: lists.ListedEndpoint) -> None:
+        """Takes in that an endpoint refused an attempt."""
+        self._calls.note_refused(endpoint.endpoint_id)
+
     def has_many_helps(
         self, exchange: exchanges.Exchange, engine: lists.ListedEndpoint
     ) -> bool:
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -158,6 +158,7 @@
         self._outcomes.note_refused(
             flow, place, error.failure, blamed.endpoint_id, error.rest_s
         )
+        self._placer.note_refused(blamed)
         if error.misdirected:
             self._placer.forget(blamed)
         elif blamed is not place.endpoint and not self._placer.has_many_helps(
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -580,3 +580,33 @@
 
     order = asyncio.run(main())
     assert "b" in order[:6]
+
+
+def test_endpoint_that_refuses_at_once_is_not_the_first_choice_again():
+    async def main():
+        full = fakes.ScriptedEndpoint(*[SHED] * 10)
+        other = fakes.ScriptedEndpoint(*[fakes.whole()] * 10)
+        async with fakes.open_parts(full, other) as parts:
+            for _ in range(5):
+                await parts.relay.serve(
+                    fakes.make_exchange(), fakes.MemorySink()
+                )
+            return len(full.heads), len(other.heads)
+
+    assert asyncio.run(main()) == (1, 5)
+
+
+def test_refusal_does_not_make_up_for_failures():
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(SHED)
+        async with fakes.open_parts(endpoint) as parts:
+            parts.health.note_error("e1")
+            before = parts.health.share_of("e1")
+            with pytest.raises(failures.FailureError):
+                await parts.relay.serve(
+                    fakes.make_exchange(), fakes.MemorySink()
+                )
+            return before, parts.health.share_of("e1")
+
+    before, after = asyncio.run(main())
+    assert before == after > 0.0
--- a/rhubarblock/routing/health.py
+++ b/rhubarblock/routing/health.py
@@ -86,7 +86,14 @@
         state.share += SHARE_STEP * (1.0 - state.share)
 
     def note_success(self, endpoint_id: str, data_centre: str) -> None:
-        """Takes in an answer."""
+        """Takes in an answer that isn't a refusal."""
+        self.note_reached(endpoint_id, data_centre)
+        state = self._states.get(endpoint_id)
+        if state is not None:
+            state.share -= SHARE_STEP * state.share
+
+    def note_reached(self, endpoint_id: str, data_centre: str) -> None:
+        """Takes in that an endpoint answered, whatever it said."""
         way = self._ways.get(data_centre)
         if way is not None:
             way.silent.clear()
@@ -96,7 +103,6 @@
             return
         state.failures = 0
         state.until_s = 0.0
-        state.share -= SHARE_STEP * state.share
 
     def note_chosen(self, endpoint_id: str, now_s: float) -> None:
         """Takes in that a request goes there; it may be the one that tries."""
