Meet planned stops in the soak with kept connections and bodies in pieces

Callers saw requests cut by planned stops that were sent 2.3 to 2.6 s after the SIGTERM on connections that they had kept.

Twelve callers to each instance keep a connection of their own, down to the bytes, until it is closed; most rest over the signal and go on 2.3 to 3.2 s after it, half of the requests come in five pieces within 0.5 s, and of these half are cut within the head. A request must end with a whole answer or a status; a connection that is closed is excused only if it had served before, the request began after the balancer knew, no byte was answered, the close came within 0.3 s of its first byte, and no endpoint ran it.

--- a/features/soak_test.py
+++ b/features/soak_test.py
@@ -1,10 +1,13 @@
 """The soak's checks can fail, and a short seed of it holds."""
 
 import asyncio
+import random
 
 from tools.soak import evidence as evidences
+from tools.soak import keptcallers
 from tools.soak import ratewatch
 from tools.soak import run
+from tools.soak import wire
 
 # Removed keys count from here in the tests of the checks.
 REMOVED_S = 100.0
@@ -122,6 +125,100 @@
         assert seen.faults == [fault]
 
 
+def test_request_that_a_planned_stop_cut_is_a_fault(monkeypatch):
+    monkeypatch.setattr(evidences, "read_clock", lambda: REMOVED_S + 0.7)
+    seen = make_evidence(process_id=5)
+    seen.calm_s = REMOVED_S - 10.0
+    seen.stopped_s[5] = REMOVED_S - 2.5
+    seen.note_answer(seen.sent["q1"], 5)
+    assert seen.faults == [
+        "q1 was cut by a planned stop 3.20 s after the signal; "
+        "it was sent 2.50 s after it"
+    ]
+
+
+def test_request_that_crossed_a_close_and_did_not_run_is_none():
+    seen = make_evidence(process_id=5, is_unread=True)
+    seen.calm_s = REMOVED_S - 10.0
+    seen.note_answer(seen.sent["q1"], 5)
+    seen.close()
+    assert seen.faults == []
+    seen.note_run("q1", "e1")
+    seen.close()
+    assert seen.faults == ["q1 ran and was cut by a planned stop"]
+
+
+class ClosingServer(asyncio.Protocol):
+    """Answers once, then closes after the first bytes of the next request."""
+
+    def __init__(self, wait_s, answer):
+        self._wait_s = wait_s
+        self._answer = answer
+        self._served = False
+
+    def connection_made(self, transport):
+        self._transport = transport
+
+    def data_received(self, data):
+        del data
+        if not self._served:
+            self._served = True
+            self._transport.write(b"HTTP/1.1 503 Busy\r\n\r\n")
+            return
+        self._transport.write(self._answer)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self._wait_s, self._transport.close)
+
+
+async def ask_as_it_closes(monkeypatch, wait_s=0.0, answer=b"", late_s=3.0):
+    """Sends requests late after a signal; returns the last of them."""
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(
+        lambda: ClosingServer(wait_s, answer), "127.0.0.1", 0
+    )
+    seen = evidences.Evidence(calm_s=0.0)
+    seen.stopped_s[5] = evidences.read_clock() - late_s
+    monkeypatch.setattr(keptcallers, "PIECES_SHARE", 0.0)
+    caller = keptcallers.KeptCaller("k", None, ["key"], seen, random.Random(1))
+    async with server:
+        port = server.sockets[0].getsockname()[1]
+        connection = await wire.connect("127.0.0.1", port)
+        for _ in range(2):
+            await caller.ask(connection, 5)
+        connection.close()
+    return seen.sent["k-2"].is_unread, len(seen.faults)
+
+
+def test_close_at_once_on_a_kept_connection_goes_as_unread(monkeypatch):
+    assert asyncio.run(ask_as_it_closes(monkeypatch)) == (True, 0)
+
+
+def test_close_of_what_was_read_or_answered_is_a_cut(monkeypatch):
+    for case in (
+        {"wait_s": 2 * keptcallers.UNREAD_S},
+        {"answer": b"HTTP"},
+        {"late_s": 1.0},
+    ):
+        seen = asyncio.run(ask_as_it_closes(monkeypatch, **case))
+        assert seen == (False, 1)
+
+
+def test_answers_are_read_from_their_bytes():
+    head = b"HTTP/1.1 200 OK\r\nConnection: close\r\n"
+    plain = head + b"Content-Length: 2\r\n\r\nab"
+    chunks = head + b"Transfer-Encoding: chunked\r\n\r\n"
+    chunks += b"1\r\na\r\n1\r\nb\r\n0\r\n\r\n"
+    for message in (plain, chunks):
+        answer = wire.parse_answer(message)
+        assert (answer.status, answer.body, answer.is_last) == (
+            200,
+            b"ab",
+            True,
+        )
+        for length in range(len(message)):
+            assert wire.parse_answer(message[:length]) is None
+
+
 def test_work_for_an_endpoint_that_left_is_a_fault_in_calm_times():
     now_s = evidences.read_clock()
     seen = make_evidence("again")
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -1,6 +1,7 @@
 """Callers that check each answer against what they asked."""
 
 import asyncio
+from collections.abc import Mapping
 import random
 
 import aiohttp
@@ -58,7 +59,7 @@
         try:
             async with session.post(
                 f"http://{instance.ip}:{instance.front}{PATHS[kind]}",
-                headers=self._make_headers(sent),
+                headers=make_headers(sent, self._rng),
                 data=b"body",
                 timeout=aiohttp.ClientTimeout(total=WAIT_S),
             ) as answer:
@@ -67,7 +68,7 @@
                     self._evidence.note_told(mark, sent.process_id)
                 body = await answer.read()
                 sent.status = answer.status
-                sent.whole = self._is_own(sent, answer, body)
+                sent.whole = is_own(sent, answer.headers, body)
         except TimeoutError:
             sent.status = 0
             sent.overdue = True
@@ -81,28 +82,38 @@
         ready = [i for i in self._instances if not i.is_leaving]
         return ready or self._instances
 
-    def _make_headers(self, sent: evidences.Sent) -> dict[str, str]:
-        headers = {
-            "Host": "soak.example",
-            names.ATTEMPT_ID: sent.request_id,
-            names.CREDENTIAL: sent.key,
-            names.REMAINING: str(round(WAIT_S * 1e3)),
-        }
-        if sent.kind == "stream":
-            tokens = self._rng.choice((2_000, 40_000, 700_000))
-            headers[names.TOKEN_COUNT] = f"{tokens},100"
-        return headers
-
-    def _is_own(
-        self, sent: evidences.Sent, answer: aiohttp.ClientResponse, body: bytes
-    ) -> bool:
-        if answer.headers.get(names.ATTEMPT_ID) != sent.request_id:
-            return False
-        if names.SEAL not in answer.headers:
-            return False
-        if sent.kind != "stream":
-            return body == f"answer to {sent.request_id}".encode()
-        return body == b"".join(
-            f"id: {n}\ndata: {sent.request_id} {n}\n\n".encode()
-            for n in range(1, engines.EVENTS + 1)
-        )
+
+def make_headers(sent: evidences.Sent, rng: random.Random) -> dict[str, str]:
+    """Returns the fields of a request."""
+    headers = {
+        "Host": "soak.example",
+        names.ATTEMPT_ID: sent.request_id,
+        names.CREDENTIAL: sent.key,
+        names.REMAINING: str(round(WAIT_S * 1e3)),
+    }
+    if sent.kind == "stream":
+        tokens = rng.choice((2_000, 40_000, 700_000))
+        headers[names.TOKEN_COUNT] = f"{tokens},100"
+    return headers
+
+
+def is_own(
+    sent: evidences.Sent, headers: Mapping[str, str], body: bytes
+) -> bool:
+    """Whether an answer is whole and belongs to a request.
+
+    Args:
+      sent: the request.
+      headers: fields of the answer; names match in any case.
+      body: its body.
+    """
+    if headers.get(names.ATTEMPT_ID) != sent.request_id:
+        return False
+    if names.SEAL not in headers:
+        return False
+    if sent.kind != "stream":
+        return body == f"answer to {sent.request_id}".encode()
+    return body == b"".join(
+        f"id: {n}\ndata: {sent.request_id} {n}\n\n".encode()
+        for n in range(1, engines.EVENTS + 1)
+    )
--- a/tools/soak/evidence.py
+++ b/tools/soak/evidence.py
@@ -22,6 +22,8 @@
       status: status of the answer; 0 without one.
       whole: whether the answer was whole and the request's own.
       overdue: whether its caller gave up waiting.
+      is_unread: whether it crossed the close of a connection that was left, so
+        that it may have gone unread.
     """
 
     request_id: str
@@ -32,6 +34,7 @@
     status: int = 0
     whole: bool = False
     overdue: bool = False
+    is_unread: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,6 +49,7 @@
       told_s: when a process first passed on an endpoint's word on its limit, by
         the mark of that word and the process id.
       disturbed_s: when a process was last frozen or signalled, by its id.
+      stopped_s: when a process was told to stop in calm times, by its id.
       left_s: when the leaving of an endpoint was acknowledged, by its id.
       calm_s: since when nothing is disturbed; None while something is.
       faults: rules that were broken, in words.
@@ -61,6 +65,7 @@
         default_factory=dict
     )
     disturbed_s: dict[int, float] = dataclasses.field(default_factory=dict)
+    stopped_s: dict[int, float] = dataclasses.field(default_factory=dict)
     left_s: dict[str, float] = dataclasses.field(default_factory=dict)
     calm_s: float | None = None
     faults: list[str] = dataclasses.field(default_factory=list)
@@ -90,12 +95,24 @@
             self.refused_s.setdefault((process_id, sent.key), read_clock())
         if sent.overdue and self._was_calm(sent.at_s):
             self.faults.append(f"{sent.request_id} had no answer in its time")
-        if not sent.status and not sent.overdue and self._was_calm(sent.at_s):
-            self.faults.append(f"{sent.request_id} was cut in calm times")
+        is_cut = not (sent.status or sent.overdue or sent.is_unread)
+        if is_cut and self._was_calm(sent.at_s):
+            self.faults.append(
+                f"{sent.request_id} was cut {self._describe_stop(sent)}"
+            )
 
     def _was_calm(self, since_s: float) -> bool:
         return self.calm_s is not None and self.calm_s <= since_s
 
+    def _describe_stop(self, sent: Sent) -> str:
+        stopped_s = self.stopped_s.get(sent.process_id)
+        if stopped_s is None:
+            return "in calm times"
+        return (
+            f"by a planned stop {read_clock() - stopped_s:.2f} s after the "
+            f"signal; it was sent {sent.at_s - stopped_s:.2f} s after it"
+        )
+
     def _check_refused(self, sent: Sent) -> None:
         """Checks that a process did not go back to an older configuration."""
         refused_s = self.refused_s.get((sent.process_id, sent.key))
@@ -154,6 +171,10 @@
                 self.faults.append(
                     f"{sent.request_id} was called not run and ran"
                 )
+            if sent.is_unread and ran:
+                self.faults.append(
+                    f"{sent.request_id} ran and was cut by a planned stop"
+                )
             if sent.status == 200 and not sent.whole:
                 self.faults.append(
                     f"{sent.request_id} got an answer that is not its own whole"
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -9,6 +9,11 @@
 import sys
 
 from rhubarblock.platform import names
+from tools.soak import evidence as evidences
+
+# Seconds for which new connections still come to an instance that was told to
+# stop: a balancer that asks once a second needs two refusals to see it.
+SEEN_S = 2.0
 
 SETTINGS = """\
 nodeName = "{name}"
@@ -40,7 +45,7 @@
     Attributes:
       front: port for callers.
       process: the present process.
-      is_leaving: whether callers saw that it is about to stop.
+      stopped_s: when it was told to stop as planned; None once it is back.
     """
 
     def __init__(
@@ -57,7 +62,7 @@
         self.ip = f"127.{network}.7.{number + 1}"
         self.front, ready, peers = (_find_port(self.ip) for _ in range(3))
         self.process: asyncio.subprocess.Process | None = None
-        self.is_leaving = False
+        self.stopped_s: float | None = None
         self._path = folder / f"{number}.toml"
         self._log = folder / f"{number}.log"
         self._path.write_text(
@@ -102,6 +107,18 @@
             return 0
         return self.process.pid
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether a balancer saw that it is about to stop."""
+        if self.stopped_s is None:
+            return False
+        return evidences.read_clock() > self.stopped_s + SEEN_S
+
+    def stop_as_planned(self) -> None:
+        """Tells the present process to stop."""
+        self.stopped_s = evidences.read_clock()
+        self.send(signal.SIGTERM)
+
     def send(self, number: signal.Signals) -> None:
         """Sends a signal to the present process."""
         if self.process is not None and self.process.returncode is None:
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -16,6 +16,8 @@
 from tools.soak import engines
 from tools.soak import evidence as evidences
 from tools.soak import fleet
+from tools.soak import keptcallers
+from tools.soak import plannedstops
 from tools.soak import proxy as proxies
 from tools.soak import store as stores
 
@@ -27,19 +29,17 @@
 DATA_CENTRES = ("osu", "tema")
 INSTANCES = 4
 CALLERS = 10
+# Connections to each instance that are kept in planned work.
+KEPT = 12
 ENGINES = 6
 DESKS = 3
 # Seconds for which all may come up.
 START_S = 60.0
-# Seconds after the last fault in which all must have settled, and of the
-# planned work that follows, in which nothing may be lost.
+# Seconds after the last fault in which all must have settled; in the planned
+# work that follows nothing may be lost.
 SETTLE_S = 6.0
-PLANNED_S = 8.0
-# Seconds between two steps of planned work.
-STEP_S = 1.0
-# Seconds for which callers still come to an instance that was told to stop: a
-# balancer that asks once a second needs two refusals to see it.
-SEEN_S = 2.0
+# Seconds after planned work in which requests under way end.
+LAST_S = 2.0
 # Seconds of quiet at the end, in which memory must come free.
 QUIET_S = 5.0
 
@@ -196,6 +196,19 @@
             loop.create_task(caller.live(self.stop)) for caller in self.callers
         ]
 
+    def _start_kept_callers(self) -> None:
+        loop = asyncio.get_running_loop()
+        for instance in self.instances:
+            for number in range(KEPT):
+                caller = keptcallers.KeptCaller(
+                    f"k{instance.front}-{number}",
+                    instance,
+                    self.keys[:],
+                    self.evidence,
+                    random.Random(self.rng.random()),
+                )
+                self.calling.append(loop.create_task(caller.live()))
+
     async def _inject_faults(self) -> None:
         faults = (
             self._kill,
@@ -297,17 +310,20 @@
             instance.send(signal.SIGCONT)
 
     async def _work_as_planned(self) -> None:
-        """Stops an instance and drains endpoints while callers go on."""
-        leaving = self.rng.choice(self.instances)
-        leaving.send(signal.SIGTERM)
-        await asyncio.sleep(SEEN_S)
-        leaving.is_leaving = True
+        """Stops instances and drains endpoints while callers go on."""
+        self._start_kept_callers()
         for service in ("pool", "desk"):
+            await plannedstops.stop_some(
+                self.instances, self.evidence, self.rng
+            )
             own = [e for e in self.endpoints if e.service == service]
             self.rng.choice(own).end("drain")
-            await asyncio.sleep(STEP_S)
-        self._revoke_one()
-        await asyncio.sleep(PLANNED_S - SEEN_S - 2 * STEP_S)
+            await asyncio.sleep(fleet.SEEN_S)
+            self._revoke_one()
+            await self._wait_ready()
+            for instance in self.instances:
+                instance.stopped_s = None
+        await asyncio.sleep(LAST_S)
 
     def _check_memory(self) -> None:
         held = sum(endpoint.count_leases() for endpoint in self.endpoints)
