Compare ways to tell other instances of a rest

An endpoint that sheds load asks one instance for rest. Whether the others should hear of it was open. `rhubarblock measure endpoint-rests` plays instances (7, 80, 300) on the virtual clock before endpoints of which one in ten sheds load in 12 of 24 s, with the real CallBook, Rests and Subsets, and prints a table; the ways are to read no rest, to keep it alone (the product), to tell it as a full rest, and to tell it as a hint.

--- /dev/null
+++ b/rhubarblock/experiments/endpointrests/__init__.py
@@ -0,0 +1,4 @@
+"""The scenario ``endpoint-rests``: are rests of endpoints told to peers?
+
+Others use ``scenario``. Read on in ``fleet``, ``ways`` and ``sheds``.
+"""
--- a/rhubarblock/scripts/measure.py
+++ b/rhubarblock/scripts/measure.py
@@ -18,6 +18,8 @@
 from rhubarblock.experiments import simulation
 from rhubarblock.experiments.endpointlimits import fleet as limitfleet
 from rhubarblock.experiments.endpointlimits import scenario as endpointlimits
+from rhubarblock.experiments.endpointrests import scenario as endpointrests
+from rhubarblock.experiments.endpointrests import ways as restways
 from rhubarblock.experiments.faults import scenario as faults
 from rhubarblock.experiments.limits import scenario as limits
 from rhubarblock.experiments.platform import mix as platformmix
@@ -137,6 +139,49 @@
     )
 
 
+@measure_group.command("endpoint-rests")
+@click.option(
+    "--way",
+    "chosen_ways",
+    type=click.Choice(restways.WAYS),
+    multiple=True,
+    default=restways.WAYS,
+    show_default=True,
+)
+@click.option(
+    "--instances",
+    "sizes",
+    type=click.IntRange(min=2),
+    multiple=True,
+    default=endpointrests.SIZES,
+    show_default=True,
+)
+@click.option(
+    "--variant",
+    "variants",
+    type=click.Choice(tuple(endpointrests.SHED_RATES)),
+    multiple=True,
+    default=tuple(endpointrests.SHED_RATES),
+    show_default=True,
+    help="What a shedding endpoint takes.",
+)
+@seed_option
+def endpoint_rests_command(
+    chosen_ways: tuple[str, ...],
+    sizes: tuple[int, ...],
+    variants: tuple[str, ...],
+    seed: int,
+) -> None:
+    """One endpoint in ten asks for rest; ways to take that in, as a table."""
+    results = [
+        endpointrests.measure(way, size, variant, seed)
+        for variant in variants
+        for size in sizes
+        for way in chosen_ways
+    ]
+    click.echo(endpointrests.make_table(results))
+
+
 @measure_group.command("noisy-neighbour")
 @policy_option
 @seed_option
