Ask in the soak for rest, and say in it that endpoints leave

Callers would see requests that take a second way, or fail when the second way is slow too, because an instance goes on asking an endpoint that turned it away and asked for rest; and requests that break off at an endpoint which had said in an answer that it leaves, while its list entry could not be written.

Now an endpoint of the soak may answer every request 503 with Retry-After (1 to 4 s, fractions too) for some seconds. More than two requests of one process between half a second after such an answer and the end of its time are a broken rule; a freeze of the process, another process, or a way to the endpoint that was broken since excuse it. An endpoint that drains says Server-Leaving in all its answers up to 2 s before its entry says so, and for longer while the store refuses calls or only writes. A request that a caller sent more than 2 s after the process had passed such an answer on may not reach the endpoint; a freeze since excuses it. Ways that are healed at the end of the faults now note when, as the others did.

--- a/features/soak_test.py
+++ b/features/soak_test.py
@@ -3,9 +3,13 @@
 import asyncio
 import random
 
+from rhubarblock.platform import names
 from tools.soak import evidence as evidences
 from tools.soak import keptcallers
+from tools.soak import leavewatch
+from tools.soak import proxy as proxies
 from tools.soak import ratewatch
+from tools.soak import restwatch
 from tools.soak import run
 from tools.soak import wire
 
@@ -234,6 +238,88 @@
     assert len(seen.faults) == 1
 
 
+def ask_for_rest(monkeypatch, lates_s, asked_s=(0.0,), rest_s=3.0):
+    """Sends requests of a process to an endpoint that asked it for rest."""
+    clock = [REMOVED_S]
+    monkeypatch.setattr(evidences, "read_clock", lambda: clock[0])
+    seen = make_evidence("again", process_id=5)
+    rest = restwatch.RestWatch("e1", seen)
+    way = proxies.SoakProxy()
+    for late_s in sorted({*lates_s, *asked_s}):
+        clock[0] = REMOVED_S + late_s
+        if late_s in lates_s:
+            rest.note_arrival("q1", way)
+        if late_s in asked_s:
+            rest.ask("q1", rest_s)
+        yield seen, way
+
+
+def count_rest_faults(monkeypatch, lates_s, **options):
+    for seen, _ in ask_for_rest(monkeypatch, lates_s, **options):
+        faults = len(seen.faults)
+    return faults
+
+
+def test_third_request_in_a_rest_is_a_fault(monkeypatch):
+    assert count_rest_faults(monkeypatch, (0.6, 1.0)) == 0
+    assert count_rest_faults(monkeypatch, (0.6, 1.0, 2.9)) == 1
+    assert count_rest_faults(monkeypatch, (0.1, 0.2, 0.49, 3.0, 3.1)) == 0
+    again = {"asked_s": (0.0, 2.0), "rest_s": 2.5}
+    assert count_rest_faults(monkeypatch, (2.6, 3.0, 4.0), **again) == 1
+
+
+def test_requests_of_another_process_or_after_a_freeze_break_no_rest(
+    monkeypatch,
+):
+    for spoil in (
+        lambda seen, way: seen.disturbed_s.update({5: REMOVED_S + 0.1}),
+        lambda seen, way: setattr(seen.sent["q1"], "process_id", 6),
+        lambda seen, way: setattr(way, "mode", "slow"),
+        lambda seen, way: setattr(way, "healed_s", REMOVED_S + 0.1),
+    ):
+        spoilt = False
+        for seen, way in ask_for_rest(monkeypatch, (0.6, 0.7, 0.8, 0.9)):
+            if not spoilt:
+                spoil(seen, way)
+            spoilt = True
+        assert seen.faults == []
+
+
+def make_leaving(monkeypatch, sent_s, told_process=5):
+    """Passes on that an endpoint leaves, and a later request."""
+    clock = [REMOVED_S - sent_s]
+    monkeypatch.setattr(evidences, "read_clock", lambda: clock[0])
+    seen = make_evidence("again", process_id=5)
+    headers = {leavewatch.LEAVING: "1", names.SEAL: "e1.77.0"}
+    leavewatch.note_answer(seen, {names.SEAL: "e2.77.0"}, told_process)
+    leavewatch.note_answer(seen, headers, told_process)
+    clock[0] = REMOVED_S
+    return seen
+
+
+def test_request_sent_after_a_process_was_told_of_a_leaving_is_a_fault(
+    monkeypatch,
+):
+    seen = make_leaving(monkeypatch, 2.1)
+    leavewatch.check_arrival(seen, "q1", "e2")
+    assert seen.faults == []
+    leavewatch.check_arrival(seen, "q1", "e1")
+    assert seen.faults == [
+        "q1 reached e1 and was sent 2.10 s after process 5 passed on that it "
+        "leaves"
+    ]
+
+
+def test_request_that_came_in_time_or_after_a_freeze_is_no_fault(monkeypatch):
+    early = make_leaving(monkeypatch, 1.9)
+    other = make_leaving(monkeypatch, 2.1, told_process=6)
+    frozen = make_leaving(monkeypatch, 2.1)
+    frozen.disturbed_s[5] = REMOVED_S - 1.0
+    for seen in (early, other, frozen):
+        leavewatch.check_arrival(seen, "q1", "e1")
+        assert seen.faults == []
+
+
 def test_seeds_that_broke_a_rule_are_read_from_their_file(tmp_path):
     path = tmp_path / "seeds.txt"
     path.write_text("# Seeds.\n17 a stop that cut streams\n\n4 a lost lease\n")
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -10,6 +10,7 @@
 from tools.soak import engines
 from tools.soak import evidence as evidences
 from tools.soak import fleet
+from tools.soak import leavewatch
 
 # Seconds that a caller waits; its routes give up after five.
 WAIT_S = 6.0
@@ -63,9 +64,7 @@
                 data=b"body",
                 timeout=aiohttp.ClientTimeout(total=WAIT_S),
             ) as answer:
-                if names.LIMIT in answer.headers:
-                    mark = answer.headers.get(names.SEAL, "")
-                    self._evidence.note_told(mark, sent.process_id)
+                note_words(self._evidence, answer.headers, sent.process_id)
                 body = await answer.read()
                 sent.status = answer.status
                 sent.whole = is_own(sent, answer.headers, body)
@@ -97,6 +96,15 @@
     return headers
 
 
+def note_words(
+    evidence: evidences.Evidence, headers: Mapping[str, str], process_id: int
+) -> None:
+    """Takes in what an endpoint said about itself in an answer."""
+    if names.LIMIT in headers:
+        evidence.note_told(headers.get(names.SEAL, ""), process_id)
+    leavewatch.note_answer(evidence, headers, process_id)
+
+
 def is_own(
     sent: evidences.Sent, headers: Mapping[str, str], body: bytes
 ) -> bool:
--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -10,8 +10,10 @@
 
 from rhubarblock.platform import names
 from tools.soak import evidence as evidences
+from tools.soak import leavewatch
 from tools.soak import proxy as proxies
 from tools.soak import ratewatch
+from tools.soak import restwatch
 from tools.soak import store as stores
 
 # Seconds between two events of a stream.
@@ -22,6 +24,10 @@
 CALL_S = 0.03
 # Seconds between a notice and the end of a leaving endpoint.
 DRAIN_S = 2.5
+# Longest time in seconds between the first answer of an endpoint that says that
+# it leaves and its entry, and seconds between two tries to write the entry.
+SAY_S = 2.0
+LIST_S = 0.1
 # Share of the starts after a crash that get a new id; the others keep theirs.
 NEW_ID_SHARE = 0.5
 
@@ -32,6 +38,7 @@
     Attributes:
       service: the service that it belongs to.
       mode: how it behaves; empty is sound.
+      rest_s: the rest in seconds that it asks for in the mode ``rest``.
       way: the proxy that instances reach it by.
       rate: the limit that it names, and what arrives.
     """
@@ -47,9 +54,11 @@
     ):
         self.service = service
         self.mode = ""
+        self.rest_s = 0.0
         self.way = proxies.SoakProxy()
         self.id = ""
         self.rate = ratewatch.RateWatch("", evidence)
+        self._rest = restwatch.RestWatch("", evidence)
         self._data_centre = data_centre
         self._store = store
         self._evidence = evidence
@@ -68,6 +77,7 @@
             self._has_left = False
             self._born_ms = round(time.time() * 1e3)
             self.rate = ratewatch.RateWatch(self.id, self._evidence)
+            self._rest = restwatch.RestWatch(self.id, self._evidence)
             self._ended = asyncio.Event()
             async with (
                 stores.serve(self._handle) as (_, target),
@@ -78,19 +88,34 @@
                 self._list("ready")
                 await _wait_any(self._ended, stop)
                 if self.mode == "drain":
-                    self._has_left = True
-                    self._list("draining")
-                    self._evidence.left_s[self.id] = evidences.read_clock()
-                    await asyncio.sleep(DRAIN_S)
+                    await self._leave()
                 self._store.remove(f"servers/{self.id}")
             self.mode = ""
             await asyncio.sleep(0.5)
 
+    async def rest(self, rest_s: float, length_s: float) -> None:
+        """Turns all requests away for a time, and asks for rest each time."""
+        self.rest_s = rest_s
+        self.mode = "rest"
+        await asyncio.sleep(length_s)
+        if self.mode == "rest":
+            self.mode = ""
+
     def end(self, mode: str) -> None:
         """Ends this start, by a crash or after a drain."""
         self.mode = mode
         self._ended.set()
 
+    async def _leave(self) -> None:
+        """Says that it leaves, in its answers first, and serves a while."""
+        self._has_left = True
+        await asyncio.sleep(self._rng.uniform(0.0, SAY_S))
+        while self._store.refuses or self._store.refuses_writes:
+            await asyncio.sleep(LIST_S)
+        self._list("draining")
+        self._evidence.left_s[self.id] = evidences.read_clock()
+        await asyncio.sleep(DRAIN_S)
+
     def _list(self, state: str) -> None:
         self._store.put(
             f"servers/{self.id}",
@@ -113,9 +138,16 @@
         if request.headers.get(names.TARGET) != self.id:
             return web.Response(status=421, headers=answer)
         self.rate.note_arrival(request_id, self.way.healed_s)
+        self._rest.note_arrival(request_id, self.way)
+        leavewatch.check_arrival(self._evidence, request_id, self.id)
+        if self._has_left:
+            answer[leavewatch.LEAVING] = "1"
         if self.rate.per_s is not None:
             answer[names.LIMIT] = f"{self.rate.per_s:g}"
-        if self.mode == "shed":
+        if self.mode == "rest":
+            self._rest.ask(request_id, self.rest_s)
+            answer[restwatch.RETRY_AFTER] = f"{self.rest_s:g}"
+        if self.mode in ("shed", "rest"):
             answer[names.NOT_EXECUTED] = "1"
             return web.Response(status=503, headers=answer)
         await request.read()
@@ -158,7 +190,8 @@
             self._leases[str(order["id"])] = now_s + hold_s
         else:
             self._leases.pop(str(order["id"]), None)
-        return web.Response(text="{}")
+        headers = {leavewatch.LEAVING: "1"} if self._has_left else {}
+        return web.Response(text="{}", headers=headers)
 
     def count_leases(self) -> int:
         """Returns how many memory leases have neither ended nor lapsed."""
--- a/tools/soak/evidence.py
+++ b/tools/soak/evidence.py
@@ -1,6 +1,7 @@
 """What callers and endpoints saw, and whether it is allowed."""
 
 import dataclasses
+import math
 import time
 
 # Seconds after which a leaving endpoint gets no new work.
@@ -48,6 +49,8 @@
       refused_s: when a process first refused a key, by process id and key.
       told_s: when a process first passed on an endpoint's word on its limit, by
         the mark of that word and the process id.
+      leaving_s: when a process first passed on that an endpoint leaves, by the
+        endpoint's id and the process id.
       disturbed_s: when a process was last frozen or signalled, by its id.
       stopped_s: when a process was told to stop in calm times, by its id.
       left_s: when the leaving of an endpoint was acknowledged, by its id.
@@ -64,6 +67,9 @@
     told_s: dict[tuple[str, int], float] = dataclasses.field(
         default_factory=dict
     )
+    leaving_s: dict[tuple[str, int], float] = dataclasses.field(
+        default_factory=dict
+    )
     disturbed_s: dict[int, float] = dataclasses.field(default_factory=dict)
     stopped_s: dict[int, float] = dataclasses.field(default_factory=dict)
     left_s: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -151,6 +157,10 @@
             return None
         return self.told_s.get((mark, sent.process_id))
 
+    def was_disturbed(self, process_id: int, since_s: float) -> bool:
+        """Whether a process was frozen at some time since another."""
+        return self.disturbed_s.get(process_id, -math.inf) >= since_s
+
     def check_revoked(self, request_id: str, revoke_s: float) -> None:
         """Checks that a request's key was still good when it was sent."""
         sent = self.sent.get(request_id)
--- a/tools/soak/keptcallers.py
+++ b/tools/soak/keptcallers.py
@@ -104,6 +104,7 @@
         except TimeoutError:
             sent.overdue = True
         if answer is not None:
+            callers.note_words(self._evidence, answer.headers, process_id)
             sent.status = answer.status
             sent.whole = callers.is_own(sent, answer.headers, answer.body)
         elif connection.closed_s is not None:
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+from tools.soak import evidence as evidences
+
 # Bytes that are passed on at once.
 _PIECE = 1 << 16
 # Seconds by which each piece is late on a slow way.
@@ -27,6 +29,16 @@
         self.healed_s = 0.0
         self.target = target
 
+    def heal(self) -> None:
+        """Passes on again."""
+        if self.mode:
+            self.mode = ""
+            self.healed_s = evidences.read_clock()
+
+    def was_broken_since(self, since_s: float) -> bool:
+        """Whether it was broken at some time since another."""
+        return bool(self.mode) or self.healed_s >= since_s
+
     @contextlib.asynccontextmanager
     async def open(self):  # type: ignore[no-untyped-def]
         """Listens while the context is open; yields its port."""
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -26,6 +26,14 @@
 # that all of a service name one.
 LIMITS_PER_S = (0.0, 0.2, 0.5, 1.0, 2.5)
 ALL_SHARE = 0.3
+# Rests that endpoints ask for, and the shortest and the longest time for which
+# they turn requests away, in seconds.
+RESTS_S = (1.0, 1.75, 2.5, 3.0, 4.0)
+REST_LENGTHS_S = (2.0, 8.0)
+# Share of the endpoints that leave unseen whose instances can't read the store
+# either.
+UNREAD_SHARE = 0.3
+SERVICES = ("pool", "desk")
 DATA_CENTRES = ("osu", "tema")
 INSTANCES = 4
 CALLERS = 10
@@ -220,11 +228,16 @@
             self._end_endpoint,
             self._revoke,
             self._name_limit,
+            self._leave_unseen,
+            self._ask_for_rest,
         )
+        # These come in each seed, the others by chance.
+        due = [self._leave_unseen, self._ask_for_rest]
         running: set[asyncio.Task[None]] = set()
         while True:
             await asyncio.sleep(self.rng.uniform(0.2, 1.2))
-            task = asyncio.ensure_future(self.rng.choice(faults)())
+            fault = due.pop() if due else self.rng.choice(faults)
+            task = asyncio.ensure_future(fault())
             running.add(task)
             task.add_done_callback(running.discard)
 
@@ -250,8 +263,7 @@
         way = self.rng.choice(ways)
         way.mode = self.rng.choice(proxies.MODES)
         await asyncio.sleep(self.rng.uniform(0.5, REVOKE_S + 2.0))
-        way.mode = ""
-        way.healed_s = evidences.read_clock()
+        way.heal()
 
     async def _break_store(self) -> None:
         step = self.rng.choice(["refuses", "slow", "forgets"])
@@ -264,6 +276,9 @@
         self.store.refuses = False
         self.store.delay_s = 0.0
 
+    def _list_endpoints(self, service: str) -> list[engines.SoakEndpoint]:
+        return [e for e in self.endpoints if e.service == service]
+
     async def _break_endpoint(self) -> None:
         endpoint = self.rng.choice(self.endpoints)
         endpoint.mode = self.rng.choice(["shed", "lose", "hang"])
@@ -275,10 +290,31 @@
         endpoint = self.rng.choice(self.endpoints)
         endpoint.end(self.rng.choice(["crash", "drain"]))
 
+    async def _leave_unseen(self) -> None:
+        """Lets endpoints leave while the store refuses to list that they do.
+
+        Instances would serve nothing if they could not read for longer.
+        """
+        for service in SERVICES:
+            self.rng.choice(self._list_endpoints(service)).end("drain")
+        if self.rng.random() < UNREAD_SHARE:
+            self.store.refuses = True
+            await asyncio.sleep(self.rng.uniform(2.5, REVOKE_S))
+            self.store.refuses = False
+        else:
+            self.store.refuses_writes = True
+            await asyncio.sleep(self.rng.uniform(3.0, 5.0))
+            self.store.refuses_writes = False
+
+    async def _ask_for_rest(self) -> None:
+        """Lets an endpoint turn all requests away and ask for rest."""
+        endpoint = self.rng.choice(self.endpoints)
+        length_s = self.rng.uniform(*REST_LENGTHS_S)
+        await endpoint.rest(self.rng.choice(RESTS_S), length_s)
+
     async def _name_limit(self) -> None:
         """Lets an endpoint, or all of a service, name limits that change."""
-        service = self.rng.choice(["pool", "desk"])
-        own = [e for e in self.endpoints if e.service == service]
+        own = self._list_endpoints(self.rng.choice(SERVICES))
         chosen = own if self.rng.random() < ALL_SHARE else own[:1]
         for _ in range(self.rng.randint(1, 2)):
             for endpoint in chosen:
@@ -298,11 +334,12 @@
 
     def _heal(self) -> None:
         for proxy in self.proxies:
-            proxy.mode = ""
+            proxy.heal()
         self.store.refuses = False
+        self.store.refuses_writes = False
         self.store.delay_s = 0.0
         for endpoint in self.endpoints:
-            endpoint.way.mode = ""
+            endpoint.way.heal()
             if endpoint.mode != "drain":
                 endpoint.mode = ""
             endpoint.rate.name(None)
@@ -310,17 +347,21 @@
             instance.send(signal.SIGCONT)
 
     async def _work_as_planned(self) -> None:
-        """Stops instances and drains endpoints while callers go on."""
+        """Stops instances, drains endpoints and lets some rest."""
         self._start_kept_callers()
-        for service in ("pool", "desk"):
+        for service in SERVICES:
             await plannedstops.stop_some(
                 self.instances, self.evidence, self.rng
             )
-            own = [e for e in self.endpoints if e.service == service]
-            self.rng.choice(own).end("drain")
+            own = self._list_endpoints(service)
+            leaving, resting = self.rng.sample(own, 2)
+            leaving.end("drain")
+            rest_s = self.rng.choice(RESTS_S)
+            rest = asyncio.ensure_future(resting.rest(rest_s, fleet.SEEN_S))
             await asyncio.sleep(fleet.SEEN_S)
             self._revoke_one()
             await self._wait_ready()
+            await rest
             for instance in self.instances:
                 instance.stopped_s = None
         await asyncio.sleep(LAST_S)
--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -15,12 +15,14 @@
     Attributes:
       revision: rises with each change.
       refuses: whether every call is answered 503.
+      refuses_writes: whether every write is, as without a majority of disks.
       delay_s: how long each answer takes.
     """
 
     def __init__(self) -> None:
         self.revision = 1
         self.refuses = False
+        self.refuses_writes = False
         self.delay_s = 0.0
         self._objects: dict[str, dict[str, Any]] = {}
         self._events: list[tuple[int, str, bool, dict[str, Any]]] = []
@@ -57,7 +59,7 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answers one call."""
         await asyncio.sleep(self.delay_s)
-        if self.refuses:
+        if self.refuses or (self.refuses_writes and request.method != "GET"):
             return web.Response(status=503)
         path = request.path.removeprefix("/objects/")
         if request.method == "GET" and "watch" in request.query:
