Say with each seed for how long the soak itself stood still

The soak's process, which is caller, proxy and endpoint, stood still. Nothing in its output told so.

Each seed now says the longest such time. It excuses nothing.

--- a/tools/soak/evidence.py
+++ b/tools/soak/evidence.py
@@ -1,5 +1,6 @@
 """What callers and endpoints saw, and whether it is allowed."""
 
+import asyncio
 import dataclasses
 import math
 import time
@@ -8,6 +9,8 @@
 DRAIN_S = 2.0
 # Seconds for which a process that was disturbed is not held to limits.
 CALM_S = 4.0
+# Seconds between two looks at whether the soak itself stands still.
+TICK_S = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -55,6 +58,8 @@
       stopped_s: when a process was told to stop in calm times, by its id.
       left_s: when the leaving of an endpoint was acknowledged, by its id.
       calm_s: since when nothing is disturbed; None while something is.
+      stall_s: longest time in seconds for which the soak stood still; its
+        callers and endpoints were as late.
       faults: rules that were broken, in words.
     """
 
@@ -74,8 +79,16 @@
     stopped_s: dict[int, float] = dataclasses.field(default_factory=dict)
     left_s: dict[str, float] = dataclasses.field(default_factory=dict)
     calm_s: float | None = None
+    stall_s: float = 0.0
     faults: list[str] = dataclasses.field(default_factory=list)
 
+    async def watch_stalls(self) -> None:
+        """Measures until it is cancelled how long the soak stood still."""
+        while True:
+            due_s = read_clock() + TICK_S
+            await asyncio.sleep(TICK_S)
+            self.stall_s = max(self.stall_s, read_clock() - due_s)
+
     def note_run(self, request_id: str, endpoint_id: str) -> None:
         """Takes in that an endpoint runs a request."""
         runs = self.runs.setdefault(request_id, [])
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -114,6 +114,7 @@
             await self._start(stack, group, store_port)
             await self._wait_ready()
             self._start_callers()
+            watching = group.create_task(self.evidence.watch_stalls())
             faulting = group.create_task(self._inject_faults())
             await asyncio.sleep(length_s)
             faulting.cancel()
@@ -127,6 +128,7 @@
                 task.cancel()
             await asyncio.sleep(QUIET_S)
             self._check_memory()
+            watching.cancel()
             self.stop.set()
             for instance in self.instances:
                 instance.send(signal.SIGKILL)
@@ -412,7 +414,8 @@
         served = seen.count(200)
         click.echo(
             f"seed {seed}: {len(seen.sent)} sent, {served} served, "
-            f"{len(seen.faults)} rules broken"
+            f"{len(seen.faults)} rules broken; the soak stood still for "
+            f"{seen.stall_s:.2f} s at most"
         )
         for fault in seen.faults:
             click.echo(f"  {fault}")
