--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -141,12 +141,12 @@
         self._rest.note_arrival(request_id, self.way)
         leavewatch.check_arrival(self._evidence, request_id, self.id)
         if self._has_left:
-            answer[leavewatch.LEAVING] = "1"
+            answer[names.LEAVING] = "1"
         if self.rate.per_s is not None:
             answer[names.LIMIT] = f"{self.rate.per_s:g}"
         if self.mode == "rest":
             self._rest.ask(request_id, self.rest_s)
-            answer[restwatch.RETRY_AFTER] = f"{self.rest_s:g}"
+            answer[names.RETRY_AFTER] = f"{self.rest_s:g}"
         if self.mode in ("shed", "rest"):
             answer[names.NOT_EXECUTED] = "1"
             return web.Response(status=503, headers=answer)
@@ -190,7 +190,7 @@
             self._leases[str(order["id"])] = now_s + hold_s
         else:
             self._leases.pop(str(order["id"]), None)
-        headers = {leavewatch.LEAVING: "1"} if self._has_left else {}
+        headers = {names.LEAVING: "1"} if self._has_left else {}
         return web.Response(text="{}", headers=headers)
 
     def count_leases(self) -> int:
--- a/tools/soak/leavewatch.py
+++ b/tools/soak/leavewatch.py
@@ -5,15 +5,12 @@
 from rhubarblock.platform import names
 from tools.soak import evidence as evidences
 
-# Field of all answers of an endpoint that leaves.
-LEAVING = "Server-Leaving"
-
 
 def note_answer(
     evidence: evidences.Evidence, headers: Mapping[str, str], process_id: int
 ) -> None:
     """Takes in whether a process passed on that an endpoint leaves."""
-    if LEAVING not in headers:
+    if names.LEAVING not in headers:
         return
     # The signature is the mark of a rate watch, which begins with the id.
     endpoint_id = headers.get(names.SEAL, "").partition(".")[0]
--- a/tools/soak/restwatch.py
+++ b/tools/soak/restwatch.py
@@ -5,8 +5,6 @@
 from tools.soak import evidence as evidences
 from tools.soak import proxy as proxies
 
-# Field of a 503 with the seconds in which an endpoint wants no more requests.
-RETRY_AFTER = "Retry-After"
 # Seconds after an answer in which requests that were under way still arrive.
 UNDER_WAY_S = 0.5
 # Requests of one process that may arrive in the rest of the time.
