--- a/features/soak_test.py
+++ b/features/soak_test.py
@@ -290,7 +290,7 @@
     clock = [REMOVED_S - sent_s]
     monkeypatch.setattr(evidences, "read_clock", lambda: clock[0])
     seen = make_evidence("again", process_id=5)
-    headers = {leavewatch.LEAVING: "1", names.SEAL: "e1.77.0"}
+    headers = {names.LEAVING: "1", names.SEAL: "e1.77.0"}
     leavewatch.note_answer(seen, {names.SEAL: "e2.77.0"}, told_process)
     leavewatch.note_answer(seen, headers, told_process)
     clock[0] = REMOVED_S
--- a/rhubarblock/experiments/endpointrests/fleet.py
+++ b/rhubarblock/experiments/endpointrests/fleet.py
@@ -84,7 +84,7 @@
         self._data_centre = data_centre
         self._rng = random.Random(f"{fleet.seed} {name}")
         self._health = healths.Health(data_centre)
-        self._calls = callbook.CallBook(self._health, data_centre)
+        self._calls = callbook.CallBook(self._health, data_centre, self._timers)
         self._notice = ways.make_notice(
             fleet.way, random.Random(f"{fleet.seed} {name} hints")
         )
