--- /dev/null
+++ b/rhubarblock/experiments/storereturn/__init__.py
@@ -0,0 +1,4 @@
+"""The scenario ``store-return``: who writes lost lines into the store again?
+
+Others use ``scenario``. Read on in ``fleet`` and ``backstore``.
+"""
--- /dev/null
+++ b/rhubarblock/experiments/storereturn/backstore.py
@@ -0,0 +1,157 @@
+"""A store in memory that came back older, with the platform's rates."""
+
+import asyncio
+import bisect
+from collections.abc import AsyncIterator
+from collections.abc import Iterable
+import dataclasses
+
+from rhubarblock.core import position as positions
+from rhubarblock.store import store as stores
+
+# Seconds from a call until its answer.
+ANSWER_S = 0.004
+# Seconds over which the store counts calls against its rates.
+WINDOW_S = 1.0
+# The era of the copy, and the one that began as the store came back.
+COPY_ERA = 1
+ERA = 2
+
+_Kind = stores.StoreErrorKind
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Rates:
+    """What the store takes.
+
+    Attributes:
+      writes_per_s: writing calls a second.
+      reads_per_s: reading calls a second, lists among them.
+    """
+
+    writes_per_s: int
+    reads_per_s: int
+
+
+class BackStore(stores.ObjectStore):
+    """The store from the moment at which it came back, its time zero.
+
+    Attributes:
+      reads_s: when reads came, refused ones too, in monotonic seconds.
+      lists_s: the same for lists.
+      writes_s: the same for writes.
+      written_s: when each object was written in this era.
+      limited: calls refused as over the rate.
+      away: calls refused as the store was not ready.
+    """
+
+    def __init__(
+        self, rates: Rates, copy: dict[str, bytes], ready_s: float = 0.0
+    ):
+        """Creates a store.
+
+        Args:
+          rates: what it takes.
+          copy: the objects that the copy has, by name.
+          ready_s: until when it refuses every call.
+        """
+        self.reads_s: list[float] = []
+        self.lists_s: list[float] = []
+        self.writes_s: list[float] = []
+        self.written_s: dict[str, float] = {}
+        self.limited = 0
+        self.away = 0
+        self._rates = rates
+        self._ready_s = ready_s
+        self._taken_reads_s: list[float] = []
+        self._taken_writes_s: list[float] = []
+        self._revision = len(copy)
+        self._objects = {
+            name: stores.StoredObject(
+                name, positions.Position(COPY_ERA, number), value
+            )
+            for number, (name, value) in enumerate(copy.items(), 1)
+        }
+
+    def find_missing(self, names: Iterable[str]) -> set[str]:
+        """Returns which of some objects are not there."""
+        return set(names) - self._objects.keys()
+
+    async def read(self, name: str) -> stores.StoredObject:
+        await self._arrive(self.reads_s)
+        self._admit_read()
+        stored = self._objects.get(name)
+        await asyncio.sleep(ANSWER_S / 2.0)
+        if stored is None:
+            raise stores.StoreError(_Kind.NOT_FOUND)
+        return stored
+
+    async def list_objects(self, prefix: str) -> stores.Page:
+        await self._arrive(self.lists_s)
+        self._admit_read()
+        objects = self._objects
+        found = [objects[name] for name in objects if name.startswith(prefix)]
+        page = stores.Page(
+            tuple(found), positions.Position(ERA, self._revision)
+        )
+        await asyncio.sleep(ANSWER_S / 2.0)
+        return page
+
+    async def write(
+        self, name: str, value: bytes, expected_version: positions.Position
+    ) -> stores.StoredObject:
+        await self._arrive(self.writes_s)
+        self._admit(self._taken_writes_s, self._rates.writes_per_s)
+        present = self._objects.get(name)
+        version = present.version if present else positions.NOWHERE
+        if version != expected_version:
+            raise stores.StoreError(_Kind.CONFLICT)
+        self._revision += 1
+        position = positions.Position(ERA, self._revision)
+        stored = stores.StoredObject(name, position, value)
+        self._objects[name] = stored
+        self.written_s[name] = _read_clock()
+        await asyncio.sleep(ANSWER_S / 2.0)
+        return stored
+
+    async def delete(
+        self, name: str, expected_version: positions.Position
+    ) -> None:
+        raise NotImplementedError("no line is taken out here")
+
+    def watch(
+        self, prefix: str, after: positions.Position
+    ) -> AsyncIterator[stores.StoredObject]:
+        raise NotImplementedError("nobody watches here")
+
+    async def _arrive(self, calls_s: list[float]) -> None:
+        """Brings a call to the store and counts it."""
+        await asyncio.sleep(ANSWER_S / 2.0)
+        calls_s.append(_read_clock())
+
+    def _admit_read(self) -> None:
+        self._admit(self._taken_reads_s, self._rates.reads_per_s)
+
+    def _admit(self, taken_s: list[float], limit: int) -> None:
+        """Takes a call or refuses it.
+
+        Args:
+          taken_s: when earlier calls of this kind were taken.
+          limit: how many are taken within ``WINDOW_S``.
+
+        Raises:
+          store.StoreError: the store is not ready, or took too many.
+        """
+        now_s = _read_clock()
+        if now_s < self._ready_s:
+            self.away += 1
+            raise stores.StoreError(_Kind.UNAVAILABLE)
+        begin_s = now_s - WINDOW_S
+        if len(taken_s) - bisect.bisect_right(taken_s, begin_s) >= limit:
+            self.limited += 1
+            raise stores.StoreError(_Kind.RATE_LIMITED)
+        taken_s.append(now_s)
+
+
+def _read_clock() -> float:
+    return asyncio.get_running_loop().time()
--- a/rhubarblock/scripts/measure.py
+++ b/rhubarblock/scripts/measure.py
@@ -24,6 +24,8 @@
 from rhubarblock.experiments.limits import scenario as limits
 from rhubarblock.experiments.platform import mix as platformmix
 from rhubarblock.experiments.platform import play as platformplay
+from rhubarblock.experiments.storereturn import fleet as returnfleet
+from rhubarblock.experiments.storereturn import scenario as storereturn
 from rhubarblock.kernel import registry as registries
 from rhubarblock.kernel import virtualloop
 from rhubarblock.routing.placement import parting
@@ -182,6 +184,60 @@
     click.echo(endpointrests.make_table(results))
 
 
+@measure_group.command("store-return")
+@click.option(
+    "--way",
+    "chosen_ways",
+    type=click.Choice(returnfleet.WAYS),
+    multiple=True,
+    default=returnfleet.WAYS,
+    show_default=True,
+)
+@click.option(
+    "--instances",
+    "sizes",
+    type=click.IntRange(min=1),
+    multiple=True,
+    default=storereturn.SIZES,
+    show_default=True,
+)
+@click.option(
+    "--lines",
+    "variants",
+    type=click.Choice(tuple(storereturn.LOST_PARTS)),
+    multiple=True,
+    default=tuple(storereturn.LOST_PARTS),
+    show_default=True,
+    help="Which lines are lost.",
+)
+@click.option(
+    "--store",
+    "store_variants",
+    type=click.Choice(tuple(storereturn.AWAY_S)),
+    multiple=True,
+    default=tuple(storereturn.AWAY_S),
+    show_default=True,
+    help="Whether the store refuses calls for a moment after its return.",
+)
+@seed_option
+def store_return_command(
+    chosen_ways: tuple[str, ...],
+    sizes: tuple[int, ...],
+    variants: tuple[str, ...],
+    store_variants: tuple[str, ...],
+    seed: int,
+) -> None:
+    """The store comes back older; ways to write lost lines, as a table."""
+    results = [
+        storereturn.measure(way, size, lines, store, seed)
+        for store in store_variants
+        for lines in variants
+        for size in sizes
+        for way in chosen_ways
+    ]
+    click.echo(storereturn.make_table(results))
+
+
 @measure_group.command("noisy-neighbour")
 @policy_option
 @seed_option
