--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -66,6 +66,8 @@
         self._rng = rng
         self._leases: dict[str, float] = {}
         self._born_ms = 0
+        # What its entry says; empty while it has none.
+        self._state = ""
         # Whether the last start said that it leaves: its id is not used again.
         self._has_left = True
 
@@ -89,6 +91,7 @@
                 await _wait_any(self._ended, stop)
                 if self.mode == "drain":
                     await self._leave()
+                self._state = ""
                 self._store.remove(f"servers/{self.id}")
             self.mode = ""
             await asyncio.sleep(0.5)
@@ -116,7 +119,13 @@
         self._evidence.left_s[self.id] = evidences.read_clock()
         await asyncio.sleep(DRAIN_S)
 
+    def list_again(self) -> None:
+        """Writes the entry anew where this start has one."""
+        if self._state:
+            self._list(self._state)
+
     def _list(self, state: str) -> None:
+        self._state = state
         self._store.put(
             f"servers/{self.id}",
             {
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -13,6 +13,7 @@
 import click
 
 from tools.soak import callers
+from tools.soak import drill
 from tools.soak import engines
 from tools.soak import evidence as evidences
 from tools.soak import fleet
@@ -102,6 +103,7 @@
         self.keys = [f"key-{n}" for n in range(6)]
         self.version = 1
         self.stop = asyncio.Event()
+        self._is_drilling = False
 
     async def play(self, length_s: float) -> evidences.Evidence:
         """Plays for some seconds and returns what was seen."""
@@ -137,6 +139,9 @@
 
     def _write_configuration(self) -> None:
         self.version += self.rng.randint(1, 3)
+        self._put_configuration()
+
+    def _put_configuration(self) -> None:
         self.store.put(
             "config/main", make_configuration(self.version, self.keys)
         )
@@ -226,6 +231,7 @@
             self._terminate,
             self._break_way,
             self._break_store,
+            self._drill,
             self._break_endpoint,
             self._end_endpoint,
             self._revoke,
@@ -234,7 +240,7 @@
             self._ask_for_rest,
         )
         # These come in each seed, the others by chance.
-        due = [self._leave_unseen, self._ask_for_rest]
+        due = [self._leave_unseen, self._ask_for_rest, self._drill]
         running: set[asyncio.Task[None]] = set()
         while True:
             await asyncio.sleep(self.rng.uniform(0.2, 1.2))
@@ -278,6 +284,22 @@
         self.store.refuses = False
         self.store.delay_s = 0.0
 
+    async def _drill(self) -> None:
+        """Lets the store come back older, unless it is away already."""
+        if self.store.refuses or self._is_drilling:
+            return
+        self._is_drilling = True
+        try:
+            await drill.play(
+                self.store,
+                self.endpoints,
+                self.evidence,
+                self._put_configuration,
+                self.rng,
+            )
+        finally:
+            self._is_drilling = False
+
     def _list_endpoints(self, service: str) -> list[engines.SoakEndpoint]:
         return [e for e in self.endpoints if e.service == service]
 
--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -3,17 +3,40 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import dataclasses
 import json
 from typing import Any
 
 from aiohttp import web
 
+from rhubarblock.platform import names
+from tools.soak import evidence as evidences
+
+# Seconds for which copies are kept.
+KEPT_S = 6.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Copy:
+    """What the store held at a moment.
+
+    Attributes:
+      at_s: the moment.
+      revision: the latest one then.
+      objects: items by name.
+    """
+
+    at_s: float
+    revision: int
+    objects: dict[str, dict[str, Any]]
+
 
 class SoakStore:
     """Objects in memory behind the platform's calls.
 
     Attributes:
       revision: rises with each change.
+      era: how often it came back from an older copy of itself.
       refuses: whether every call is answered 503.
       refuses_writes: whether every write is, as without a majority of disks.
       delay_s: how long each answer takes.
@@ -21,12 +44,14 @@
 
     def __init__(self) -> None:
         self.revision = 1
+        self.era = 1
         self.refuses = False
         self.refuses_writes = False
         self.delay_s = 0.0
         self._objects: dict[str, dict[str, Any]] = {}
         self._events: list[tuple[int, str, bool, dict[str, Any]]] = []
         self._oldest = 0
+        self._copies: list[Copy] = []
         self._changed = asyncio.Event()
 
     def put(self, name: str, specification: Any) -> int:
@@ -56,8 +81,43 @@
         self._oldest = self.revision
         self._wake()
 
+    def come_back(self, age_s: float) -> float:
+        """Begins an era with a copy that is some seconds old.
+
+        Returns:
+          The moment of the copy; what was written since is gone.
+        """
+        at_s = evidences.read_clock() - age_s
+        copy = max(
+            (c for c in self._copies if c.at_s <= at_s),
+            key=lambda c: c.at_s,
+            default=self._copies[0],
+        )
+        self.era += 1
+        self.revision = copy.revision
+        self._objects = dict(copy.objects)
+        self._copies.clear()
+        self._keep_copy()
+        self.forget_history()
+        return copy.at_s
+
+    def list_names(self, kind: str) -> list[str]:
+        """Returns the names of all objects of a kind."""
+        return [name for name in self._objects if name.startswith(kind)]
+
+    def _keep_copy(self) -> None:
+        now_s = evidences.read_clock()
+        copy = Copy(now_s, self.revision, dict(self._objects))
+        kept = [c for c in self._copies if c.at_s >= now_s - KEPT_S]
+        self._copies = [*kept, copy]
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answers one call."""
+        """Answers one call; every answer names the era."""
+        response = await self._answer(request)
+        response.headers[names.STORE_ERA] = str(self.era)
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.Response:
         await asyncio.sleep(self.delay_s)
         if self.refuses or (self.refuses_writes and request.method != "GET"):
             return web.Response(status=503)
@@ -80,13 +140,13 @@
 
     async def _watch(self, kind: str, query: Any) -> web.Response:
         after = int(query["watch"])
-        if after < self._oldest:
+        if not self._oldest <= after <= self.revision:
             return web.Response(status=410)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(query["waitMs"]) / 1e3):
                 while not self._find_events(kind, after):
                     await self._changed.wait()
-        if after < self._oldest:
+        if not self._oldest <= after <= self.revision:
             return web.Response(status=410)
         events = self._find_events(kind, after)
         return _answer({"events": events, "storeRevision": self.revision})
@@ -115,6 +175,7 @@
 
     def _note(self, name: str, removed: bool, item: dict[str, Any]) -> None:
         self._events.append((self.revision, name, removed, item))
+        self._keep_copy()
         self._wake()
 
     def _wake(self) -> None:
