Part the book of the store's state, the feed and an instance by job

No behaviour is changed.

A test of three returns within six seconds is new: an entry that left is held back anew at each.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -11,11 +11,11 @@
 import random
 
 import aiohttp
-from aiohttp import web
 
 from rhubarblock.daemon import listener as listeners
 from rhubarblock.daemon import peersearch
 from rhubarblock.daemon import plannedstop
+from rhubarblock.daemon import statuspages
 from rhubarblock.exchange import attempts
 from rhubarblock.exchange import candidates
 from rhubarblock.exchange import crashes
@@ -38,7 +38,6 @@
 from rhubarblock.exchange.state import follower as followers
 from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.kernel import countlog
-from rhubarblock.kernel import exposition
 from rhubarblock.kernel import life as lives
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
@@ -295,13 +294,16 @@
             self.metrics,
             self.eras,
         )
+        pages = statuspages.StatusPages(
+            self.life, self.authority, self.eras, self.timers, self.metrics
+        )
         self._callers = await stack.enter_async_context(
             listeners.open_listener(door.handle, settings.callers, KEEPALIVE_S)
         )
         for handler, address in (
-            (self._answer_readiness, settings.readiness),
+            (pages.answer_readiness, settings.readiness),
             (feed.handle, settings.peers),
-            (self._answer_metrics, settings.metrics),
+            (pages.answer_metrics, settings.metrics),
         ):
             await stack.enter_async_context(
                 listeners.open_listener(handler, address, KEEPALIVE_S)
@@ -386,29 +388,5 @@
         while await self.authority.wait_valid(LOOK_S) is None:
             pass
 
-    async def _answer_readiness(
-        self, request: web.BaseRequest
-    ) -> web.StreamResponse:
-        del request
-        ready = (
-            self.life.state is lives.LifeState.READY
-            and self.authority.find_valid() is not None
-        )
-        return web.Response(status=200 if ready else 503)
-
-    async def _answer_metrics(
-        self, request: web.BaseRequest
-    ) -> web.StreamResponse:
-        del request
-        self.metrics.gauge("exchange.in_flight", self.life.in_flight)
-        self.metrics.gauge("timers.wakeups", self.timers.wakeups)
-        self.metrics.gauge("configuration.version", self.authority.version)
-        self.metrics.gauge("configuration.age_s", self.authority.age_s)
-        self.metrics.gauge("store.era", self.eras.current)
-        return web.Response(
-            body=exposition.render(self.metrics),
-            headers={"Content-Type": exposition.CONTENT_TYPE},
-        )
-
     def _log_life(self, step: Callable[[], None]) -> None:
         lives.log_step(_logger, self.life, self.settings.instance_id, step)
--- /dev/null
+++ b/rhubarblock/daemon/statuspages.py
@@ -0,0 +1,68 @@
+"""What an instance tells the balancer and those that scrape its counters."""
+
+from aiohttp import web
+
+from rhubarblock.exchange.state import authority as authorities
+from rhubarblock.kernel import exposition
+from rhubarblock.kernel import life as lives
+from rhubarblock.kernel import metrics as metric_store
+from rhubarblock.kernel import timers as timer_service
+from rhubarblock.store import era as era_lib
+
+
+class StatusPages:
+    """Handlers of the readiness and the metrics address."""
+
+    __slots__ = ("_authority", "_eras", "_life", "_metrics", "_timers")
+
+    def __init__(
+        self,
+        life: lives.InstanceLife,
+        authority: authorities.Authority,
+        eras: era_lib.EraWatch,
+        timers: timer_service.LoopTimers,
+        metrics: metric_store.Metrics,
+    ):
+        """Creates the pages of one instance.
+
+        Args:
+          life: its state.
+          authority: the configuration in force.
+          eras: the store's era.
+          timers: counts wake-ups.
+          metrics: counters to show.
+        """
+        self._life = life
+        self._authority = authority
+        self._eras = eras
+        self._timers = timers
+        self._metrics = metrics
+
+    async def answer_readiness(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Answers 200 while new connections are wanted."""
+        del request
+        ready = (
+            self._life.state is lives.LifeState.READY
+            and self._authority.find_valid() is not None
+        )
+        return web.Response(status=200 if ready else 503)
+
+    async def answer_metrics(
+        self, request: web.BaseRequest
+    ) -> web.StreamResponse:
+        """Answers with all counters as text."""
+        del request
+        for name, value in (
+            ("exchange.in_flight", self._life.in_flight),
+            ("timers.wakeups", self._timers.wakeups),
+            ("configuration.version", self._authority.version),
+            ("configuration.age_s", self._authority.age_s),
+            ("store.era", self._eras.current),
+        ):
+            self._metrics.gauge(name, value)
+        return web.Response(
+            body=exposition.render(self._metrics),
+            headers={"Content-Type": exposition.CONTENT_TYPE},
+        )
--- a/rhubarblock/exchange/state/__init__.py
+++ b/rhubarblock/exchange/state/__init__.py
@@ -2,6 +2,7 @@
 
 Others read ``authority`` (the routing table under its lease) and ``directory``
 (the endpoints). Read on in ``follower`` (asks the store or a peer), ``feed``
-(answers peers), ``book`` (what was said last, as it was said) and ``subset``
-(which endpoints of a long list an instance uses).
+(answers peers), ``book`` (what was said last, as it was said), ``changelog``
+and ``removals`` (what changed and what was removed) and ``subset`` (which
+endpoints of a long list an instance uses).
 """
--- a/rhubarblock/exchange/state/book.py
+++ b/rhubarblock/exchange/state/book.py
@@ -10,7 +10,6 @@
 from collections.abc import Iterable
 import contextlib
 import dataclasses
-import functools
 import logging
 
 from rhubarblock.core import document as documents
@@ -18,22 +17,13 @@
 from rhubarblock.core import position as positions
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange.state import authority as authorities
+from rhubarblock.exchange.state import changelog
 from rhubarblock.exchange.state import directory as directories
 from rhubarblock.exchange.state import history
+from rhubarblock.exchange.state import removals
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.store import store as stores
 
-# Changes of the list that are kept for peers; one that is further behind gets
-# the whole list. A rolling replacement changes some entries a second.
-KEPT_CHANGES = 256
-# Seconds after the store's return from a copy for which an entry is held back
-# that was removed before: one that nobody renews is removed in that time.
-HOLD_S = 6.0
-# Entries whose version is remembered although they are not in the list: removed
-# ones, so that a peer which is behind does not bring them back, and ones that
-# can't be read. It holds the removals of an hour at the size built for.
-KEPT_VERSIONS = 1024
-
 _logger = logging.getLogger(__name__)
 
 
@@ -65,16 +55,13 @@
     __slots__ = (
         "_authority",
         "_changed",
-        "_changes",
         "_dialect",
         "_directory",
         "_document",
         "_entries",
         "_era_in_force",
-        "_first",
-        "_held",
         "_history",
-        "_number",
+        "_log",
         "_refused",
         "_removals",
         "_timers",
@@ -109,20 +96,14 @@
         self._document = documents.EMPTY
         self._history = history.History()
         self._entries: dict[str, stores.StoredObject] = {}
-        self._changes: list[stores.StoredObject] = []
-        self._number = 0
-        # Versions of removed entries by name, the oldest removal first.
-        self._removals: dict[str, positions.Position] = {}
-        # Versions of entries that can't be read, by name.
-        self._unread: dict[str, positions.Position] = {}
-        # Entries that the copy brought back although they were removed.
-        self._held: dict[str, stores.StoredObject] = {}
+        self._log = changelog.ChangeLog()
+        self._removals = removals.Removals(self.take_change, timers)
+        # Versions of entries that can't be read.
+        self._unread = removals.VersionMemory()
         # Era in which the configuration in force was read, and the last one
         # that was refused with its era.
         self._era_in_force = 0
         self._refused = documents.NOTHING, 0
-        # Number of the oldest change that is kept.
-        self._first = 1
         self._changed = asyncio.Event()
         self.complete = False
         self.era = 0
@@ -147,7 +128,7 @@
     @property
     def number(self) -> int:
         """Number of the latest change of the list."""
-        return self._number
+        return self._log.number
 
     def take_configuration(
         self, value: bytes, asked_s: float, era: int = 0
@@ -278,14 +259,14 @@
           era: era of the store in which it was read.
         """
         if era != self.era:
-            self._forget_changes()
+            self._log.forget()
         self.era = era
         listed = {stored.name: stored for stored in objects}
-        listing = self._hold_back(listed)
+        listing = self._removals.hold_back(listed)
         if sizes is None:
             # The store itself knows best what has come back.
             for name in listing:
-                self._removals.pop(name, None)
+                self._removals.forget(name)
         else:
             listing = {
                 name: stored
@@ -295,7 +276,7 @@
         for name in [n for n in self._entries if n not in listed]:
             gone = self._entries.pop(name)
             # Nobody said that it was removed, so it may come back as it was.
-            self._note(
+            self._log.note(
                 dataclasses.replace(
                     gone, version=positions.NOWHERE, value=b"", deleted=True
                 )
@@ -306,7 +287,7 @@
         for stored in listing.values():
             if self._entries.get(stored.name) != stored:
                 self._entries[stored.name] = stored
-                self._note(stored)
+                self._log.note(stored)
         self._directory.replace(self._decode(listing.values()))
         self._directory.tell_sizes(sizes or {})
         self.complete = sizes is None or _sum_sizes(sizes) <= len(listing)
@@ -316,42 +297,16 @@
         self.listed.set()
         self._wake()
 
-    def _hold_back(
-        self, listed: dict[str, stores.StoredObject]
-    ) -> dict[str, stores.StoredObject]:
-        """Returns a list without what a copy brought back for a moment.
-
-        An entry that was removed before and has not been written since may
-        stand in a copy. If it is listed for long it is renewed, so it counts.
-        """
-        copies = {
-            name: stored
-            for name, stored in listed.items()
-            if name in self._removals
-            and stored.version.may_copy(self._removals[name])
-        }
-        for name, stored in copies.items():
-            if self._held.get(name) != stored:
-                admit = functools.partial(self._admit, stored)
-                self._timers.call_later(HOLD_S, admit)
-        self._held = copies
-        return {n: s for n, s in listed.items() if n not in copies}
-
-    def _admit(self, stored: stores.StoredObject) -> None:
-        """Takes in an entry that was held back and is listed still."""
-        if self._held.get(stored.name) == stored:
-            self.take_change(stored)
-
     def take_change(self, stored: stores.StoredObject) -> None:
         """Takes in one change of the list, unless a later one is known."""
         if self._is_outdated(stored):
             return
-        self._held.pop(stored.name, None)
-        self._note(stored)
+        self._removals.note_change(stored.name)
+        self._log.note(stored)
         if stored.deleted:
             self._entries.pop(stored.name, None)
             self._directory.remove(stored.name.partition("/")[2])
-            _remember(self._removals, stored)
+            self._removals.note(stored)
         else:
             self._entries[stored.name] = stored
             self._update_endpoint(stored)
@@ -372,8 +327,7 @@
         """Whether more is known of an entry already."""
         if stored.deleted:
             return False
-        removed = self._removals.get(stored.name, positions.NOWHERE)
-        if stored.version <= removed:
+        if self._removals.is_outdated(stored):
             return True
         known = self._entries.get(stored.name)
         return known is not None and stored.version < known.version
@@ -384,10 +338,10 @@
         Args:
           after: number of the latest change that is known, 0 for none.
         """
-        if self._first <= after + 1 <= self._number + 1 and after > 0:
-            changes = self._changes[after + 1 - self._first :]
-            return ListNews(self._number, False, tuple(changes))
-        return ListNews(self._number, True, tuple(self._entries.values()))
+        changes = self._log.list_since(after)
+        if changes is not None:
+            return ListNews(self.number, False, tuple(changes))
+        return ListNews(self.number, True, tuple(self._entries.values()))
 
     async def wait_news(
         self, is_news: Callable[[], bool], timeout_s: float
@@ -399,13 +353,6 @@
                     self._changed.clear()
                     await self._changed.wait()
 
-    def _note(self, stored: stores.StoredObject) -> None:
-        self._number += 1
-        self._changes.append(stored)
-        if len(self._changes) > KEPT_CHANGES:
-            del self._changes[0]
-            self._first += 1
-
     def _decode(
         self, objects: Iterable[stores.StoredObject]
     ) -> list[lists.ListedEndpoint]:
@@ -417,19 +364,13 @@
                 self._note_unread(stored, error)
         return entries
 
-    def _forget_changes(self) -> None:
-        """Gives peers the whole list, as changes were of another era."""
-        self._changes.clear()
-        self._number += 1
-        self._first = self._number + 1
-
     def _note_unread(
         self, stored: stores.StoredObject, error: ValueError
     ) -> None:
         """Leaves one line for each change of an entry that can't be read."""
-        if self._unread.get(stored.name) == stored.version:
+        if self._unread.find(stored.name) == stored.version:
             return
-        _remember(self._unread, stored)
+        self._unread.note(stored)
         _logger.warning(
             "an entry names no endpoint",
             extra={"version": stored.version, "reason": str(error)},
@@ -444,13 +385,3 @@
 def _sum_sizes(sizes: directories.Sizes) -> int:
     """Returns how many endpoints there are."""
     return sum(sum(centres.values()) for centres in sizes.values())
-
-
-def _remember(
-    versions: dict[str, positions.Position], stored: stores.StoredObject
-) -> None:
-    """Keeps the version of an entry, and forgets the one kept for longest."""
-    versions.pop(stored.name, None)
-    versions[stored.name] = stored.version
-    if len(versions) > KEPT_VERSIONS:
-        del versions[next(iter(versions))]
--- a/rhubarblock/exchange/state/feed.py
+++ b/rhubarblock/exchange/state/feed.py
@@ -15,7 +15,6 @@
 uses, and after that all changes: one that it uses must not leave unnoticed.
 """
 
-import base64
 import dataclasses
 import json
 import logging
@@ -26,11 +25,11 @@
 from aiohttp import web
 
 from rhubarblock.core import document as documents
-from rhubarblock.core import position as positions
 from rhubarblock.exchange.state import authority as authorities
 from rhubarblock.exchange.state import book as statebook
 from rhubarblock.exchange.state import differencewire
 from rhubarblock.exchange.state import directory as directories
+from rhubarblock.exchange.state import entrywire
 from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
@@ -197,7 +196,7 @@
             "number": news.number,
             "whole": news.whole and self._book.complete,
             "sizes": self._directory.count_services(),
-            "objects": [_encode(stored) for stored in objects],
+            "objects": [entrywire.encode(stored) for stored in objects],
         }
 
     def _encode_changes(self, known: documents.Identity) -> str:
@@ -363,7 +362,7 @@
     def _take(
         self, fields: dict[str, Any], mark: Mark, confirmed_s: float, era: int
     ) -> None:
-        objects = [_decode(entry, era) for entry in fields["objects"]]
+        objects = [entrywire.decode(entry, era) for entry in fields["objects"]]
         if fields["whole"]:
             self._book.take_listing(objects, fields["sizes"], era)
         else:
@@ -403,18 +402,3 @@
             self._directory.tell_sizes(sizes)
         if objects:
             self._book.listed.set()
-
-
-def _encode(stored: stores.StoredObject) -> list[Any]:
-    """Returns an entry without its era, which the whole answer has."""
-    value = base64.b64encode(stored.value).decode()
-    return [stored.name, stored.version.revision, value, stored.deleted]
-
-
-def _decode(fields: list[Any], era: int) -> stores.StoredObject:
-    name, revision, value, deleted = fields
-    # A removal that nobody saw has no position of its own.
-    version = positions.NOWHERE
-    if revision:
-        version = positions.Position(era, revision)
-    return stores.StoredObject(name, version, base64.b64decode(value), deleted)
--- a/rhubarblock/exchange/state/feed_test.py
+++ b/rhubarblock/exchange/state/feed_test.py
@@ -17,6 +17,7 @@
 from rhubarblock.exchange import dialect as exchange_dialects
 from rhubarblock.exchange.state import authority as authorities
 from rhubarblock.exchange.state import book as statebook
+from rhubarblock.exchange.state import changelog
 from rhubarblock.exchange.state import differencewire
 from rhubarblock.exchange.state import directory as directories
 from rhubarblock.exchange.state import feed as statefeed
@@ -279,13 +280,13 @@
 def test_change_that_is_no_longer_kept_brings_the_whole_list():
     async def main():
         side = Side("r.1", Clock())
-        for number in range(statebook.KEPT_CHANGES + 5):
+        for number in range(changelog.KEPT_CHANGES + 5):
             side.book.take_change(entry(f"e{number}"))
         old = side.book.list_news(4)
-        recent = side.book.list_news(statebook.KEPT_CHANGES)
+        recent = side.book.list_news(changelog.KEPT_CHANGES)
         return old.whole, len(old.objects), recent.whole, len(recent.objects)
 
-    kept = statebook.KEPT_CHANGES
+    kept = changelog.KEPT_CHANGES
     assert asyncio.run(main()) == (True, kept + 5, False, 5)
 
 
--- a/rhubarblock/exchange/state/follower_test.py
+++ b/rhubarblock/exchange/state/follower_test.py
@@ -8,10 +8,10 @@
 import pytest
 
 from rhubarblock.core import position as positions
-from rhubarblock.exchange.state import book as statebook
 from rhubarblock.exchange.state import feed as statefeed
 from rhubarblock.exchange.state import feed_test as fakes
 from rhubarblock.exchange.state import follower as followers
+from rhubarblock.exchange.state import removals
 from rhubarblock.kernel import virtualloop
 from rhubarblock.store import store as stores
 
@@ -385,7 +385,7 @@
         store.remove("a")
         await asyncio.sleep(1.0)
         store.come_back(1)
-        await asyncio.sleep(statebook.HOLD_S + 2.0)
+        await asyncio.sleep(removals.HOLD_S + 2.0)
         return side.usable()
 
     assert run_eras(step) == ["a", "b"]
@@ -499,3 +499,17 @@
         return side.usable(), side.authority.find_valid() is not None
 
     assert run_eras(step) == (["a", "c"], True)
+
+
+def test_entry_that_left_is_held_back_anew_at_each_return():
+    async def step(side, store):
+        store.remove("a")
+        await asyncio.sleep(1.0)
+        seen = set()
+        for _ in range(3):
+            store.come_back(1)
+            await asyncio.sleep(removals.HOLD_S / 2)
+            seen.update(side.usable())
+        return seen
+
+    assert run_eras(step) == {"b"}
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -13,6 +13,7 @@
 import click
 
 from tools.soak import callers
+from tools.soak import configuration
 from tools.soak import drill
 from tools.soak import engines
 from tools.soak import evidence as evidences
@@ -52,44 +53,6 @@
 # Seconds of quiet at the end, in which memory must come free.
 QUIET_S = 5.0
 
-ENGINE = {
-    "slots": 8,
-    "kvCapacityTokens": 450_000,
-    "stride": 46,
-    "step_ms": 0.4,
-    "read_per_s": 1e7,
-    "chunk": 2048,
-}
-
-
-def make_configuration(version: int, keys: list[str]) -> dict[str, object]:
-    """Returns what the operator writes."""
-
-    def route(name: str, kind: str, service: str) -> dict[str, object]:
-        return {
-            "name": name,
-            "host": "soak.example",
-            "pathPrefix": f"/{name}/",
-            "routeKind": kind,
-            "timeoutMs": 5000,
-            "targetLatencyMs": 500,
-            "gapTargetMs": 200 if kind == "streaming" else 0,
-            "streamResume": kind == "streaming",
-            "maxAttempts": 2,
-            "service": service,
-        }
-
-    return {
-        "version": version,
-        "routes": [
-            route("s", "streaming", "pool"),
-            route("once", "non_idempotent", "desk"),
-            route("again", "idempotent", "desk"),
-        ],
-        "services": [{"name": "pool", "engine": ENGINE}, {"name": "desk"}],
-        "tenants": [{"name": "w", "apiKeys": keys}],
-    }
-
 
 class Soak:
     """One seed."""
@@ -143,7 +106,7 @@
 
     def _put_configuration(self) -> None:
         self.store.put(
-            "config/main", make_configuration(self.version, self.keys)
+            "config/main", configuration.make(self.version, self.keys)
         )
 
     async def _start(
