Call the wait for an endpoint by what it waits for

predict_permit and _wait_for_permit cover rests as well as rate limits, so they are predict_opening and _wait_for_opening.

--- a/rhubarblock/exchange/candidates.py
+++ b/rhubarblock/exchange/candidates.py
@@ -133,7 +133,7 @@
         ]
         return proven or sound or usable
 
-    def predict_permit(
+    def predict_opening(
         self, exchange: exchanges.Exchange, avoid: set[str]
     ) -> float | None:
         """Returns the seconds until an endpoint may be open for an exchange.
--- a/rhubarblock/exchange/candidates_test.py
+++ b/rhubarblock/exchange/candidates_test.py
@@ -146,7 +146,7 @@
         note_rest(side, "e0", 5.0)
         seen.append(side.candidates.find_return(exchange, set()))
         note_rest(side, "e1", 3.0)
-        predicted_s = side.candidates.predict_permit(exchange, set())
+        predicted_s = side.candidates.predict_opening(exchange, set())
         opening = side.candidates.find_return(exchange, set())
         return seen, predicted_s, opening
 
@@ -167,7 +167,7 @@
             side.list_for()
             side.limits.take("e1")
         return (
-            side.candidates.predict_permit(exchange, set()),
+            side.candidates.predict_opening(exchange, set()),
             side.candidates.find_return(exchange, set()).reason,
         )
 
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -188,12 +188,12 @@
             flow.exchange, flow.history.failed_endpoints
         )
 
-    def predict_permit(self, flow: flows.Flow) -> float | None:
+    def predict_opening(self, flow: flows.Flow) -> float | None:
         """Returns the seconds until an endpoint may be open.
 
         None if one is open that named no limit.
         """
-        return self._candidates.predict_permit(
+        return self._candidates.predict_opening(
             flow.exchange, flow.history.failed_endpoints
         )
 
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -31,9 +31,9 @@
 # slot is free again within a short stream's length.
 ROOM_TRIES = 30
 ROOM_S = 0.05
-# Seconds between two looks of a new exchange that waits for a permit to use an
-# endpoint that named a rate limit.
-PERMIT_LOOK_S = 0.02
+# Seconds between two looks of a new exchange that waits until an endpoint wants
+# it.
+OPENING_LOOK_S = 0.02
 # Longest seconds until it is asked again when a waiting exchange had better
 # begin: some prompts come or end meanwhile in a burst.
 START_S = 0.1
@@ -118,7 +118,7 @@
         """Makes one attempt and returns why it failed, if it did."""
         avoid = flow.history.failed_endpoints
         await self._wait_for_room(flow)
-        await self._wait_for_permit(flow)
+        await self._wait_for_opening(flow)
         await self._wait_for_start(flow)
         with self._placer.hold(
             flow.exchange, avoid, flow.sink.begun, flow.refusals
@@ -193,12 +193,12 @@
                 return
             await asyncio.sleep(ROOM_S)
 
-    async def _wait_for_permit(self, flow: flows.Flow) -> None:
+    async def _wait_for_opening(self, flow: flows.Flow) -> None:
         """Lets a new exchange wait a little where endpoints' wishes stop it.
 
         It is refused at once if no rate limit has room and no rest ends soon.
         """
-        if flow.history.attempts or self._placer.predict_permit(flow) is None:
+        if flow.history.attempts or self._placer.predict_opening(flow) is None:
             return
         service = flow.exchange.service.name
         workspace = flow.exchange.workspace
@@ -207,7 +207,7 @@
                 self._queue.note_passed(service, workspace)
 
     async def _wait_for_turn(self, flow: flows.Flow) -> bool:
-        """Waits until a permit is there and no other workspace is next.
+        """Waits until an endpoint is open and no other workspace is next.
 
         Returns:
           Whether there is one.
@@ -218,12 +218,12 @@
             has_room = self._placer.has_room(flow)
             if has_room and self._queue.is_next(service, workspace):
                 return True
-            wait_s = self._placer.predict_permit(flow)
+            wait_s = self._placer.predict_opening(flow)
             now_s = self._timers.read_monotonic()
             left_s = endpointlimits.find_patience(flow.exchange, now_s)
             if wait_s is None or wait_s > left_s or not left_s:
                 return has_room
-            await asyncio.sleep(PERMIT_LOOK_S)
+            await asyncio.sleep(OPENING_LOOK_S)
 
     def _refuse(self, flow: flows.Flow) -> failures.FailureError:
         """Returns the failure of an exchange that has no place to go."""
