Tell what a return lost from what was missing before it

- An entry that was missing when the store came back older was taken for one that the return had lost, and was used again for two seconds.
- Of two returns within two seconds the first one's time decided for how long a lost entry is waited for, so an endpoint that lived was dropped.
- A removal that was learned from the store's list, and not from a watch, was not remembered, so the copy could bring the entry back.

Only entries that are missing since the last return are waited for, from that return on, and an entry that a list of the store lacks counts as removed at the position of that list. Named tests for all three failed before.

--- a/rhubarblock/exchange/state/book.py
+++ b/rhubarblock/exchange/state/book.py
@@ -248,7 +248,7 @@
         self,
         objects: Iterable[stores.StoredObject],
         sizes: directories.Sizes | None = None,
-        era: int = 0,
+        at: positions.Position = positions.NOWHERE,
     ) -> None:
         """Takes in a list of endpoints that replaces the one before.
 
@@ -256,11 +256,12 @@
           objects: its entries.
           sizes: how many endpoints there are where the list may lack some;
             None says that it is whole.
-          era: era of the store in which it was read.
+          at: where the store stood when it was read; of a peer's list only the
+            era is known.
         """
-        if era != self.era:
+        if at.era != self.era:
             self._log.forget()
-        self.era = era
+        self.era = at.era
         listed = {stored.name: stored for stored in objects}
         listing = self._removals.hold_back(listed)
         if sizes is None:
@@ -274,13 +275,7 @@
                 if not self._is_outdated(stored)
             }
         for name in [n for n in self._entries if n not in listed]:
-            gone = self._entries.pop(name)
-            # Nobody said that it was removed, so it may come back as it was.
-            self._log.note(
-                dataclasses.replace(
-                    gone, version=positions.NOWHERE, value=b"", deleted=True
-                )
-            )
+            self._note_missing(self._entries.pop(name), at)
         # Where more is known of an entry than the peer knows, that stays.
         kept = [self._entries[name] for name in listed if name in self._entries]
         listing = {stored.name: stored for stored in kept} | listing
@@ -297,6 +292,22 @@
         self.listed.set()
         self._wake()
 
+    def _note_missing(
+        self, known: stores.StoredObject, at: positions.Position
+    ) -> None:
+        """Takes in that a list lacks an entry.
+
+        The store's own list says that it was removed by then. Of a peer's list
+        nobody knows when it was read, so the entry may come back as it was.
+        """
+        version = at if at.revision else positions.NOWHERE
+        gone = dataclasses.replace(
+            known, version=version, value=b"", deleted=True
+        )
+        self._log.note(gone)
+        if version:
+            self._removals.note(gone)
+
     def take_change(self, stored: stores.StoredObject) -> None:
         """Takes in one change of the list, unless a later one is known."""
         if self._is_outdated(stored):
--- a/rhubarblock/exchange/state/directory.py
+++ b/rhubarblock/exchange/state/directory.py
@@ -78,6 +78,7 @@
         "_drain_s",
         "_ended",
         "_endpoints",
+        "_returned_s",
         "_returns",
         "_services",
         "_sizes",
@@ -99,6 +100,7 @@
         self._ended: dict[str, _Ended] = {}
         # Returns of the store after which missing entries may be written again.
         self._returns = 0
+        self._returned_s = -math.inf
         self.on_restart: Callable[[str], None] = lambda endpoint_id: None
         self._endpoints: dict[str, Endpoint] = {}
         # The same endpoints by service, as each request asks for one service.
@@ -127,12 +129,23 @@
         """Takes in that the store came back older.
 
         It lacks entries that were written since; those who live write them
-        again, and are used until they had the time for that.
+        again, and are used until they had the time for that. Entries that had
+        been missing before are not among these.
         """
+        now_s = self._timers.read_monotonic()
+        for endpoint in self._endpoints.values():
+            if self._returns and self._may_return(endpoint):
+                endpoint.missing_since_s = now_s
+        self._returned_s = now_s
         self._returns += 1
         self._note_change()
         self._timers.call_later(RETURN_S, self._end_return)
 
+    def _may_return(self, endpoint: Endpoint) -> bool:
+        """Says whether an entry is missing since the store's last return."""
+        since_s = endpoint.missing_since_s
+        return since_s is not None and since_s >= self._returned_s
+
     def _end_return(self) -> None:
         self._returns -= 1
         self._note_change()
@@ -314,7 +327,7 @@
             usable = [e for e in pool if now_s < e.last_resort_s]
         present = [e for e in usable if e.missing_since_s is None]
         if self._returns:
-            present = usable
+            present += [e for e in usable if self._may_return(e)]
         chosen = present if 2 * len(present) >= len(usable) else usable
         return [endpoint.listed for endpoint in chosen]
 
--- a/rhubarblock/exchange/state/directory_test.py
+++ b/rhubarblock/exchange/state/directory_test.py
@@ -203,3 +203,30 @@
     directory.remove("b")
     directory.update(A)
     assert usable(directory) == ["a"]
+
+
+def test_entry_that_was_missing_before_the_store_returned_older_is_not_used():
+    timers = Timers()
+    directory = directories.Directory(timers)
+    directory.replace([A, B])
+    directory.replace([B])
+    timers.now_s = 0.5
+    directory.note_return()
+    directory.replace([B])
+    assert usable(directory) == ["b"]
+
+
+def test_entry_that_two_returns_lost_has_the_time_of_the_second_to_come_back():
+    timers = Timers()
+    directory = directories.Directory(timers)
+    directory.replace([A, B])
+    for now_s in (0.0, 1.9):
+        timers.now_s = now_s
+        directory.note_return()
+        directory.replace([B])
+    timers.now_s = 3.8
+    directory.expire()
+    assert usable(directory) == ["a", "b"]
+    timers.now_s = 3.9
+    directory.expire()
+    assert usable(directory) == ["b"]
--- a/rhubarblock/exchange/state/erawalk_test.py
+++ b/rhubarblock/exchange/state/erawalk_test.py
@@ -13,18 +13,14 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from rhubarblock.core import listed
 from rhubarblock.core import position as positions
-from rhubarblock.exchange.state import authority as authorities
-from rhubarblock.exchange.state import book as statebook
 from rhubarblock.exchange.state import directory as directories
 from rhubarblock.exchange.state import feed as statefeed
 from rhubarblock.exchange.state import feed_test as fakes
-from rhubarblock.exchange.state import subset as subsets
-from rhubarblock.kernel import metrics as metric_store
-from rhubarblock.store import era as era_lib
 from rhubarblock.store import store as stores
 
+# More engines than the walk starts, so that everybody uses all.
+ENGINES = 1_000
 # Seconds between two looks at the store, and at the reader.
 PACE_S = 0.5
 STEP_S = 0.1
@@ -75,6 +71,10 @@
         self.copies = []
         self.returned_s = -100.0
 
+    @property
+    def position(self):
+        return positions.Position(self.era, self.revision)
+
     def put(self, name, value):
         self.revision += 1
         at = positions.Position(self.era, self.revision)
@@ -116,24 +116,7 @@
     """What one instance believes."""
 
     def __init__(self, name, timers):
-        self.timers = timers
-        self.authority = authorities.Authority(5.0, timers.read_monotonic)
-        self.directory = directories.Directory(timers)
-        self.book = statebook.StateBook(
-            WalkDialect(), self.authority, self.directory, timers
-        )
-        self.subsets = subsets.Subsets(self.directory)
-        self.eras = era_lib.EraWatch(metric_store.Metrics())
-        self.eras.listen(self.book.begin_era)
-        self.server = statefeed.StateServer(
-            self.book,
-            self.authority,
-            self.directory,
-            self.subsets,
-            name,
-            metric_store.Metrics(),
-            self.eras,
-        )
+        super().__init__(name, timers, timers, ENGINES)
         self.client = statefeed.StateClient(
             None,
             name,
@@ -150,13 +133,6 @@
         self.dropped = set()
 
 
-class WalkDialect(fakes.Dialect):
-    def decode_endpoint(self, stored):
-        name = stored.name.partition("/")[2]
-        is_draining = stored.value == b"draining"
-        return listed.ListedEndpoint(name, "a:1", "osu", "pool", 8, is_draining)
-
-
 class EraWalk(stateful.RuleBasedStateMachine):
     """The walk; servers are named by numbers and never start again."""
 
@@ -223,7 +199,7 @@
         """The store is there again, some seconds older."""
         if not self.store.copies or self.pending:
             return
-        self.late.append((self.store.era, self.store.list_entries()))
+        self.late.append((self.store.position, self.store.list_entries()))
         self.store.come_back(number)
         now_s = self.timers.now_s
         for name in [*self.live, "config/main"]:
@@ -236,13 +212,13 @@
     @stateful.rule(number=strategies.integers(0, 9))
     def hear_late_answer(self, number):
         """An answer of an ended era comes on another connection."""
-        era, objects = self.late[number % len(self.late)]
+        at, objects = self.late[number % len(self.late)]
         for side in (self.reader, self.follower):
             try:
-                side.eras.take(era)
+                side.eras.take(at.era)
             except stores.StoreError:
                 continue
-            side.book.take_listing(objects, era=era)
+            side.book.take_listing(objects, at=at)
 
     @stateful.rule(tenths=strategies.integers(1, 40))
     def pass_time(self, tenths):
@@ -294,13 +270,13 @@
             )
         if self.watched is None or self.watched.era != self.store.era:
             entries = self.store.list_entries()
-            side.book.take_listing(entries, era=self.store.era)
+            side.book.take_listing(entries, at=self.store.position)
         else:
             for stored in self.store.log:
                 is_entry = stored.name.startswith("servers/")
                 if is_entry and stored.version > self.watched:
                     side.book.take_change(stored)
-        self.watched = positions.Position(self.store.era, self.store.revision)
+        self.watched = self.store.position
 
     def _ask(self):
         """Asks the reader as the feed does, without its sockets."""
--- a/rhubarblock/exchange/state/feed.py
+++ b/rhubarblock/exchange/state/feed.py
@@ -25,6 +25,7 @@
 from aiohttp import web
 
 from rhubarblock.core import document as documents
+from rhubarblock.core import position as positions
 from rhubarblock.exchange.state import authority as authorities
 from rhubarblock.exchange.state import book as statebook
 from rhubarblock.exchange.state import differencewire
@@ -364,7 +365,9 @@
     ) -> None:
         objects = [entrywire.decode(entry, era) for entry in fields["objects"]]
         if fields["whole"]:
-            self._book.take_listing(objects, fields["sizes"], era)
+            self._book.take_listing(
+                objects, fields["sizes"], positions.Position(era)
+            )
         else:
             self._take_changes(objects, fields["sizes"])
         mark.source = fields["source"]
--- a/rhubarblock/exchange/state/feed_test.py
+++ b/rhubarblock/exchange/state/feed_test.py
@@ -55,17 +55,17 @@
 class Side:
     """One instance's state, on a lease clock of its own."""
 
-    def __init__(self, name, clock):
+    def __init__(self, name, clock, timers=None, engines=ENGINES_EACH):
         self.clock = clock
         self.authority = authorities.Authority(5.0, lambda: clock.now_s)
-        timers = timer_service.LoopTimers()
+        timers = timers or timer_service.LoopTimers()
         self.directory = directories.Directory(timers)
         self.book = statebook.StateBook(
             Dialect(), self.authority, self.directory, timers
         )
         self.eras = era_lib.EraWatch(metric_store.Metrics())
         self.eras.listen(self.book.begin_era)
-        self.subsets = subsets.Subsets(self.directory, ENGINES_EACH)
+        self.subsets = subsets.Subsets(self.directory, engines)
         self.server = statefeed.StateServer(
             self.book,
             self.authority,
@@ -473,7 +473,7 @@
     """Lets the reader read the store in an era."""
     reader.eras.take(era)
     reader.book.take_configuration(table(version, "k"), 100.0, era)
-    reader.book.take_listing(entries, era=era)
+    reader.book.take_listing(entries, at=positions.Position(era, 50))
 
 
 def test_whole_list_of_a_later_era_with_lower_revisions_empties_nothing():
@@ -554,7 +554,9 @@
         await client.ask(address, 0.0)
         reader.eras.take(2)
         reader.book.take_configuration(table(3, "other"), 100.0, 2)
-        reader.book.take_listing([entry("a", era=2)], era=2)
+        reader.book.take_listing(
+            [entry("a", era=2)], at=positions.Position(2, 50)
+        )
         await client.ask(address, 0.0)
         return list(asker.authority.table.keys)
 
--- a/rhubarblock/exchange/state/follower.py
+++ b/rhubarblock/exchange/state/follower.py
@@ -302,7 +302,7 @@
                 self._has_new_era.clear()
                 if page.version.era != self._eras.current:
                     continue
-                self._book.take_listing(page.objects, era=page.version.era)
+                self._book.take_listing(page.objects, at=page.version)
                 backoff.reset()
                 await self._watch_while_reading(page.version)
             except stores.StoreError as error:
--- a/rhubarblock/exchange/state/follower_test.py
+++ b/rhubarblock/exchange/state/follower_test.py
@@ -513,3 +513,18 @@
         return seen
 
     assert run_eras(step) == {"b"}
+
+
+def test_entry_that_a_list_lacked_is_not_brought_back_by_the_copy():
+    async def step(side, store):
+        # The watch breaks, so the removal is learned from the next list.
+        del store.listed["a"]
+        store.revision += 1
+        store.events.put_nowait(None)
+        await asyncio.sleep(3.0)
+        seen = [side.usable()]
+        store.come_back(1)
+        await asyncio.sleep(4.0)
+        return [*seen, side.usable()]
+
+    assert run_eras(step) == [["b"], ["b"]]
