--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 	$(BIN)/python tools/check_imports.py
 	$(BIN)/python tools/check_platform.py
 	$(BIN)/python tools/check_comments.py
+	$(BIN)/python tools/check_positions.py
 
 format: $(STAMP)
 	$(BIN)/ruff format .
--- a/rhubarblock/catalogue/archive.py
+++ b/rhubarblock/catalogue/archive.py
@@ -12,6 +12,7 @@
 from rhubarblock.catalogue import audit
 from rhubarblock.catalogue import codec
 from rhubarblock.core import catalogue as catalogues
+from rhubarblock.core import position as positions
 from rhubarblock.store import store as stores
 
 CURRENT_OBJECT = "catalogue/current"
@@ -35,17 +36,17 @@
     Attributes:
       catalogue: the catalogue.
       record: the change that made it; None for the empty one.
-      version: version of the platform's object; 0 when there is none.
+      version: version of the platform's object; NOWHERE when there is none.
       content: the object's bytes.
     """
 
     catalogue: catalogues.Catalogue
     record: audit.AuditRecord | None
-    version: int
+    version: positions.Position
     content: bytes
 
 
-EMPTY = Accepted(catalogues.Catalogue(), None, 0, b"")
+EMPTY = Accepted(catalogues.Catalogue(), None, positions.NOWHERE, b"")
 
 
 def name_audit_slot(revision: int) -> str:
@@ -172,7 +173,7 @@
             present = await self._read_slot(name)
             if present and codec.decode_revision(present.value) >= revision:
                 return
-            version = present.version if present else 0
+            version = present.version if present else positions.NOWHERE
             try:
                 await self._store.write(name, content, version)
                 return
@@ -196,7 +197,7 @@
     """A place for an act: its name and present version."""
 
     name: str
-    version: int
+    version: positions.Position
 
 
 def _choose_act_slot(
@@ -212,6 +213,6 @@
     for number in range(ACT_SLOTS):
         name = f"{ACT_PREFIX}{number:04d}"
         if name not in taken:
-            return _Slot(name, 0)
+            return _Slot(name, positions.NOWHERE)
     _, oldest = min(taken.values(), key=lambda item: item[0])
     return _Slot(oldest.name, oldest.version)
--- /dev/null
+++ b/rhubarblock/core/position_test.py
@@ -0,0 +1,22 @@
+from rhubarblock.core import position as positions
+
+Position = positions.Position
+
+
+def test_later_era_follows_every_revision_of_the_one_before():
+    assert Position(1, 900) < Position(2, 3) < Position(2, 4)
+    assert Position(1, 4) != Position(2, 4)
+
+
+def test_nowhere_stands_before_all():
+    assert not positions.NOWHERE
+    assert Position(0, 1) > positions.NOWHERE
+    assert Position(1, 0)
+
+
+def test_copy_is_told_from_what_is_written_in_a_new_era():
+    earlier = Position(1, 40)
+    assert Position(2, 40).may_copy(earlier)
+    assert Position(3, 12).may_copy(earlier)
+    assert not Position(2, 41).may_copy(earlier)
+    assert not Position(1, 39).may_copy(earlier)
--- a/rhubarblock/daemon/edge.py
+++ b/rhubarblock/daemon/edge.py
@@ -24,6 +24,7 @@
 from rhubarblock.platform import orders
 from rhubarblock.platform import settings as settings_loader
 from rhubarblock.settings import exchange as settings_lib
+from rhubarblock.store import store as stores
 
 # Seconds between two looks at settings that can't be used.
 LOOK_AGAIN_S = 1.0
@@ -77,10 +78,12 @@
     )
 
     def make_store(
-        session: aiohttp.ClientSession, metrics: metric_store.Metrics
+        session: aiohttp.ClientSession,
+        metrics: metric_store.Metrics,
+        eras: stores.Eras,
     ) -> objectstore.PlatformStore:
         return objectstore.PlatformStore(
-            session, str(settings.store), metrics.count
+            session, str(settings.store), metrics.count, eras
         )
 
     instance = exchangeinstance.ExchangeInstance(
--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -46,6 +46,7 @@
 from rhubarblock.routing import rests
 from rhubarblock.routing.placement import enginebook
 from rhubarblock.settings import exchange as settings_lib
+from rhubarblock.store import era as era_lib
 from rhubarblock.store import store as stores
 
 # Seconds after which a wait for the configuration begins anew.
@@ -62,7 +63,8 @@
 _logger = logging.getLogger(__name__)
 
 StoreFactory = Callable[
-    [aiohttp.ClientSession, metric_store.Metrics], stores.ObjectStore
+    [aiohttp.ClientSession, metric_store.Metrics, stores.Eras],
+    stores.ObjectStore,
 ]
 LeaseFactory = Callable[[aiohttp.ClientSession], dialects.LeaseClient]
 
@@ -110,6 +112,7 @@
         self.book = enginebook.EngineBook()
         self.health = healths.Health(settings.data_centre)
         self.rests = rests.Rests(self.metrics)
+        self.eras = era_lib.EraWatch(self.metrics)
         self._dialect = dialect
         self._make_store = make_store
         self._make_leases = make_leases
@@ -145,7 +148,7 @@
             )
         )
         session = await stack.enter_async_context(aiohttp.ClientSession())
-        store = self._make_store(session, self.metrics)
+        store = self._make_store(session, self.metrics, self.eras)
         start_id = f"{self._rng.getrandbits(32):08x}"
         news = news_lib.News(
             settings.instance_id,
@@ -290,6 +293,7 @@
             self.subsets,
             news.source,
             self.metrics,
+            self.eras,
         )
         self._callers = await stack.enter_async_context(
             listeners.open_listener(door.handle, settings.callers, KEEPALIVE_S)
@@ -317,6 +321,7 @@
             self.directory,
             self.authority,
             self.timers,
+            self.eras,
         )
         return followers.StoreFollower(
             store,
@@ -328,6 +333,7 @@
             followers.Pace(self.settings.bounds.apply_s),
             self.timers,
             self._rng,
+            self.eras,
         )
 
     async def _follow(
@@ -338,9 +344,16 @@
     ) -> None:
         """Finds peers, for a moment at most, then follows the state."""
         search = peersearch.PeerSearch(
-            self.settings, store, self.peers, news, self.timers
+            self.settings,
+            store,
+            self.peers,
+            news,
+            self.timers,
+            self.eras,
+            self.metrics,
         )
         finding = asyncio.create_task(search.run())
+        keeping = asyncio.create_task(search.keep_listed())
         try:
             found, _ = await asyncio.wait({finding}, timeout=FIND_S)
             _logger.info("peers listed", extra={"listed": bool(found)})
@@ -351,6 +364,7 @@
                 await asyncio.Event().wait()
         finally:
             finding.cancel()
+            keeping.cancel()
 
     async def _become_ready(self, stop: asyncio.Event) -> None:
         """Waits until there is something to serve with, or for the stop."""
@@ -390,6 +404,7 @@
         self.metrics.gauge("timers.wakeups", self.timers.wakeups)
         self.metrics.gauge("configuration.version", self.authority.version)
         self.metrics.gauge("configuration.age_s", self.authority.age_s)
+        self.metrics.gauge("store.era", self.eras.current)
         return web.Response(
             body=exposition.render(self.metrics),
             headers={"Content-Type": exposition.CONTENT_TYPE},
--- a/rhubarblock/daemon/listing.py
+++ b/rhubarblock/daemon/listing.py
@@ -8,6 +8,7 @@
 import contextlib
 
 from rhubarblock.core import capacity as capacities
+from rhubarblock.core import position as positions
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.store import instances
 from rhubarblock.store import store as stores
@@ -33,15 +34,20 @@
         with contextlib.suppress(stores.StoreError):
             await self.claim()
 
-    async def claim(self) -> None:
+    async def claim(self) -> bool:
         """Writes the line unless it stands there already.
 
+        Returns:
+          Whether it was written.
+
         Raises:
           store.StoreError: the store gave no answer, or refused.
         """
         version = await self._find_version()
-        if version is not None:
-            await self._store.write(self._name, self._value, version)
+        if version is None:
+            return False
+        await self._store.write(self._name, self._value, version)
+        return True
 
     async def enter(self, is_first_start: bool) -> stores.Page:
         """Enters the list and returns it, in as few calls as there can be.
@@ -63,7 +69,7 @@
         line = lines.get(self._name)
         if line is not None and line.value == self._value:
             return page
-        version = line.version if line else 0
+        version = line.version if line else positions.NOWHERE
         await self._store.write(self._name, self._value, version)
         return await self._store.list_objects(instances.OBJECT_PREFIX)
 
@@ -77,18 +83,18 @@
     async def _create(self) -> None:
         """Writes the line if there is none."""
         try:
-            await self._store.write(self._name, self._value, 0)
+            await self._store.write(self._name, self._value, positions.NOWHERE)
         except stores.StoreError as error:
             if error.kind is not stores.StoreErrorKind.CONFLICT:
                 raise
 
-    async def _find_version(self) -> int | None:
+    async def _find_version(self) -> positions.Position | None:
         """Returns the version to write over, None when nothing is to do."""
         try:
             stored = await self._store.read(self._name)
         except stores.StoreError as error:
             if error.kind is stores.StoreErrorKind.NOT_FOUND:
-                return 0
+                return positions.NOWHERE
             raise
         return None if stored.value == self._value else stored.version
 
--- a/rhubarblock/exchange/state/authority.py
+++ b/rhubarblock/exchange/state/authority.py
@@ -86,19 +86,25 @@
         self._extend(asked_s)
         return True
 
-    def install(self, table: routes.RoutingTable, asked_s: float) -> bool:
+    def install(
+        self,
+        table: routes.RoutingTable,
+        asked_s: float,
+        replaces: bool = False,
+    ) -> bool:
         """Puts a table in force unless a newer one is.
 
         Args:
           table: a table that a read found.
           asked_s: the lease's clock before the read was sent.
+          replaces: whether it replaces one of the same version.
 
         Returns:
           Whether the table is new here.
         """
         if table.version < self.version:
             return False
-        is_new = table.version > self.version
+        is_new = replaces or table.version > self.version
         if is_new:
             self._table = table
             # The older table's confirmations say nothing of this one, but
--- a/rhubarblock/exchange/state/book.py
+++ b/rhubarblock/exchange/state/book.py
@@ -10,10 +10,12 @@
 from collections.abc import Iterable
 import contextlib
 import dataclasses
+import functools
 import logging
 
 from rhubarblock.core import document as documents
 from rhubarblock.core import listed as lists
+from rhubarblock.core import position as positions
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange.state import authority as authorities
 from rhubarblock.exchange.state import directory as directories
@@ -24,6 +26,9 @@
 # Changes of the list that are kept for peers; one that is further behind gets
 # the whole list. A rolling replacement changes some entries a second.
 KEPT_CHANGES = 256
+# Seconds after the store's return from a copy for which an entry is held back
+# that was removed before: one that nobody renews is removed in that time.
+HOLD_S = 6.0
 # Entries whose version is remembered although they are not in the list: removed
 # ones, so that a peer which is behind does not bring them back, and ones that
 # can't be read. It holds the removals of an hour at the size built for.
@@ -53,6 +58,7 @@
     Attributes:
       complete: whether the list is whole, and not only what this instance uses
         of it.
+      era: era of the store in which the list was read.
       listed: set once there was a list of endpoints.
     """
 
@@ -64,14 +70,18 @@
         "_directory",
         "_document",
         "_entries",
+        "_era_in_force",
         "_first",
+        "_held",
         "_history",
         "_number",
+        "_refused",
         "_removals",
         "_timers",
         "_unread",
         "_value",
         "complete",
+        "era",
         "listed",
     )
 
@@ -102,15 +112,33 @@
         self._changes: list[stores.StoredObject] = []
         self._number = 0
         # Versions of removed entries by name, the oldest removal first.
-        self._removals: dict[str, int] = {}
+        self._removals: dict[str, positions.Position] = {}
         # Versions of entries that can't be read, by name.
-        self._unread: dict[str, int] = {}
+        self._unread: dict[str, positions.Position] = {}
+        # Entries that the copy brought back although they were removed.
+        self._held: dict[str, stores.StoredObject] = {}
+        # Era in which the configuration in force was read, and the last one
+        # that was refused with its era.
+        self._era_in_force = 0
+        self._refused = documents.NOTHING, 0
         # Number of the oldest change that is kept.
         self._first = 1
         self._changed = asyncio.Event()
         self.complete = False
+        self.era = 0
         self.listed = asyncio.Event()
 
+    def begin_era(self) -> None:
+        """Takes in that the store came back from an older copy.
+
+        What is in force stays so. What was read last confirms nothing any more,
+        and the next list replaces the one that is held here.
+        """
+        self._value = b""
+        self._unread.clear()
+        self._directory.note_return()
+        self._wake()
+
     @property
     def identity(self) -> documents.Identity:
         """Names the configuration that is held here."""
@@ -121,12 +149,15 @@
         """Number of the latest change of the list."""
         return self._number
 
-    def take_configuration(self, value: bytes, asked_s: float) -> None:
+    def take_configuration(
+        self, value: bytes, asked_s: float, era: int = 0
+    ) -> None:
         """Takes in a configuration.
 
         Args:
           value: as the store gave it.
           asked_s: the lease's clock before the read was sent.
+          era: era of the store in which it was read.
 
         Raises:
           ValueError: it can't be read.
@@ -138,11 +169,14 @@
         difference = documents.compare(
             self._document, text.version, text.pieces
         )
-        if self._put_in_force(difference, asked_s):
+        if self._put_in_force(difference, asked_s, era):
             self._value = value
 
     def take_difference(
-        self, difference: documents.Difference, confirmed_s: float
+        self,
+        difference: documents.Difference,
+        confirmed_s: float,
+        era: int = 0,
     ) -> None:
         """Takes in what a peer says has changed in the configuration.
 
@@ -150,6 +184,7 @@
           difference: follows the configuration held here, or is whole.
           confirmed_s: when the read was sent that found its result, on the
             lease's clock.
+          era: era of the store in which the peer read it.
 
         Raises:
           ValueError: it does not fit, or can't be read; nothing was changed.
@@ -159,7 +194,7 @@
             difference = documents.compare(
                 self._document, whole.identity.version, whole.pieces
             )
-        self._put_in_force(difference, confirmed_s)
+        self._put_in_force(difference, confirmed_s, era)
 
     def find_difference(
         self, known: documents.Identity
@@ -173,29 +208,30 @@
         )
 
     def _put_in_force(
-        self, difference: documents.Difference, asked_s: float
+        self, difference: documents.Difference, asked_s: float, era: int
     ) -> bool:
         """Puts a change of the configuration into force.
 
         Returns:
-          Whether its version is in force now; False for an older one.
+          Whether it is in force now; False for an older one, and for another
+          one of the same version that no later era gave.
 
         Raises:
           ValueError: it does not fit, or can't be read; nothing was changed.
         """
-        version = difference.after.version
+        found = difference.after
+        version = found.version
         before = self._authority.version
-        if version < before:
-            _logger.warning(
-                "an older configuration was read",
-                extra={"version": version, "in_force": before},
-            )
+        is_other = version == before and found != self.identity
+        if version < before or (is_other and era <= self._era_in_force):
+            self._note_refused(found, era)
             return False
         document = documents.apply(self._document, difference)
         table = self._dialect.change_table(
             self._authority.table, document, difference
         )
-        if not self._authority.install(table, asked_s):
+        self._era_in_force = era
+        if not self._authority.install(table, asked_s, replaces=is_other):
             return True
         self._document = document
         # What the store gave before confirms an older version only.
@@ -213,10 +249,25 @@
         self._wake()
         return True
 
+    def _note_refused(self, found: documents.Identity, era: int) -> None:
+        """Tells once of a configuration that is not put into force."""
+        if self._refused == (found, era):
+            return
+        self._refused = found, era
+        _logger.warning(
+            "an older configuration was read",
+            extra={
+                "version": found.version,
+                "in_force": self._authority.version,
+                "era": era,
+            },
+        )
+
     def take_listing(
         self,
         objects: Iterable[stores.StoredObject],
         sizes: directories.Sizes | None = None,
+        era: int = 0,
     ) -> None:
         """Takes in a list of endpoints that replaces the one before.
 
@@ -224,8 +275,13 @@
           objects: its entries.
           sizes: how many endpoints there are where the list may lack some;
             None says that it is whole.
+          era: era of the store in which it was read.
         """
-        listing = {stored.name: stored for stored in objects}
+        if era != self.era:
+            self._forget_changes()
+        self.era = era
+        listed = {stored.name: stored for stored in objects}
+        listing = self._hold_back(listed)
         if sizes is None:
             # The store itself knows best what has come back.
             for name in listing:
@@ -236,12 +292,17 @@
                 for name, stored in listing.items()
                 if not self._is_outdated(stored)
             }
-        for name in [n for n in self._entries if n not in listing]:
+        for name in [n for n in self._entries if n not in listed]:
             gone = self._entries.pop(name)
             # Nobody said that it was removed, so it may come back as it was.
             self._note(
-                dataclasses.replace(gone, version=0, value=b"", deleted=True)
+                dataclasses.replace(
+                    gone, version=positions.NOWHERE, value=b"", deleted=True
+                )
             )
+        # Where more is known of an entry than the peer knows, that stays.
+        kept = [self._entries[name] for name in listed if name in self._entries]
+        listing = {stored.name: stored for stored in kept} | listing
         for stored in listing.values():
             if self._entries.get(stored.name) != stored:
                 self._entries[stored.name] = stored
@@ -255,10 +316,37 @@
         self.listed.set()
         self._wake()
 
+    def _hold_back(
+        self, listed: dict[str, stores.StoredObject]
+    ) -> dict[str, stores.StoredObject]:
+        """Returns a list without what a copy brought back for a moment.
+
+        An entry that was removed before and has not been written since may
+        stand in a copy. If it is listed for long it is renewed, so it counts.
+        """
+        copies = {
+            name: stored
+            for name, stored in listed.items()
+            if name in self._removals
+            and stored.version.may_copy(self._removals[name])
+        }
+        for name, stored in copies.items():
+            if self._held.get(name) != stored:
+                admit = functools.partial(self._admit, stored)
+                self._timers.call_later(HOLD_S, admit)
+        self._held = copies
+        return {n: s for n, s in listed.items() if n not in copies}
+
+    def _admit(self, stored: stores.StoredObject) -> None:
+        """Takes in an entry that was held back and is listed still."""
+        if self._held.get(stored.name) == stored:
+            self.take_change(stored)
+
     def take_change(self, stored: stores.StoredObject) -> None:
         """Takes in one change of the list, unless a later one is known."""
         if self._is_outdated(stored):
             return
+        self._held.pop(stored.name, None)
         self._note(stored)
         if stored.deleted:
             self._entries.pop(stored.name, None)
@@ -284,7 +372,8 @@
         """Whether more is known of an entry already."""
         if stored.deleted:
             return False
-        if stored.version <= self._removals.get(stored.name, 0):
+        removed = self._removals.get(stored.name, positions.NOWHERE)
+        if stored.version <= removed:
             return True
         known = self._entries.get(stored.name)
         return known is not None and stored.version < known.version
@@ -328,6 +417,12 @@
                 self._note_unread(stored, error)
         return entries
 
+    def _forget_changes(self) -> None:
+        """Gives peers the whole list, as changes were of another era."""
+        self._changes.clear()
+        self._number += 1
+        self._first = self._number + 1
+
     def _note_unread(
         self, stored: stores.StoredObject, error: ValueError
     ) -> None:
@@ -351,7 +446,9 @@
     return sum(sum(centres.values()) for centres in sizes.values())
 
 
-def _remember(versions: dict[str, int], stored: stores.StoredObject) -> None:
+def _remember(
+    versions: dict[str, positions.Position], stored: stores.StoredObject
+) -> None:
     """Keeps the version of an entry, and forgets the one kept for longest."""
     versions.pop(stored.name, None)
     versions[stored.name] = stored.version
--- a/rhubarblock/exchange/state/directory.py
+++ b/rhubarblock/exchange/state/directory.py
@@ -78,6 +78,7 @@
         "_drain_s",
         "_ended",
         "_endpoints",
+        "_returns",
         "_services",
         "_sizes",
         "_timers",
@@ -96,6 +97,8 @@
         self._timers = timers
         self._drain_s = drain_s
         self._ended: dict[str, _Ended] = {}
+        # Returns of the store after which missing entries may be written again.
+        self._returns = 0
         self.on_restart: Callable[[str], None] = lambda endpoint_id: None
         self._endpoints: dict[str, Endpoint] = {}
         # The same endpoints by service, as each request asks for one service.
@@ -120,6 +123,20 @@
             self.update(entry)
         self.expire()
 
+    def note_return(self) -> None:
+        """Takes in that the store came back older.
+
+        It lacks entries that were written since; those who live write them
+        again, and are used until they had the time for that.
+        """
+        self._returns += 1
+        self._note_change()
+        self._timers.call_later(RETURN_S, self._end_return)
+
+    def _end_return(self) -> None:
+        self._returns -= 1
+        self._note_change()
+
     def update(self, entry: lists.ListedEndpoint) -> None:
         """Takes in one entry of the list, unless it tells of an older start."""
         self._note_change()
@@ -286,7 +303,8 @@
         Entries that a new listing lacks are left out while most are there:
         they ended, as far as anyone knows. Where most lack, the entries lapsed
         because the store was away, and the endpoints are used until they had
-        the time to come back. Where all leave, those that said so themselves
+        the time to come back; so it is when the store came back older. Where
+        all leave, those that said so themselves
         are used for some of the time that they still serve.
         """
         pool = self._services.get(service, {}).values()
@@ -295,6 +313,8 @@
             now_s = self._timers.read_monotonic()
             usable = [e for e in pool if now_s < e.last_resort_s]
         present = [e for e in usable if e.missing_since_s is None]
+        if self._returns:
+            present = usable
         chosen = present if 2 * len(present) >= len(usable) else usable
         return [endpoint.listed for endpoint in chosen]
 
--- a/rhubarblock/exchange/state/feed.py
+++ b/rhubarblock/exchange/state/feed.py
@@ -26,6 +26,7 @@
 from aiohttp import web
 
 from rhubarblock.core import document as documents
+from rhubarblock.core import position as positions
 from rhubarblock.exchange.state import authority as authorities
 from rhubarblock.exchange.state import book as statebook
 from rhubarblock.exchange.state import differencewire
@@ -33,6 +34,7 @@
 from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
+from rhubarblock.store import era as era_lib
 from rhubarblock.store import sendonce
 from rhubarblock.store import store as stores
 
@@ -77,6 +79,7 @@
         "_book",
         "_directory",
         "_encoded",
+        "_eras",
         "_encoded_for",
         "_metrics",
         "_source",
@@ -91,6 +94,7 @@
         subsets_: subsets.Subsets,
         source: str,
         metrics: metric_store.Metrics,
+        eras: era_lib.EraWatch,
     ):
         """Creates a server.
 
@@ -101,7 +105,9 @@
           subsets_: which endpoints an instance uses.
           source: names this start of this instance.
           metrics: counts what is answered.
+          eras: knows whether the store came back older.
         """
+        self._eras = eras
         self._metrics = metrics
         self._book = book
         self._authority = authority
@@ -128,6 +134,9 @@
             return web.Response(status=400)
         if query.get("source") != self._source:
             number = 0
+        if "era" not in query and self._eras.has_changed:
+            # A release without eras would take revisions for older ones.
+            return web.Response(status=503)
         await self._book.wait_news(
             lambda: self._is_news(known.version, number), wait_s
         )
@@ -155,6 +164,17 @@
             return True
         return number == 0 or self._book.number > number
 
+    def _is_new(self, known: documents.Identity) -> bool:
+        """Says whether an asker lacks the configuration in force here.
+
+        One of the same version may be another one since the store came back
+        older.
+        """
+        version = self._authority.version
+        if version == known.version and known.digest:
+            return self._book.identity != known
+        return version > known.version
+
     def _describe(
         self,
         known: documents.Identity,
@@ -166,9 +186,11 @@
         objects = news.objects
         if news.whole and asker:
             objects = self._select_used(asker, data_centre, objects)
-        is_new = self._authority.version > known.version
+        is_new = self._is_new(known)
         return {
             "source": self._source,
+            "era": self._book.era,
+            "digest": f"{self._book.identity.digest:x}",
             "age_s": self._authority.age_s,
             "version": self._authority.version,
             "configuration": self._encode_changes(known) if is_new else None,
@@ -213,6 +235,7 @@
         "_book",
         "_data_centre",
         "_directory",
+        "_eras",
         "_marks",
         "_own_id",
         "_session",
@@ -229,6 +252,7 @@
         directory: directories.Directory,
         authority: authorities.Authority,
         timers: timer_service.Timers,
+        eras: era_lib.EraWatch,
     ):
         """Creates a client; the caller closes the session.
 
@@ -240,7 +264,9 @@
           directory: takes the sizes of services.
           authority: clock and version of the configuration.
           timers: the clock.
+          eras: hears the era in which a peer read its state.
         """
+        self._eras = eras
         self._own_id = instance_id
         self._data_centre = data_centre
         self._directory = directory
@@ -277,10 +303,28 @@
             age_s = self._authority.read_clock() - confirmed_s
             if age_s >= oldest_s:
                 raise OldStateError(f"its state is {age_s:.2f} s old")
-            self._take(fields, mark, confirmed_s)
+            self._take(fields, mark, confirmed_s, self._take_era(fields))
+            if self._authority.age_s >= oldest_s < math.inf:
+                raise OldStateError("it holds an older configuration")
+        except stores.StoreError as error:
+            raise FeedError(str(error)) from error
         except (KeyError, TypeError, ValueError) as error:
             raise FeedError(f"the state can't be read: {error}") from error
 
+    def _take_era(self, fields: dict[str, Any]) -> int:
+        """Returns the era of a peer's state.
+
+        A release without eras names none, and is trusted as long as there was
+        no change of which it could not know.
+
+        Raises:
+          store.StoreError: the state must not be taken in.
+        """
+        era = int(fields.get("era", 0)) or None
+        if era is None and not self._eras.has_changed:
+            return self._eras.current
+        return self._eras.take(era)
+
     def forget(self) -> None:
         """Asks for whole lists from now on, as another source was used."""
         self._marks.clear()
@@ -297,6 +341,7 @@
             "wait_ms": str(round(wait_s * 1e3)),
             "instance": self._own_id,
             "data_centre": self._data_centre,
+            "era": str(self._eras.current),
         }
         timeout = aiohttp.ClientTimeout(
             total=wait_s + ANSWER_S, sock_connect=CONNECT_S
@@ -316,32 +361,36 @@
             raise FeedError(str(error) or type(error).__name__) from error
 
     def _take(
-        self, fields: dict[str, Any], mark: Mark, confirmed_s: float
+        self, fields: dict[str, Any], mark: Mark, confirmed_s: float, era: int
     ) -> None:
-        objects = [_decode(entry) for entry in fields["objects"]]
+        objects = [_decode(entry, era) for entry in fields["objects"]]
         if fields["whole"]:
-            self._book.take_listing(objects, fields["sizes"])
+            self._book.take_listing(objects, fields["sizes"], era)
         else:
             self._take_changes(objects, fields["sizes"])
         mark.source = fields["source"]
         mark.number = fields["number"]
-        self._take_configuration(
-            fields["configuration"], fields["version"], confirmed_s
-        )
+        self._take_configuration(fields, confirmed_s, era)
 
     def _take_configuration(
-        self, changes: str | None, version: int, confirmed_s: float
+        self, fields: dict[str, Any], confirmed_s: float, era: int
     ) -> None:
         """Takes in the changes of the configuration, or that there are none.
 
         Raises:
           ValueError: the changes don't fit; the whole is asked for next.
         """
+        changes: str | None = fields["configuration"]
         if changes is None:
-            self._authority.confirm(version, confirmed_s)
+            # A release without eras names no digest.
+            own = self._book.identity
+            digest = int(fields.get("digest", f"{own.digest:x}"), 16)
+            if digest == own.digest:
+                self._authority.confirm(fields["version"], confirmed_s)
             return
         self._wants_whole = True
-        self._book.take_difference(differencewire.decode(changes), confirmed_s)
+        difference = differencewire.decode(changes)
+        self._book.take_difference(difference, confirmed_s, era)
         self._wants_whole = False
 
     def _take_changes(
@@ -357,10 +406,15 @@
 
 
 def _encode(stored: stores.StoredObject) -> list[Any]:
+    """Returns an entry without its era, which the whole answer has."""
     value = base64.b64encode(stored.value).decode()
-    return [stored.name, stored.version, value, stored.deleted]
+    return [stored.name, stored.version.revision, value, stored.deleted]
 
 
-def _decode(fields: list[Any]) -> stores.StoredObject:
-    name, version, value, deleted = fields
+def _decode(fields: list[Any], era: int) -> stores.StoredObject:
+    name, revision, value, deleted = fields
+    # A removal that nobody saw has no position of its own.
+    version = positions.NOWHERE
+    if revision:
+        version = positions.Position(era, revision)
     return stores.StoredObject(name, version, base64.b64decode(value), deleted)
--- a/rhubarblock/exchange/state/follower.py
+++ b/rhubarblock/exchange/state/follower.py
@@ -14,6 +14,7 @@
 import logging
 import random
 
+from rhubarblock.core import position as positions
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange.peering import table as peer_table
 from rhubarblock.exchange.state import authority as authorities
@@ -21,6 +22,7 @@
 from rhubarblock.exchange.state import feed as statefeed
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.store import backoff as backoffs
+from rhubarblock.store import era as era_lib
 from rhubarblock.store import store as stores
 
 # Parts of the time in which a configuration must be in force everywhere: how
@@ -107,8 +109,10 @@
         "_book",
         "_client",
         "_dialect",
+        "_eras",
         "_peers",
         "_pace",
+        "_has_new_era",
         "_may_list",
         "_reachable",
         "_reads_store",
@@ -128,6 +132,7 @@
         pace: Pace,
         timers: timer_service.Timers,
         rng: random.Random,
+        eras: era_lib.EraWatch,
     ):
         """Creates a follower; ``run`` sets it going.
 
@@ -141,7 +146,12 @@
           pace: how often the state is looked at.
           timers: clock and sleeps.
           rng: spreads waits.
+          eras: tells when the store came back older.
         """
+        self._eras = eras
+        # Set when a list must be read anew.
+        self._has_new_era = asyncio.Event()
+        eras.listen(self._begin_era)
         self._store = store
         self._dialect = dialect
         self._book = book
@@ -245,7 +255,8 @@
         asked_s = self._authority.read_clock()
         try:
             stored = await self._store.read(self._dialect.configuration_name)
-            self._book.take_configuration(stored.value, asked_s)
+            era = stored.version.era
+            self._book.take_configuration(stored.value, asked_s, era)
         except (stores.StoreError, ValueError) as error:
             if self._reachable:
                 self._reachable = False
@@ -258,6 +269,12 @@
             _logger.warning("store regained")
         return True
 
+    def _begin_era(self) -> None:
+        """Keeps what is in force, and looks at everything anew."""
+        self._book.begin_era()
+        self._client.forget()
+        self._has_new_era.set()
+
     def _set_role(self, reads_store: bool) -> None:
         if reads_store == self._reads_store:
             return
@@ -282,7 +299,10 @@
                 page = await self._store.list_objects(
                     self._dialect.endpoint_prefix
                 )
-                self._book.take_listing(page.objects)
+                self._has_new_era.clear()
+                if page.version.era != self._eras.current:
+                    continue
+                self._book.take_listing(page.objects, era=page.version.era)
                 backoff.reset()
                 await self._watch_while_reading(page.version)
             except stores.StoreError as error:
@@ -291,19 +311,25 @@
                 )
                 await self._timers.sleep(backoff.take_delay())
 
-    async def _watch_while_reading(self, after: int) -> None:
-        """Watches the list until this instance no longer reads the store."""
+    async def _watch_while_reading(self, after: positions.Position) -> None:
+        """Watches the list until it is to be read anew, or by another one."""
         watch = asyncio.create_task(self._watch(after))
+        new_era = asyncio.create_task(self._has_new_era.wait())
         try:
-            while self._reads_store and not watch.done():
-                await asyncio.wait({watch}, timeout=ROLE_INTERVAL_S)
+            while self._reads_store and not watch.done() | new_era.done():
+                await asyncio.wait(
+                    {watch, new_era},
+                    timeout=ROLE_INTERVAL_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
             if watch.done():
                 watch.result()
         finally:
-            watch.cancel()
-            await asyncio.gather(watch, return_exceptions=True)
+            for task in (watch, new_era):
+                task.cancel()
+            await asyncio.gather(watch, new_era, return_exceptions=True)
 
-    async def _watch(self, after: int) -> None:
+    async def _watch(self, after: positions.Position) -> None:
         changes = self._store.watch(self._dialect.endpoint_prefix, after)
         resumed_s = float("-inf")
         async for stored in changes:
--- a/rhubarblock/experiments/capacity/fleet.py
+++ b/rhubarblock/experiments/capacity/fleet.py
@@ -7,12 +7,14 @@
 from rhubarblock.catalogue import codec
 from rhubarblock.core import catalogue as catalogues
 from rhubarblock.core import endpoint as endpoints
+from rhubarblock.core import position as positions
 from rhubarblock.core import request as requests
 from rhubarblock.experiments.capacity import meter as capacitymeter
 from rhubarblock.experiments.capacity import probe as capacityprobe
 from rhubarblock.fleet import distribution
 from rhubarblock.kernel import virtualloop
 from rhubarblock.standins import memoryfleet
+from rhubarblock.store import store as stores
 
 DATA_CENTRE = "osu-hall"
 OWNER = "operators"
@@ -278,7 +280,7 @@
             contextlib.AsyncExitStack() as stack,
         ):
             operator = fleet.platform.connect("operator")
-            version = 0
+            version = positions.NOWHERE
             for content in contents[:1]:
                 version = await self._publish(operator, content, version)
             nodes = await fleet.start_many(self.instances, DATA_CENTRE)
@@ -310,9 +312,14 @@
                 "watches": sum(x.is_watcher() for x in followers),
             }
 
-    async def _publish(self, operator, content: bytes, version: int) -> int:  # type: ignore[no-untyped-def]
+    async def _publish(
+        self,
+        operator: stores.ObjectStore,
+        content: bytes,
+        version: positions.Position,
+    ) -> positions.Position:
         written = await operator.write(archive.CURRENT_OBJECT, content, version)
-        return int(written.version)
+        return written.version
 
 
 def _follow(node: memoryfleet.FleetNode) -> distribution.CatalogueFollower:
--- a/rhubarblock/experiments/demofleet.py
+++ b/rhubarblock/experiments/demofleet.py
@@ -16,6 +16,7 @@
 from rhubarblock.catalogue import codec
 from rhubarblock.catalogue import files
 from rhubarblock.core import endpoint as endpoints
+from rhubarblock.core import position as positions
 from rhubarblock.daemon import server
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.settings import entry as settings_lib
@@ -136,7 +137,10 @@
             platformserver.run_server(store, listed)
         )
         store.state.write(
-            archive.CURRENT_OBJECT, make_catalogue(), 0, timers.read_monotonic()
+            archive.CURRENT_OBJECT,
+            make_catalogue(),
+            positions.NOWHERE,
+            timers.read_monotonic(),
         )
         found = [
             await stack.enter_async_context(_run_engine(number, seed, listed))
--- a/rhubarblock/experiments/fleetchoices.py
+++ b/rhubarblock/experiments/fleetchoices.py
@@ -14,6 +14,7 @@
 from rhubarblock.catalogue import archive
 from rhubarblock.catalogue import codec
 from rhubarblock.core import catalogue as catalogues
+from rhubarblock.core import position as positions
 from rhubarblock.fleet import distribution
 from rhubarblock.fleet.membership import probing
 from rhubarblock.standins import memoryfleet
@@ -198,7 +199,7 @@
         started_s = self._fleet.timers.read_monotonic()
         content = codec.encode(catalogues.Catalogue(revision=revision))
         store = self._fleet.platform.connect("operator")
-        version = 0
+        version = positions.NOWHERE
         if revision > 1:
             version = (await store.read(archive.CURRENT_OBJECT)).version
         await store.write(archive.CURRENT_OBJECT, content, version)
--- a/rhubarblock/experiments/fleetsockets.py
+++ b/rhubarblock/experiments/fleetsockets.py
@@ -16,6 +16,7 @@
 from rhubarblock.catalogue import archive
 from rhubarblock.catalogue import codec
 from rhubarblock.core import catalogue as catalogues
+from rhubarblock.core import position as positions
 from rhubarblock.fleet import distribution
 from rhubarblock.fleet import grpcpeers
 from rhubarblock.fleet.membership import member as members
@@ -209,7 +210,7 @@
 
     async def _change(self) -> list[float]:
         taken_s = []
-        version = 0
+        version = positions.NOWHERE
         for revision in range(1, _CHANGES + 1):
             content = codec.encode(catalogues.Catalogue(revision=revision))
             started_s = self._timers.read_monotonic()
--- a/rhubarblock/experiments/overhead/parts.py
+++ b/rhubarblock/experiments/overhead/parts.py
@@ -15,6 +15,7 @@
 from rhubarblock.catalogue import codec
 from rhubarblock.core import catalogue as catalogues
 from rhubarblock.core import endpoint as endpoints
+from rhubarblock.core import position as positions
 from rhubarblock.core import request as requests
 from rhubarblock.daemon import server
 from rhubarblock.experiments.overhead import source as overheadsource
@@ -71,7 +72,7 @@
     store.state.write(
         archive.CURRENT_OBJECT,
         codec.encode(make_catalogue()),
-        0,
+        positions.NOWHERE,
         timers.read_monotonic(),
     )
     async with contextlib.AsyncExitStack() as stack:
--- a/rhubarblock/experiments/simulation.py
+++ b/rhubarblock/experiments/simulation.py
@@ -19,6 +19,7 @@
 from rhubarblock.core import catalogue as catalogues
 from rhubarblock.core import endpoint as endpoints
 from rhubarblock.core import failure as failures
+from rhubarblock.core import position as positions
 from rhubarblock.daemon import instance as entries
 from rhubarblock.daemon import outside as outsides
 from rhubarblock.experiments import workload
@@ -168,7 +169,10 @@
         self.rng = random.Random(seed)
         self.store = platform.MemoryStore(self.timers, self.make_rng())
         self.store.state.write(
-            archive.CURRENT_OBJECT, codec.encode(catalogue), 0, 0.0
+            archive.CURRENT_OBJECT,
+            codec.encode(catalogue),
+            positions.NOWHERE,
+            0.0,
         )
         self.listing = instancelist.InstanceList(
             self.store, instancelist.InstanceListSettings(LIST_LAG_S)
--- a/rhubarblock/fleet/distribution.py
+++ b/rhubarblock/fleet/distribution.py
@@ -22,6 +22,7 @@
 from rhubarblock.catalogue import archive
 from rhubarblock.catalogue import codec
 from rhubarblock.core import catalogue as catalogues
+from rhubarblock.core import position as positions
 from rhubarblock.fleet import distribution_pb2
 from rhubarblock.fleet import duties
 from rhubarblock.fleet import peertransport
@@ -253,7 +254,7 @@
                 self.counters.platform_failures += 1
             await self._timers.sleep(pause.take_delay())
 
-    async def _read_events(self, version: int) -> None:
+    async def _read_events(self, version: positions.Position) -> None:
         async for stored in self._store.watch(archive.CURRENT_OBJECT, version):
             if not stored.deleted and self._offer(stored.value):
                 self._start(self._tell_first())
@@ -264,8 +265,8 @@
         except stores.StoreError:
             self.counters.platform_failures += 1
 
-    async def _read_current(self) -> int:
-        """Reads the object; returns its version, 0 if there is none."""
+    async def _read_current(self) -> positions.Position:
+        """Reads the object; returns its version, NOWHERE if there is none."""
         # The spread keeps instances that started together apart.
         spread_s = self._rng.random() * self._settings.duty_interval_s
         self._polled_s = self._timers.read_monotonic() + spread_s
@@ -275,7 +276,7 @@
         except stores.StoreError as error:
             if error.kind is not stores.StoreErrorKind.NOT_FOUND:
                 raise
-            return 0
+            return positions.NOWHERE
         if self._offer(stored.value):
             self._start(self._tell_first())
         return stored.version
--- a/rhubarblock/fleet/drainrecord.py
+++ b/rhubarblock/fleet/drainrecord.py
@@ -7,6 +7,7 @@
 import dataclasses
 import json
 
+from rhubarblock.core import position as positions
 from rhubarblock.kernel import timers as timers_lib
 from rhubarblock.store import store as stores
 
@@ -92,13 +93,13 @@
         await self._store.write(RECORD_OBJECT, _encode(kept), version)
         return True
 
-    async def _read(self) -> tuple[int, list[Drain]]:
+    async def _read(self) -> tuple[positions.Position, list[Drain]]:
         try:
             stored = await self._store.read(RECORD_OBJECT)
         except stores.StoreError as error:
             if error.kind is not _Kind.NOT_FOUND:
                 raise
-            return 0, []
+            return positions.NOWHERE, []
         drains = [Drain(**item) for item in json.loads(stored.value)]
         return stored.version, drains
 
--- a/rhubarblock/fleet/lease.py
+++ b/rhubarblock/fleet/lease.py
@@ -4,14 +4,15 @@
 before each update was sent, by its own monotonic clock and with a margin. A
 contender counts from when it saw the lease change last. So the holder stops
 before another one can begin, unless it is paused in between; against that
-helps only the fencing number, which rises with each new holder. It is the
-version that the platform gave to the update by which the lease was taken.
+helps only the fencing number, which rises with each new holder. It is made of
+the position of the update by which the lease was taken.
 """
 
 import dataclasses
 import json
 import random
 
+from rhubarblock.core import position as positions
 from rhubarblock.kernel import timers as timers_lib
 from rhubarblock.store import store as stores
 
@@ -50,6 +51,21 @@
     fence: int
 
 
+def make_fence(position: positions.Position) -> int:
+    """Returns the fencing number of a holder.
+
+    Args:
+      position: position of the update by which the lease was taken.
+
+    Raises:
+      ValueError: the store counts eras; engines compare whole numbers, and a
+        revision alone does not rise from one era to the next.
+    """
+    if position.era:
+        raise ValueError(f"no fencing number tells of era {position.era}")
+    return position.revision
+
+
 class Lease:
     """One lease as one instance sees it."""
 
@@ -79,9 +95,9 @@
         self._holder = holder
         self._settings = settings or LeaseSettings()
         self._fence = 0
-        self._version = 0
+        self._version = positions.NOWHERE
         self._until_s = float("-inf")
-        self._seen_version = -1
+        self._seen_version: positions.Position | None = None
         self._seen_s = float("-inf")
 
     @property
@@ -195,16 +211,16 @@
             if written.value != _encode(taking):
                 return
         self._version = written.version
-        self._fence = written.version
+        self._fence = make_fence(written.version)
         self._extend(started_s)
 
-    async def _read(self) -> tuple[int, _Content | None]:
+    async def _read(self) -> tuple[positions.Position, _Content | None]:
         try:
             stored = await self._store.read(self._object)
         except stores.StoreError as error:
             if error.kind is not _Kind.NOT_FOUND:
                 raise
-            return 0, None
+            return positions.NOWHERE, None
         return stored.version, _decode(stored.value)
 
     def _extend(self, started_s: float) -> None:
--- a/rhubarblock/fleet/poolrecord.py
+++ b/rhubarblock/fleet/poolrecord.py
@@ -7,6 +7,7 @@
 import dataclasses
 import json
 
+from rhubarblock.core import position as positions
 from rhubarblock.store import store as stores
 
 RECORD_PREFIX = "orders/"
@@ -89,7 +90,7 @@
         """
         self._store = store
         self._name = name_record(data_centre, service)
-        self._version = 0
+        self._version = positions.NOWHERE
         self.record = PoolRecord()
 
     async def load(self) -> None:
--- a/rhubarblock/platform/names.py
+++ b/rhubarblock/platform/names.py
@@ -43,6 +43,9 @@
 CONFIGURATION = "config/main"
 ENDPOINT_KIND = "servers/"
 
+# How often the store has come back from an older copy of itself.
+STORE_ERA = "Store-Era"
+
 # Variable with the path of the settings file.
 SETTINGS_VARIABLE = "RHUBARBLOCK_BOOT"
 # Port of the counters, as in deploy/system.toml.
--- a/rhubarblock/platform/objectstore.py
+++ b/rhubarblock/platform/objectstore.py
@@ -1,19 +1,23 @@
 """The platform's object API, as the product's store.
 
-An object is ``kind/name`` there and here. Its specification holds the value,
-and the revision of its last change is its version.
+An object is ``kind/name`` there and here. Its specification holds the value;
+the era of the answer and the revision of its last change are its version.
 """
 
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Mapping
+import dataclasses
 import json
 import math
+import re
 from typing import Any
 import urllib.parse
 
 import aiohttp
 
+from rhubarblock.core import position as positions
+from rhubarblock.platform import names
 from rhubarblock.store import sendonce
 from rhubarblock.store import store as stores
 
@@ -23,6 +27,7 @@
 # answers that a working store was seen to give.
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.5
+_ERA = re.compile(r"[0-9]{1,18}")
 # Longest integer that is decoded, in characters: that of 64 bits.
 _LONGEST_INTEGER = 20
 # Milliseconds for which a watch waits; short, as a connection may go silent.
@@ -41,13 +46,14 @@
 class PlatformStore(stores.ObjectStore):
     """Client of the platform's object API."""
 
-    __slots__ = ("_base_url", "_count_call", "_session")
+    __slots__ = ("_base_url", "_count_call", "_eras", "_session")
 
     def __init__(
         self,
         session: aiohttp.ClientSession,
         address: str,
         count_call: Callable[[str], None],
+        eras: stores.Eras,
     ):
         """Creates a client; the caller closes the session.
 
@@ -55,58 +61,94 @@
           session: HTTP session to use.
           address: ``host:port`` of the API.
           count_call: counts every call by a name, as each one is charged.
+          eras: hears the era of every answer.
         """
+        self._eras = eras
         self._session = session
         self._count_call = count_call
         self._base_url = f"http://{address}/objects/"
 
     async def read(self, name: str) -> stores.StoredObject:
-        fields = await self._call("GET", name)
-        return _decode_object(name.partition("/")[0], fields)
+        answer = await self._call("GET", name)
+        kind = name.partition("/")[0]
+        return _decode_object(kind, answer.fields, answer.era)
 
     async def list_objects(self, prefix: str) -> stores.Page:
         kind = prefix.partition("/")[0]
         objects: list[stores.StoredObject] = []
         query: dict[str, str] = {}
+        era: int | None = None
         while True:
             page = await self._call("GET", kind, query)
-            items = [_decode_object(kind, item) for item in page["items"]]
+            if era not in (None, page.era):
+                raise stores.StoreError(
+                    _Kind.CONFLICT, "the era changed within a listing"
+                )
+            era = page.era
+            items = [
+                _decode_object(kind, item, era) for item in page.fields["items"]
+            ]
             objects += items
-            if not page.get("hasMore") or not items:
-                return stores.Page(tuple(objects), int(page["storeRevision"]))
+            if not page.fields.get("hasMore") or not items:
+                return stores.Page(tuple(objects), page.position)
             query = {"after": items[-1].name.partition("/")[2]}
 
     async def write(
-        self, name: str, value: bytes, expected_version: int
+        self, name: str, value: bytes, expected_version: positions.Position
     ) -> stores.StoredObject:
+        self._check_era(expected_version)
         kind, _, short = name.partition("/")
         metadata: dict[str, Any] = {"name": short}
         body = {"metadata": metadata, "specification": json.loads(value)}
         if expected_version:
-            metadata["revision"] = expected_version
-            fields = await self._call("PUT", name, body=body)
+            metadata["revision"] = expected_version.revision
+            answer = await self._call("PUT", name, body=body)
         else:
-            fields = await self._call("POST", kind, body=body)
-        return stores.StoredObject(name, _read_version(fields), value)
+            answer = await self._call("POST", kind, body=body)
+        version = _read_version(answer.fields, answer.era)
+        return stores.StoredObject(name, version, value)
 
-    async def delete(self, name: str, expected_version: int) -> None:
-        query = {"revision": str(expected_version)} if expected_version else {}
+    async def delete(
+        self, name: str, expected_version: positions.Position
+    ) -> None:
+        self._check_era(expected_version)
+        query = {}
+        if expected_version:
+            query["revision"] = str(expected_version.revision)
         await self._call("DELETE", name, query)
 
+    def _check_era(self, expected: positions.Position) -> None:
+        """Refuses a condition of an ended era, which another state may meet.
+
+        Raises:
+          store.StoreError: CONFLICT.
+        """
+        if expected and expected.era != self._eras.current:
+            raise stores.StoreError(
+                _Kind.CONFLICT, "the expected version is of an ended era"
+            )
+
     async def watch(
-        self, prefix: str, after: int
+        self, prefix: str, after: positions.Position
     ) -> AsyncIterator[stores.StoredObject]:
         kind = prefix.partition("/")[0]
         while True:
-            query = {"watch": str(after), "waitMs": str(WATCH_WAIT_MS)}
+            query = {
+                "watch": str(after.revision),
+                "waitMs": str(WATCH_WAIT_MS),
+            }
             page = await self._call(
                 "GET", kind, query, CALL_TIMEOUT_S + WATCH_WAIT_MS / 1e3
             )
-            for event in page["events"]:
-                yield _decode_object(
-                    kind, event["object"], bool(event.get("removed"))
+            if page.era != after.era:
+                # Changes since the copy may be missing without an error.
+                raise stores.StoreError(
+                    _Kind.CONFLICT, "the era changed under a watch"
                 )
-            after = int(page["storeRevision"])
+            for event in page.fields["events"]:
+                removed = bool(event.get("removed"))
+                yield _decode_object(kind, event["object"], page.era, removed)
+            after = page.position
 
     async def _call(
         self,
@@ -115,8 +157,8 @@
         query: Mapping[str, str] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
         body: Mapping[str, Any] | None = None,
-    ) -> Any:
-        """Makes one call and returns the decoded body of its answer.
+    ) -> "_Answer":
+        """Makes one call and returns its answer.
 
         Raises:
           store.StoreError: it did not succeed.
@@ -136,13 +178,14 @@
                 middlewares=(sendonce.send_once,),
             ) as response:
                 content = await response.read()
+                era = self._take_era(response)
                 if response.status >= 300:
                     kind = _STATUS_KINDS.get(response.status, unknown)
                     self._count_call(f"store.answers.{kind.value}")
                     raise stores.StoreError(
                         kind, f"the store answered {response.status}"
                     )
-                return _load(content)
+                return _Answer(_load(content), era)
         except aiohttp.ClientConnectorError as error:
             self._count_call("store.answers.none")
             raise stores.StoreError(_Kind.UNAVAILABLE, str(error)) from error
@@ -150,6 +193,31 @@
             self._count_call("store.answers.none")
             raise stores.StoreError(unknown, str(error)) from error
 
+    def _take_era(self, response: aiohttp.ClientResponse) -> int:
+        """Returns the era of an answer; refusals may name none.
+
+        Raises:
+          store.StoreError: nothing that it says may be taken in.
+        """
+        text = response.headers.get(names.STORE_ERA, "").strip()
+        era = int(text) if _ERA.fullmatch(text) else None
+        if era is None and response.status >= 300:
+            return self._eras.current
+        return self._eras.take(era)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Answer:
+    """The decoded body of an answer and the era that it belongs to."""
+
+    fields: Any
+    era: int
+
+    @property
+    def position(self) -> positions.Position:
+        """Where the store stood; only lists and watches tell it."""
+        return positions.Position(self.era, int(self.fields["storeRevision"]))
+
 
 def _name_call(method: str, path: str, query: Mapping[str, str]) -> str:
     """Returns the counter of a call: what it does, and to which kind."""
@@ -184,17 +252,17 @@
     return int(digits)
 
 
-def _read_version(fields: Mapping[str, Any]) -> int:
-    return int(fields["metadata"]["revision"])
+def _read_version(fields: Mapping[str, Any], era: int) -> positions.Position:
+    return positions.Position(era, int(fields["metadata"]["revision"]))
 
 
 def _decode_object(
-    kind: str, fields: Mapping[str, Any], removed: bool = False
+    kind: str, fields: Mapping[str, Any], era: int, removed: bool = False
 ) -> stores.StoredObject:
     value = json.dumps(fields.get("specification")).encode()
     return stores.StoredObject(
         f"{kind}/{fields['metadata']['name']}",
-        _read_version(fields),
+        _read_version(fields, era),
         b"" if removed else value,
         removed,
     )
--- a/rhubarblock/relay/claims/layout.py
+++ b/rhubarblock/relay/claims/layout.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 
+from rhubarblock.core import position as positions
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.relay.claims import table as claimtable
 from rhubarblock.store import backoff as backoffs
@@ -99,4 +100,4 @@
                 raise
         # Whoever loses, or gets no answer, reads what is there next time.
         value = json.dumps({"shards": self._first_shards}).encode()
-        return await self._store.write(LAYOUT_NAME, value, 0)
+        return await self._store.write(LAYOUT_NAME, value, positions.NOWHERE)
--- a/rhubarblock/relay/claims/seal.py
+++ b/rhubarblock/relay/claims/seal.py
@@ -17,6 +17,7 @@
 import dataclasses
 import random
 
+from rhubarblock.core import position as positions
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.relay.claims import head as claimhead
 from rhubarblock.relay.claims import row as claimrow
@@ -158,12 +159,12 @@
         await self._store.write(
             claimtable.ROWS_PREFIX + new.segment_id,
             claimtable.encode_rows(new.rows),
-            expected_version=0,
+            expected_version=positions.NOWHERE,
         )
         await self._store.write(
             claimtable.KEYS_PREFIX + new.segment_id,
             claimtable.encode_keys(new.rows),
-            expected_version=0,
+            expected_version=positions.NOWHERE,
         )
 
     async def _install(self, new: _NewSegment) -> None:
--- a/rhubarblock/relay/claims/table.py
+++ b/rhubarblock/relay/claims/table.py
@@ -13,6 +13,7 @@
 import json
 from typing import Any
 
+from rhubarblock.core import position as positions
 from rhubarblock.relay.claims import row as claimrow
 
 HEAD_PREFIX = "claims/"
@@ -53,7 +54,7 @@
     """The head of a shard, as read and then changed before it is written.
 
     Attributes:
-      version: version of the head as read; 0 when there is none yet.
+      version: version of the head as read; NOWHERE when there is none yet.
       lines: recent rows by key digest, each as it is encoded.
       segments: sealed segments, oldest first.
       sealing: segment that is being written, or None.
@@ -61,7 +62,7 @@
       changed: whether there is something to write.
     """
 
-    version: int = 0
+    version: positions.Position = positions.NOWHERE
     lines: dict[str, bytes] = dataclasses.field(default_factory=dict)
     segments: list[Segment] = dataclasses.field(default_factory=list)
     sealing: Sealing | None = None
@@ -143,7 +144,7 @@
         return json.dumps(fields, separators=(",", ":")).encode()
 
 
-def decode_table(value: bytes, version: int) -> ClaimTable:
+def decode_table(value: bytes, version: positions.Position) -> ClaimTable:
     """Reads a head object."""
     header, *lines = value.split(b"\n")
     fields = json.loads(header)
--- a/rhubarblock/routing/quarantine/keeper.py
+++ b/rhubarblock/routing/quarantine/keeper.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from rhubarblock.core import position as positions
 from rhubarblock.kernel import timers as timers_lib
 from rhubarblock.routing.quarantine import book as quarantinebook
 from rhubarblock.routing.quarantine import wire as quarantinewire
@@ -62,7 +63,7 @@
                     return
 
     async def _sync_once(self, store: stores.ObjectStore) -> None:
-        kept, version = b"", 0
+        kept, version = b"", positions.NOWHERE
         try:
             found = await store.read(OBJECT_NAME)
             kept, version = found.value, found.version
--- a/rhubarblock/standins/platform/watch.py
+++ b/rhubarblock/standins/platform/watch.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncGenerator
 import random
 
+from rhubarblock.core import position as positions
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.standins.platform import faults as platformfaults
 from rhubarblock.standins.platform import state as platformstate
@@ -54,7 +55,10 @@
         self._silent = False
 
     async def read_events(
-        self, after: int, timers: timer_service.Timers, latency_s: float
+        self,
+        after: positions.Position,
+        timers: timer_service.Timers,
+        latency_s: float,
     ) -> AsyncGenerator[stores.StoredObject, None]:
         """Yields the states after a version until the platform closes it."""
         missed = self._state.find_events(self._prefix, after)
--- a/rhubarblock/store/httpstore.py
+++ b/rhubarblock/store/httpstore.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from rhubarblock.core import position as positions
 from rhubarblock.store import sendonce
 from rhubarblock.store import store as stores
 from rhubarblock.store import storewire
@@ -61,10 +62,12 @@
                 _check_status(response)
                 page = json.loads(await response.read())
         objects = [storewire.decode_object(o) for o in page["objects"]]
-        return stores.Page(tuple(objects), page["version"])
+        return stores.Page(
+            tuple(objects), storewire.decode_position(page["version"])
+        )
 
     async def write(
-        self, name: str, value: bytes, expected_version: int
+        self, name: str, value: bytes, expected_version: positions.Position
     ) -> stores.StoredObject:
         with _write_errors():
             async with self._request(
@@ -77,7 +80,9 @@
                 await response.read()
                 return stores.StoredObject(name, _get_version(response), value)
 
-    async def delete(self, name: str, expected_version: int) -> None:
+    async def delete(
+        self, name: str, expected_version: positions.Position
+    ) -> None:
         with _write_errors():
             async with self._request(
                 "DELETE",
@@ -88,7 +93,7 @@
                 await response.read()
 
     async def watch(
-        self, prefix: str, after: int
+        self, prefix: str, after: positions.Position
     ) -> AsyncIterator[stores.StoredObject]:
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
@@ -96,7 +101,7 @@
         with _read_errors():
             async with self._session.get(
                 self._base_url + storewire.WATCH_PATH,
-                params={"prefix": prefix, "after": str(after)},
+                params={"prefix": prefix, "after": _encode(after)},
                 headers=self._headers,
                 timeout=timeout,
                 max_line_size=LINE_LIMIT,
@@ -109,8 +114,8 @@
         quoted = urllib.parse.quote(name, safe="/")
         return f"{self._base_url}{storewire.OBJECTS_PATH}/{quoted}"
 
-    def _expect(self, version: int) -> dict[str, str]:
-        return {**self._headers, storewire.EXPECTED_HEADER: str(version)}
+    def _expect(self, version: positions.Position) -> dict[str, str]:
+        return {**self._headers, storewire.EXPECTED_HEADER: _encode(version)}
 
     def _request(
         self,
@@ -144,8 +149,13 @@
             yield line
 
 
-def _get_version(response: aiohttp.ClientResponse) -> int:
-    return int(response.headers[storewire.VERSION_HEADER])
+def _encode(position: positions.Position) -> str:
+    return str(storewire.encode_position(position))
+
+
+def _get_version(response: aiohttp.ClientResponse) -> positions.Position:
+    number = int(response.headers[storewire.VERSION_HEADER])
+    return storewire.decode_position(number)
 
 
 def _check_status(response: aiohttp.ClientResponse) -> None:
--- a/rhubarblock/store/store.py
+++ b/rhubarblock/store/store.py
@@ -1,8 +1,8 @@
 """Interface of the platform's object API.
 
 An object is named ``kind/name``, holds bytes up to a megabyte and has a
-version that the platform raises with every write. The protocol is described
-in docs/standins.md.
+version, the position of its last write in the store's history. The protocol is
+described in docs/standins.md.
 """
 
 import abc
@@ -10,6 +10,8 @@
 import dataclasses
 import enum
 
+from rhubarblock.core import position as positions
+
 # The platform refuses values above this size, in bytes.
 VALUE_LIMIT = 1_000_000
 
@@ -22,6 +24,7 @@
     UNAVAILABLE = "unavailable"  # Refused before it took effect.
     UNSURE = "unsure"  # No answer: a write may or may not have taken effect.
     RATE_LIMITED = "rate_limited"
+    OUTDATED = "outdated"  # The answer tells of an era that has ended.
     TOO_LARGE = "too_large"
 
 
@@ -43,23 +46,46 @@
 
     Attributes:
       name: full name, ``kind/name``.
-      version: version of this state; rises with each write of any object.
+      version: position of this state; rises with each write of any object.
       value: content; empty when deleted.
       deleted: whether this state is the deletion.
     """
 
     name: str
-    version: int
+    version: positions.Position
     value: bytes
     deleted: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Page:
-    """Objects of one listing and the store version at which it was taken."""
+    """Objects of one listing and the position at which it was taken."""
 
     objects: tuple[StoredObject, ...]
-    version: int
+    version: positions.Position
+
+
+class Eras(abc.ABC):
+    """Which era the store is in, as far as its answers told."""
+
+    @property
+    @abc.abstractmethod
+    def current(self) -> int:
+        """The present era; 0 while none is known."""
+
+    @abc.abstractmethod
+    def take(self, era: int | None) -> int:
+        """Takes in the era that an answer names.
+
+        Args:
+          era: the era, None where the answer names none that can be read.
+
+        Returns:
+          The era to which what the answer says belongs.
+
+        Raises:
+          StoreError: what it says must not be taken in.
+        """
 
 
 class ObjectStore(abc.ABC):
@@ -75,26 +101,31 @@
 
     @abc.abstractmethod
     async def write(
-        self, name: str, value: bytes, expected_version: int
+        self, name: str, value: bytes, expected_version: positions.Position
     ) -> StoredObject:
         """Writes one object if its version is still the expected one.
 
         Args:
           name: full name.
           value: new content, at most ``VALUE_LIMIT`` bytes.
-          expected_version: present version; 0 means it must not exist.
+          expected_version: present version; ``NOWHERE`` means that it must not
+            exist.
 
         Returns:
           The object as written, with its new version.
         """
 
     @abc.abstractmethod
-    async def delete(self, name: str, expected_version: int) -> None:
+    async def delete(
+        self, name: str, expected_version: positions.Position
+    ) -> None:
         """Deletes one object if its version is still the expected one."""
 
     @abc.abstractmethod
-    def watch(self, prefix: str, after: int) -> AsyncIterator[StoredObject]:
-        """Yields the states written after a version, as long as it is read.
+    def watch(
+        self, prefix: str, after: positions.Position
+    ) -> AsyncIterator[StoredObject]:
+        """Yields the states written after a position, as long as it is read.
 
         The iterator ends without an error when the platform closes the watch;
         it raises ``StoreError`` when events were lost and a new listing is
--- a/rhubarblock/store/storewire.py
+++ b/rhubarblock/store/storewire.py
@@ -8,6 +8,7 @@
 import json
 from typing import Any
 
+from rhubarblock.core import position as positions
 from rhubarblock.store import store as stores
 
 OBJECTS_PATH = "/v1/objects"
@@ -28,11 +29,27 @@
 KIND_BY_STATUS = {status: kind for kind, status in STATUS_BY_KIND.items()}
 
 
+def encode_position(position: positions.Position) -> int:
+    """Returns a position as the number that the protocol knows.
+
+    Raises:
+      ValueError: it is of another era than 0; the protocol has no eras.
+    """
+    if position.era:
+        raise ValueError(f"the protocol has no word for era {position.era}")
+    return position.revision
+
+
+def decode_position(number: int) -> positions.Position:
+    """Reads what ``encode_position`` made."""
+    return positions.Position(0, number)
+
+
 def encode_object(stored: stores.StoredObject) -> dict[str, Any]:
     """Returns an object as the JSON value of listings and watches."""
     return {
         "name": stored.name,
-        "version": stored.version,
+        "version": encode_position(stored.version),
         "value": base64.b64encode(stored.value).decode(),
         "deleted": stored.deleted,
     }
@@ -42,7 +59,7 @@
     """Reads what ``encode_object`` made."""
     return stores.StoredObject(
         name=fields["name"],
-        version=fields["version"],
+        version=decode_position(fields["version"]),
         value=base64.b64decode(fields["value"]),
         deleted=fields["deleted"],
     )
--- a/rhubarblock/store/unsure.py
+++ b/rhubarblock/store/unsure.py
@@ -10,6 +10,7 @@
 import dataclasses
 import random
 
+from rhubarblock.core import position as positions
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.store import backoff as backoffs
 from rhubarblock.store import store as stores
@@ -27,14 +28,15 @@
     Attributes:
       name: full name of the object.
       value: new content.
-      expected_version: version to replace; 0 means it must not exist.
+      expected_version: version to replace; NOWHERE means that it must not
+        exist.
       owns: says of a content whether this write made it, as a rule by a writer
         id that is unique to the write.
     """
 
     name: str
     value: bytes
-    expected_version: int
+    expected_version: positions.Position
     owns: Callable[[bytes], bool]
 
 
@@ -116,7 +118,7 @@
         self, pending: PendingWrite, deadline_s: float
     ) -> stores.StoredObject | None:
         left_s = deadline_s - self._timers.read_monotonic()
-        version = 0
+        version = positions.NOWHERE
         try:
             async with asyncio.timeout(left_s):
                 found = await self._store.read(pending.name)
--- a/tools/check_platform.py
+++ b/tools/check_platform.py
@@ -14,7 +14,7 @@
 ADAPTER = "rhubarblock.platform"
 ADAPTER_LINES = 1_200
 WORDS = re.compile(
-    r"X-Rhubarblock-|RHUBARBLOCK_BOOT|At-Server|Server-Limit|Server-Leaving|"
+    r"X-Rhubarblock-|RHUBARBLOCK_BOOT|At-Server|Server-Limit|Server-Leaving|Store-Era|"
     r"routeKind|stickySessions|targetLatencyMs|trafficSplit|pathPrefix|"
     r"streamResume|gapTargetMs|kvCapacityTokens|apiKeys|storeRevision|"
     r"platformSettings|tokenCount|holdMs"
