Read the bound for evacuations, and let a watch wait for a given time

Cause: instances have no setting and no names for the evacuation of a data centre, and a watch of the store always waits for 4 s, so that a connection that goes silent is noticed only after 5.5 s, later than an evacuation must be in force (5 s). Change: `bounds.evacuateMs` becomes `ExchangeBounds.evacuate_s`, None without it; the dialect has the prefix of evacuations and decodes the name of an entry; `ObjectStore.watch` takes the time for which an answer waits. Result: the tests of settings, store and platform pass; nothing makes a call yet.

--- a/rhubarblock/catalogue/fakestore_test.py
+++ b/rhubarblock/catalogue/fakestore_test.py
@@ -93,7 +93,7 @@
     async def delete(self, name, expected_version):
         raise NotImplementedError
 
-    def watch(self, prefix, after):
+    def watch(self, prefix, after, wait_s=None):
         raise NotImplementedError
 
     @contextlib.asynccontextmanager
--- a/rhubarblock/daemon/listing_test.py
+++ b/rhubarblock/daemon/listing_test.py
@@ -45,7 +45,7 @@
     async def delete(self, name, expected_version):
         raise AssertionError("nothing is deleted")
 
-    async def watch(self, prefix, after):
+    async def watch(self, prefix, after, wait_s=None):
         raise AssertionError("nothing is watched")
         yield
 
--- a/rhubarblock/exchange/dialect.py
+++ b/rhubarblock/exchange/dialect.py
@@ -18,6 +18,12 @@
 from rhubarblock.core import statement as statements
 from rhubarblock.store import store as stores
 
+# Maximum length of the name of a data centre, in characters; a host name has at
+# most 253.
+MAX_NAME_LENGTH = 255
+# Characters of an invalid name that an error message shows.
+SHOWN_CHARACTERS = 40
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class CallerFields:
@@ -177,6 +183,11 @@
     def endpoint_prefix(self) -> str:
         """Prefix of the objects that list endpoints."""
 
+    @property
+    @abc.abstractmethod
+    def evacuation_prefix(self) -> str:
+        """Prefix of the objects that ask for an evacuation."""
+
     @abc.abstractmethod
     def read_caller(self, fields: Mapping[str, str]) -> CallerFields:
         """Decodes the header fields of a caller's request."""
@@ -240,3 +251,19 @@
         Raises:
           ValueError: it can't be decoded.
         """
+
+    def decode_evacuation(self, name: str) -> str:
+        """Returns the data centre that an object asks to evacuate.
+
+        Only the name matters, as the object may come from any writer.
+
+        Args:
+          name: full name of the object.
+
+        Raises:
+          ValueError: it can't be the name of a data centre.
+        """
+        data_centre = name.removeprefix(self.evacuation_prefix)
+        if not 0 < len(data_centre) <= MAX_NAME_LENGTH:
+            raise ValueError(f"{data_centre[:SHOWN_CHARACTERS]!r} is no name")
+        return data_centre
--- a/rhubarblock/exchange/state/follower_test.py
+++ b/rhubarblock/exchange/state/follower_test.py
@@ -93,7 +93,7 @@
     async def delete(self, name, expected_version):
         raise AssertionError("nothing is deleted here")
 
-    async def watch(self, prefix, after):
+    async def watch(self, prefix, after, wait_s=None):
         while True:
             event = await self.events.get()
             if event is None:
--- a/rhubarblock/experiments/storereturn/restoredstore.py
+++ b/rhubarblock/experiments/storereturn/restoredstore.py
@@ -122,7 +122,10 @@
         raise NotImplementedError("the scenario deletes no entries")
 
     def watch(
-        self, prefix: str, after: positions.Position
+        self,
+        prefix: str,
+        after: positions.Position,
+        wait_s: float | None = None,
     ) -> AsyncIterator[stores.StoredObject]:
         raise NotImplementedError("the scenario uses no watches")
 
--- a/rhubarblock/platform/configuration.py
+++ b/rhubarblock/platform/configuration.py
@@ -198,9 +198,7 @@
         service=_read_text(fields, "service"),
         slots=max(1, _read_count(fields, "slots", _MAX_SLOTS)),
         draining=state == _DRAINING,
-        born_ms=_read_count(fields, "born", _MAX_COUNT)
-        if "born" in fields
-        else 0,
+        born_ms=_read_count({"born": 0, **fields}, "born", _MAX_COUNT),
     )
 
 
--- a/rhubarblock/platform/dialect.py
+++ b/rhubarblock/platform/dialect.py
@@ -27,6 +27,10 @@
     def endpoint_prefix(self) -> str:
         return names.ENDPOINT_KIND
 
+    @property
+    def evacuation_prefix(self) -> str:
+        return names.EVACUATION_KIND
+
     def read_caller(self, fields: Mapping[str, str]) -> dialects.CallerFields:
         return headercodec.read_caller(fields)
 
--- a/rhubarblock/platform/names.py
+++ b/rhubarblock/platform/names.py
@@ -39,9 +39,11 @@
 # Number of the last event that the caller of a stream received.
 LAST_EVENT = "Last-Event-Id"
 
-# Object with the current configuration, and prefix of the endpoints' entries.
+# Object with the current configuration, and prefixes of the endpoints' entries
+# and of the objects that ask for the evacuation of a data centre.
 CONFIGURATION = "config/main"
 ENDPOINT_KIND = "servers/"
+EVACUATION_KIND = "evacuations/"
 
 # Number of times that the store was restored from an older copy.
 STORE_ERA = "Store-Era"
--- a/rhubarblock/platform/objectstore.py
+++ b/rhubarblock/platform/objectstore.py
@@ -85,9 +85,8 @@
                     _Kind.CONFLICT, "the era changed within a listing"
                 )
             era = page.era
-            items = [
-                _decode_object(kind, item, era) for item in page.fields["items"]
-            ]
+            found = page.fields["items"]
+            items = [_decode_object(kind, item, era) for item in found]
             objects += items
             if not page.fields.get("hasMore") or not items:
                 return stores.Page(tuple(objects), page.position)
@@ -129,16 +128,17 @@
             )
 
     async def watch(
-        self, prefix: str, after: positions.Position
+        self,
+        prefix: str,
+        after: positions.Position,
+        wait_s: float | None = None,
     ) -> AsyncIterator[stores.StoredObject]:
         kind = prefix.partition("/")[0]
+        wait_ms = WATCH_WAIT_MS if wait_s is None else round(wait_s * 1e3)
         while True:
-            query = {
-                "watch": str(after.revision),
-                "waitMs": str(WATCH_WAIT_MS),
-            }
+            query = {"watch": str(after.revision), "waitMs": str(wait_ms)}
             page = await self._call(
-                "GET", kind, query, CALL_TIMEOUT_S + WATCH_WAIT_MS / 1e3
+                "GET", kind, query, CALL_TIMEOUT_S + wait_ms / 1e3
             )
             if page.era != after.era:
                 # The watch may silently lack changes made since the copy.
--- a/rhubarblock/platform/objectstore_test.py
+++ b/rhubarblock/platform/objectstore_test.py
@@ -313,3 +313,26 @@
     item = make_item("i1", 7, {})
     found, calls, _ = run_eras([in_era(4, item), in_era(5, item)], step)
     assert (found, calls) == (_Kind.CONFLICT, 2)
+
+
+def test_watch_waits_as_long_as_asked_and_reports_evacuations():
+    # An entry that is being deleted still counts until it is removed.
+    deleting = make_item("osu", 11, None)
+    deleting["metadata"]["deletionRequested"] = True
+
+    def answer(number, *call):
+        events = [{"removed": False, "object": deleting}]
+        if number == 2:
+            return 410, {}
+        return 200, {"events": events, "storeRevision": 12}
+
+    async def step(store):
+        seen = []
+        with contextlib.suppress(stores.StoreError):
+            async for stored in store.watch("evacuations/", at(10), 1.5):
+                seen.append((stored.name, stored.deleted))
+        return seen
+
+    seen, calls = run(answer, step)
+    assert seen == [("evacuations/osu", False)]
+    assert calls[0][1] == "/objects/evacuations?watch=10&waitMs=1500"
--- a/rhubarblock/platform/settings.py
+++ b/rhubarblock/platform/settings.py
@@ -133,6 +133,7 @@
         retry_window_s=read("budgetWindowS", 1.0, defaults.retry_window_s),
         lease_max_s=read("maxHoldMs", _MS_PER_S, defaults.lease_max_s),
         lease_free_s=read("freeMs", _MS_PER_S, defaults.lease_free_s),
+        evacuate_s=read("evacuateMs", _MS_PER_S, 0.0) or None,
     )
 
 
--- a/rhubarblock/platform/settings_test.py
+++ b/rhubarblock/platform/settings_test.py
@@ -74,3 +74,13 @@
     missing = settings.load_settings(tmp_path / "none.toml")
     assert isinstance(missing, result.Failure)
     assert isinstance(load(tmp_path, "a = "), result.Failure)
+
+
+def test_evacuations_need_their_bound(tmp_path):
+    assert load(tmp_path, TEXT).unwrap().bounds.evacuate_s is None
+    text = TEXT.replace("drainMs", "evacuateMs = 5000\ndrainMs")
+    assert load(tmp_path, text).unwrap().bounds.evacuate_s == 5.0
+    failed = load(tmp_path, text.replace("5000\ndrain", "0\ndrain"))
+    assert [str(error) for error in failed.failure()] == [
+        "bounds.evacuateMs: a number over 0 is expected, not 0"
+    ]
--- a/rhubarblock/relay/claims/interleave_test.py
+++ b/rhubarblock/relay/claims/interleave_test.py
@@ -278,7 +278,7 @@
     async def list_objects(self, prefix):
         raise NotImplementedError
 
-    def watch(self, prefix, after):
+    def watch(self, prefix, after, wait_s=None):
         raise NotImplementedError
 
 
--- a/rhubarblock/settings/exchange.py
+++ b/rhubarblock/settings/exchange.py
@@ -43,6 +43,9 @@
       lease_max_s: maximum duration of a memory lease at an engine, in seconds.
       lease_free_s: seconds after the end of a request within which the memory
         that it leased must be free.
+      evacuate_s: seconds until nothing more is sent to endpoints of a data
+        centre that the operator evacuates; None if the deployment has no
+        evacuations.
     """
 
     grace_s: float = 8.0
@@ -54,6 +57,7 @@
     retry_window_s: float = 10.0
     lease_max_s: float = 20.0
     lease_free_s: float = 4.0
+    evacuate_s: float | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/rhubarblock/standins/platform/store.py
+++ b/rhubarblock/standins/platform/store.py
@@ -133,9 +133,12 @@
         await self._local.delete(name, expected_version)
 
     def watch(
-        self, prefix: str, after: positions.Position
+        self,
+        prefix: str,
+        after: positions.Position,
+        wait_s: float | None = None,
     ) -> AsyncIterator[stores.StoredObject]:
-        return self._local.watch(prefix, after)
+        return self._local.watch(prefix, after, wait_s)
 
 
 class Connection(stores.ObjectStore):
@@ -227,7 +230,10 @@
         await self._answer_write("delete")
 
     async def watch(
-        self, prefix: str, after: positions.Position
+        self,
+        prefix: str,
+        after: positions.Position,
+        wait_s: float | None = None,
     ) -> AsyncGenerator[stores.StoredObject, None]:
         store = self._store
         await self._begin_read("watch")
--- a/rhubarblock/store/confirmedwrite_test.py
+++ b/rhubarblock/store/confirmedwrite_test.py
@@ -65,7 +65,7 @@
     async def delete(self, name, expected_version):
         raise NotImplementedError
 
-    def watch(self, prefix, after):
+    def watch(self, prefix, after, wait_s=None):
         raise NotImplementedError
 
 
--- a/rhubarblock/store/httpstore.py
+++ b/rhubarblock/store/httpstore.py
@@ -93,7 +93,10 @@
                 await response.read()
 
     async def watch(
-        self, prefix: str, after: positions.Position
+        self,
+        prefix: str,
+        after: positions.Position,
+        wait_s: float | None = None,
     ) -> AsyncIterator[stores.StoredObject]:
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
--- a/rhubarblock/store/store.py
+++ b/rhubarblock/store/store.py
@@ -123,10 +123,21 @@
 
     @abc.abstractmethod
     def watch(
-        self, prefix: str, after: positions.Position
+        self,
+        prefix: str,
+        after: positions.Position,
+        wait_s: float | None = None,
     ) -> AsyncIterator[StoredObject]:
         """Yields the states that are written after a position.
 
+        Args:
+          prefix: prefix of the names to watch.
+          after: position of the listing or state from which to go on.
+          wait_s: longest time in seconds for which an answer waits for an
+            event, so that a silent connection is noticed; None leaves it to the
+            store's client. Clients whose watch has one endless answer ignore
+            it.
+
         The iterator ends without an error when the platform closes the watch;
         it raises ``StoreError`` if events were lost and a new listing is
         needed.
