Replicate the evacuated data centres from the store to all instances

Cause: nothing knows which data centres the operator evacuates. Change: the reader of a data centre lists and watches the prefix; its state answers carry the set with its position to instances that name theirs, and a change wakes their requests. The directory leaves evacuated endpoints out of every list, withholds all endpoints until the set is known (a second at most), and does not count them, so that subsets of a large pool take endpoints of other data centres instead. A reader whose lease expired reads the set before the lease becomes valid again.

--- a/rhubarblock/exchange/state/directory.py
+++ b/rhubarblock/exchange/state/directory.py
@@ -4,7 +4,8 @@
 unreachable, so what an endpoint states about itself counts too. An endpoint
 that announced that it leaves is not used again until it restarts, even if a
 list still names it. One whose address turned out to belong to another endpoint
-is not used until the list names it again.
+is not used until the list names it again. Endpoints of an evacuated data centre
+get no new work, whatever their state.
 """
 
 import collections
@@ -74,6 +75,9 @@
       number: change number, for caches of derived data.
       on_restart: called with the id of an endpoint that restarted under the
         same id, so that state of the earlier start is dropped.
+      on_return: called with the name of a data centre whose evacuation ended.
+        An instance that knows only a part of the list may receive entries of
+        its endpoints later.
     """
 
     __slots__ = (
@@ -81,6 +85,8 @@
         "_drain_s",
         "_ended",
         "_endpoints",
+        "_evacuated",
+        "_is_withheld",
         "_restored_s",
         "_restores",
         "_services",
@@ -88,6 +94,7 @@
         "_timers",
         "number",
         "on_restart",
+        "on_return",
     )
 
     def __init__(self, timers: timer_service.Timers, drain_s: float = 0.0):
@@ -106,6 +113,10 @@
         self._restores = 0
         self._restored_s = -math.inf
         self.on_restart: Callable[[str], None] = lambda endpoint_id: None
+        self.on_return: Callable[[str], None] = lambda data_centre: None
+        # Evacuated data centres, and whether they are not known yet.
+        self._evacuated: frozenset[str] = frozenset()
+        self._is_withheld = False
         self._endpoints: dict[str, Endpoint] = {}
         # The same endpoints by service, as each request needs one service.
         self._services: dict[str, dict[str, Endpoint]] = {}
@@ -222,10 +233,41 @@
         self._log(known.listed, "ready", True)
         return True
 
+    def withhold(self) -> None:
+        """Uses no endpoint until ``set_evacuated`` is called."""
+        self._is_withheld = True
+        self._note_change()
+
+    def set_evacuated(self, data_centres: frozenset[str]) -> None:
+        """Sets the data centres to whose endpoints nothing more is sent."""
+        if not self._is_withheld and data_centres == self._evacuated:
+            return
+        returned = self._evacuated - data_centres
+        self._is_withheld = False
+        self._evacuated = data_centres
+        self._note_change()
+        for data_centre in sorted(returned):
+            self.on_return(data_centre)
+
+    def is_evacuated(self, data_centre: str) -> bool:
+        """Returns whether nothing may be sent to a data centre.
+
+        True for all of them until the evacuations are known.
+        """
+        return self._is_withheld or data_centre in self._evacuated
+
+    def has_evacuated(self, service: str) -> bool:
+        """Returns whether a service has endpoints that are evacuated."""
+        return not self._evacuated.isdisjoint(self._count_centres(service))
+
     def is_closed(self, endpoint_id: str) -> bool:
         """Returns whether an endpoint takes no new work now."""
         known = self._endpoints.get(endpoint_id)
-        if known is None or not known.draining:
+        if known is None:
+            return False
+        if self.is_evacuated(known.listed.data_centre):
+            return True
+        if not known.draining:
             return False
         return self._timers.read_monotonic() >= known.last_resort_s
 
@@ -268,14 +310,23 @@
     def count(self, service: str, data_centre: str | None = None) -> int:
         """Returns the number of endpoints of a service, known here or not.
 
+        Those of evacuated data centres do not count, so that more endpoints of
+        the others are used in their place.
+
         Args:
           service: name of the service.
           data_centre: counts only endpoints there; None counts all.
         """
         by_centre = self._count_centres(service)
         if data_centre is not None:
+            if data_centre in self._evacuated:
+                return 0
             return by_centre.get(data_centre, 0)
-        return sum(by_centre.values())
+        return sum(
+            count
+            for centre, count in by_centre.items()
+            if centre not in self._evacuated
+        )
 
     def count_services(self) -> Sizes:
         """Returns the number of endpoints of each service."""
@@ -323,9 +374,10 @@
         used until they had time to register again. The same holds after the
         store was restored from an older copy. If all endpoints leave, those
         that announced it themselves are used for part of the time in which they
-        still serve.
+        still serve. None of this applies to endpoints of evacuated data
+        centres.
         """
-        pool = self._services.get(service, {}).values()
+        pool = self._list_not_evacuated(service)
         usable = [endpoint for endpoint in pool if not endpoint.draining]
         if not usable:
             now_s = self._timers.read_monotonic()
@@ -336,6 +388,12 @@
         chosen = present if 2 * len(present) >= len(usable) else usable
         return [endpoint.listed for endpoint in chosen]
 
+    def _list_not_evacuated(self, service: str) -> list[Endpoint]:
+        pool = list(self._services.get(service, {}).values())
+        if not self._evacuated and not self._is_withheld:
+            return pool
+        return [e for e in pool if not self.is_evacuated(e.listed.data_centre)]
+
     def _log(
         self, entry: lists.ListedEndpoint, before: str, draining: bool
     ) -> None:
--- a/rhubarblock/exchange/state/directory_test.py
+++ b/rhubarblock/exchange/state/directory_test.py
@@ -231,3 +231,57 @@
     timers.now_s = 3.9
     directory.expire()
     assert usable(directory) == ["b"]
+
+
+C = listed.ListedEndpoint("c", "10.0.0.3:1", "mill", "pool", 8, False)
+
+
+def test_endpoints_of_an_evacuated_data_centre_are_unusable():
+    directory = directories.Directory(Timers())
+    returned = []
+    directory.on_return = returned.append
+    directory.replace([A, C])
+    before = directory.number
+    directory.set_evacuated(frozenset({"osu", "elsewhere"}))
+    assert directory.number > before
+    assert (usable(directory), directory.is_closed("a")) == (["c"], True)
+    assert not directory.is_closed("c")
+    directory.update(B)
+    directory.set_evacuated(frozenset({"mill"}))
+    assert usable(directory) == ["a", "b"]
+    assert returned == ["elsewhere", "osu"]
+
+
+def test_evacuated_endpoints_are_not_used_if_most_entries_are_missing():
+    directory = directories.Directory(Timers())
+    directory.replace([A, B, C])
+    directory.replace([])
+    directory.set_evacuated(frozenset({"osu"}))
+    assert usable(directory) == ["c"]
+
+
+def test_evacuated_endpoint_is_no_last_resort():
+    directory = directories.Directory(Timers(), drain_s=2.0)
+    directory.replace([A])
+    directory.note_leaving(A)
+    assert (usable(directory), directory.is_closed("a")) == (["a"], False)
+    directory.set_evacuated(frozenset({"osu"}))
+    assert (usable(directory), directory.is_closed("a")) == ([], True)
+
+
+def test_withheld_endpoints_are_unusable_until_evacuations_are_set():
+    directory = directories.Directory(Timers())
+    directory.withhold()
+    directory.replace([A])
+    assert (usable(directory), directory.is_closed("a")) == ([], True)
+    directory.set_evacuated(frozenset())
+    assert (usable(directory), directory.is_closed("a")) == (["a"], False)
+
+
+def test_evacuated_endpoints_count_only_in_the_sizes_for_peers():
+    directory = directories.Directory(Timers())
+    directory.replace([A, B, C])
+    directory.set_evacuated(frozenset({"osu"}))
+    assert directory.count("pool") == directory.count("pool", "mill") == 1
+    assert directory.count("pool", "osu") == 0
+    assert directory.count_services() == {"pool": {"osu": 2, "mill": 1}}
--- a/rhubarblock/exchange/state/feed.py
+++ b/rhubarblock/exchange/state/feed.py
@@ -13,6 +13,10 @@
 
 Of a long list of endpoints only the requester's subset is sent, but afterwards
 all changes: an endpoint that it uses must not leave unnoticed.
+
+The set of evacuated data centres is sent to requesters that name their position
+of it. A build without evacuations names none and ignores the field, and an
+answer without the field says nothing about evacuations.
 """
 
 import dataclasses
@@ -30,6 +34,7 @@
 from rhubarblock.exchange.state import differencewire
 from rhubarblock.exchange.state import directory as directories
 from rhubarblock.exchange.state import entrywire
+from rhubarblock.exchange.state import evacuationwire
 from rhubarblock.exchange.state import replica as replicas
 from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.kernel import metrics as metric_store
@@ -131,6 +136,9 @@
             )
             number = int(query.get("number", "0"))
             wait_s = min(WAIT_S, int(query.get("wait_ms", "0")) / 1e3)
+            evacuated_at = evacuationwire.decode_position(
+                query.get("evacuations")
+            )
         except ValueError:
             return web.Response(status=400)
         if query.get("source") != self._source:
@@ -139,18 +147,22 @@
             # A release without eras would misjudge the order of revisions.
             return web.Response(status=503)
         await self._replica.wait_for_change(
-            lambda: self._has_changes(known.version, number), wait_s
+            lambda: (
+                self._has_changes(known.version, number)
+                or self._has_evacuations(request, evacuated_at)
+            ),
+            wait_s,
         )
         if not self._has_state():
             return web.Response(status=503)
-        text = json.dumps(
-            self._make_answer(
-                known,
-                number,
-                query.get("instance", ""),
-                query.get("data_centre", ""),
-            )
+        answer = self._make_answer(
+            known,
+            number,
+            query.get("instance", ""),
+            query.get("data_centre", ""),
         )
+        self._add_evacuations(answer, evacuated_at)
+        text = json.dumps(answer)
         self._metrics.count("feed.answers")
         self._metrics.count("feed.bytes", len(text))
         return web.Response(text=text, content_type="application/json")
@@ -168,6 +180,25 @@
             return True
         return number == 0 or self._replica.number > number
 
+    def _has_evacuations(
+        self, request: web.BaseRequest, known: positions.Position | None
+    ) -> bool:
+        """Returns whether a requester lacks the set of evacuations here."""
+        held = self._replica.evacuations
+        if held is None or "evacuations" not in request.query:
+            return False
+        if not self._has_state() or not held.known.is_known:
+            return False
+        return known is None or held.known.position > known
+
+    def _add_evacuations(
+        self, answer: dict[str, Any], known: positions.Position | None
+    ) -> None:
+        """Adds the field about evacuations, if the deployment has any."""
+        held = self._replica.evacuations
+        if held is not None:
+            answer["evacuations"] = evacuationwire.encode(held.known, known)
+
     def _lacks_configuration(self, known: documents.Identity) -> bool:
         """Returns whether a requester lacks the configuration in force here.
 
@@ -302,13 +333,21 @@
         """
         cursor = self._cursors.setdefault(address, ListCursor())
         sent_s = self._config_lease.read_clock()
+        asked_s = self._timers.read_monotonic()
+        held = self._replica.evacuations
+        asked_at = held.known.position if held else positions.NOWHERE
         fields = await self._fetch(address, cursor, wait_s)
         try:
             confirmed_s = sent_s - float(fields["age_s"])
             age_s = self._config_lease.read_clock() - confirmed_s
             if age_s >= max_age_s:
                 raise StaleStateError(f"its state is {age_s:.2f} s old")
-            self._apply(fields, cursor, confirmed_s, self._check_era(fields))
+            era = self._check_era(fields)
+            changed = self._apply_evacuations(fields, asked_s, asked_at)
+            self._apply(fields, cursor, confirmed_s, era)
+            if changed and not self._replica.complete:
+                # Other endpoints are used now, whose entries are not known.
+                self.forget()
             if self._config_lease.age_s >= max_age_s < math.inf:
                 raise StaleStateError("it holds an older configuration")
         except stores.StoreError as error:
@@ -330,6 +369,40 @@
             return self._eras.current
         return self._eras.validate(era)
 
+    def _apply_evacuations(
+        self,
+        fields: dict[str, Any],
+        asked_s: float,
+        asked_at: positions.Position,
+    ) -> bool:
+        """Applies a peer's evacuations, before any other part of its state.
+
+        Args:
+          fields: the answer.
+          asked_s: when the request was sent, in monotonic seconds.
+          asked_at: position of the set that was held here then.
+
+        Returns:
+          Whether another set of data centres is evacuated now.
+
+        Raises:
+          ValueError: the set can't be decoded.
+          store.StoreError: its era is not valid.
+        """
+        held = self._replica.evacuations
+        if held is None:
+            return False
+        held.is_fed = "evacuations" in fields
+        sent_field = fields.get("evacuations")
+        if not sent_field:
+            return False
+        if sent_field is True:
+            return held.confirm(asked_at)
+        sent = evacuationwire.decode(sent_field)
+        if sent.at.era > self._eras.current:
+            self._eras.validate(sent.at.era)
+        return held.apply_sent(sent, asked_s)
+
     def forget(self) -> None:
         """Resets all cursors, as the list now comes from another source."""
         self._cursors.clear()
@@ -350,6 +423,9 @@
             "data_centre": self._data_centre,
             "era": str(self._eras.current),
         }
+        held = self._replica.evacuations
+        if held is not None:
+            query["evacuations"] = evacuationwire.encode_position(held.known)
         timeout = aiohttp.ClientTimeout(
             total=wait_s + ANSWER_S, sock_connect=CONNECT_S
         )
@@ -415,4 +491,4 @@
         if not self._replica.complete:
             self._directory.set_sizes(sizes)
         if objects:
-            self._replica.listed.set()
+            self._replica.note_listed()
--- a/rhubarblock/exchange/state/feed_test.py
+++ b/rhubarblock/exchange/state/feed_test.py
@@ -421,6 +421,7 @@
                 name: getattr(reader.replica, name)
                 for name in (
                     "era",
+                    "evacuations",
                     "identity",
                     "list_changes",
                     "listed",
--- a/rhubarblock/exchange/state/follower.py
+++ b/rhubarblock/exchange/state/follower.py
@@ -19,6 +19,7 @@
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange.peering import table as peer_table
 from rhubarblock.exchange.state import configlease as config_leases
+from rhubarblock.exchange.state import evacuationfollower
 from rhubarblock.exchange.state import feed as statefeed
 from rhubarblock.exchange.state import replica as replicas
 from rhubarblock.kernel import timers as timer_service
@@ -116,6 +117,7 @@
         "_client",
         "_dialect",
         "_eras",
+        "_evacuations",
         "_peers",
         "_intervals",
         "_has_new_era",
@@ -139,6 +141,7 @@
         timers: timer_service.Timers,
         rng: random.Random,
         eras: era_lib.EraTracker,
+        evacuations: evacuationfollower.EvacuationFollower | None = None,
     ):
         """Creates a follower; ``run`` starts it.
 
@@ -153,8 +156,10 @@
           timers: the clock, and sleeps.
           rng: jitter of backoffs.
           eras: reports when the store was restored from an older copy.
+          evacuations: reads the evacuations, None without evacuations.
         """
         self._eras = eras
+        self._evacuations = evacuations
         # Set when the list must be read again.
         self._has_new_era = asyncio.Event()
         eras.add_listener(self._begin_era)
@@ -180,6 +185,8 @@
             asyncio.create_task(self._follow_configuration()),
             asyncio.create_task(self._follow_endpoints()),
         ]
+        if self._evacuations is not None:
+            tasks.append(asyncio.create_task(self._evacuations.follow()))
         try:
             yield self
         finally:
@@ -266,6 +273,7 @@
         try:
             stored = await self._store.read(self._dialect.configuration_name)
             era = stored.version.era
+            await self._read_evacuations_after_pause()
             self._replica.apply_configuration(stored.value, sent_s, era)
         except (stores.StoreError, ValueError) as error:
             if self._reachable:
@@ -279,6 +287,18 @@
             _logger.warning("store regained")
         return True
 
+    async def _read_evacuations_after_pause(self) -> None:
+        """Reads the evacuations before an expired lease becomes valid again.
+
+        After a pause of the process, the set held here may be outdated.
+        """
+        if (
+            self._evacuations is not None
+            and self._config_lease.table is not None
+            and self._config_lease.find_valid() is None
+        ):
+            await self._evacuations.read_once()
+
     def _begin_era(self) -> None:
         """Keeps the state in force and reads everything again."""
         self._replica.begin_era()
@@ -286,6 +306,7 @@
         self._has_new_era.set()
 
     def _set_role(self, reads_store: bool) -> None:
+        self._update_evacuations(reads_store)
         if reads_store == self._reads_store:
             return
         self._reads_store = reads_store
@@ -300,6 +321,15 @@
             self._may_list.set()
         else:
             self._may_list.clear()
+        self._update_evacuations(self._reads_store)
+
+    def _update_evacuations(self, reads_store: bool) -> None:
+        """Lets the evacuations be read where no reader sends them."""
+        held = self._replica.evacuations
+        if self._evacuations is None or held is None:
+            return
+        may_read = self._reachable if reads_store else not held.is_fed
+        self._evacuations.set_active(may_read)
 
     async def _follow_endpoints(self) -> None:
         backoff = backoffs.Backoff(self._rng, BACKOFF)
--- a/rhubarblock/exchange/state/replica.py
+++ b/rhubarblock/exchange/state/replica.py
@@ -19,6 +19,7 @@
 from rhubarblock.exchange.state import changelog
 from rhubarblock.exchange.state import configlease as config_leases
 from rhubarblock.exchange.state import directory as directories
+from rhubarblock.exchange.state import evacuationreplica
 from rhubarblock.exchange.state import history
 from rhubarblock.exchange.state import tombstones
 from rhubarblock.kernel import timers as timer_service
@@ -49,7 +50,10 @@
       complete: whether the list is whole, and not only the subset that this
         instance uses.
       era: era of the store in which the list was read.
-      listed: set once an endpoint list was received.
+      evacuations: the evacuated data centres; None if the deployment has no
+        evacuations.
+      listed: set once endpoints may be used: a list was received, and the
+        evacuations are known or known to be unavailable.
     """
 
     __slots__ = (
@@ -60,6 +64,7 @@
         "_document",
         "_entries",
         "_era_in_force",
+        "_has_list",
         "_history",
         "_log",
         "_refused",
@@ -69,6 +74,7 @@
         "_value",
         "complete",
         "era",
+        "evacuations",
         "listed",
     )
 
@@ -78,6 +84,7 @@
         config_lease: config_leases.ConfigurationLease,
         directory: directories.Directory,
         timers: timer_service.Timers,
+        evacuations: evacuationreplica.EvacuationReplica | None = None,
     ):
         """Creates an empty replica.
 
@@ -86,6 +93,7 @@
           config_lease: receives configurations.
           directory: receives endpoints.
           timers: callbacks.
+          evacuations: the evacuated data centres, None without evacuations.
         """
         self._dialect = dialect
         self._config_lease = config_lease
@@ -108,7 +116,11 @@
         self._changed = asyncio.Event()
         self.complete = False
         self.era = 0
+        self._has_list = False
         self.listed = asyncio.Event()
+        self.evacuations = evacuations
+        if evacuations is not None:
+            evacuations.on_change = self._note_evacuations
 
     def begin_era(self) -> None:
         """Handles that the store was restored from an older copy.
@@ -298,7 +310,20 @@
         self._timers.call_later(
             directories.REREGISTER_S + 0.1, self._directory.expire
         )
-        self.listed.set()
+        self.note_listed()
+        self._notify_waiters()
+
+    def note_listed(self) -> None:
+        """Records that an endpoint list was received."""
+        self._has_list = True
+        if self.evacuations is None or self.evacuations.is_settled:
+            self.listed.set()
+        else:
+            self.evacuations.limit_wait()
+
+    def _note_evacuations(self) -> None:
+        if self._has_list:
+            self.note_listed()
         self._notify_waiters()
 
     def _note_missing(
--- a/rhubarblock/exchange/state/subset_test.py
+++ b/rhubarblock/exchange/state/subset_test.py
@@ -6,7 +6,7 @@
 from rhubarblock.kernel import timers as timer_service
 
 
-def make_subsets(count, subset_size, centres=("osu",)):
+def make_pool(count, subset_size, centres=("osu",)):
     directory = directories.Directory(timer_service.LoopTimers())
     engines = [
         lists.ListedEndpoint(
@@ -21,7 +21,11 @@
     ]
     for engine in engines:
         directory.update(engine)
-    return subsets.Subsets(directory, subset_size), engines
+    return directory, subsets.Subsets(directory, subset_size), engines
+
+
+def make_subsets(count, subset_size, centres=("osu",)):
+    return make_pool(count, subset_size, centres)[1:]
 
 
 def test_small_pool_has_no_subsets():
@@ -116,3 +120,16 @@
                 for name in endpoint_ids
                 if made.uses(f"i{number}", centre, name)
             }
+
+
+def test_other_engines_are_used_while_the_own_data_centre_is_evacuated():
+    # With only its own engines an instance would refuse everything.
+    directory, made, engines = make_pool(400, 40, ("osu", "mill"))
+    assert {e.data_centre for e in made.select("i1", "osu", engines)} == {"osu"}
+    directory.set_evacuated(frozenset({"osu"}))
+    used = made.list_used("i1", "osu", [e.endpoint_id for e in engines])
+    usable = directory.list_usable("pool")
+    chosen = made.select("i1", "osu", usable)
+    assert {e.data_centre for e in chosen} == {"mill"}
+    assert 25 < len(chosen) < 60
+    assert {e.endpoint_id for e in chosen} <= used
