Send nothing to endpoints of an evacuated data centre

Change: before a request or a first reservation is sent, the data centres of its engines are checked again; an exchange that was stopped by this is placed again without use of the retry budget, as no endpoint got it. Renewals, releases and running streams go on. Endpoints of an evacuated data centre are not probed. If nothing else is usable, callers get a Retry-After of 1 to 2 s.

--- a/rhubarblock/exchange/attempts.py
+++ b/rhubarblock/exchange/attempts.py
@@ -165,6 +165,8 @@
         Raises:
           RefusedError: the endpoint did not run the exchange.
           ClosedError: the endpoint became unavailable; nothing was sent.
+          statements.EvacuatedError: the data centre of an engine was evacuated;
+            the request was not sent.
           leases.LeaseError: an engine did not grant a memory lease.
           transports.AttemptError: the attempt failed.
         """
@@ -192,6 +194,9 @@
         detector: stalls.StallDetector,
     ) -> None:
         exchange = flow.exchange
+        self._statements.check_evacuated(
+            (placement.endpoint, *placement.helper_engines)
+        )
         if not self._statements.may_send(placement.endpoint):
             raise ClosedError(placement.endpoint.endpoint_id)
         options = dialects.SendOptions(
--- a/rhubarblock/exchange/candidates.py
+++ b/rhubarblock/exchange/candidates.py
@@ -20,6 +20,11 @@
 # Jitter in seconds on the Retry-After of callers that were refused because of a
 # cool-down, so that only one of them probes the endpoint at first.
 COOLDOWN_SPREAD_S = 1.0
+# Retry-After in seconds of callers whose service is evacuated everywhere, and
+# its jitter: an operator ends an evacuation after seconds at the earliest, and
+# all callers would return at once.
+EVACUATED_RETRY_S = 1.0
+EVACUATED_SPREAD_S = 1.0
 # Longest prompt in tokens that may probe an endpoint that failed.
 MAX_PROBE_TOKENS = 8_000
 
@@ -163,8 +168,17 @@
           avoid: ids of endpoints at which it failed.
 
         Returns:
-          None if neither rate limits nor cool-downs were the reason.
+          None if neither evacuations, rate limits nor cool-downs were the
+          reason.
         """
+        service = exchange.service.name
+        if self._directory.has_evacuated(service) and not self._list_used(
+            service
+        ):
+            after_s = (
+                EVACUATED_RETRY_S + EVACUATED_SPREAD_S * self._rng.random()
+            )
+            return RetryAdvice(after_s, "its data centres are evacuated")
         ready = self._list_not_cooling_down(exchange, avoid)
         permit_s = self._limits.find_retry_after(ready)
         if ready and permit_s is None:
--- a/rhubarblock/exchange/candidates_test.py
+++ b/rhubarblock/exchange/candidates_test.py
@@ -175,3 +175,22 @@
         )
 
     assert run(step, 2) == (5.0, "endpoints ask for rest")
+
+
+def test_callers_of_an_evacuated_service_get_a_time():
+    async def step(instance):
+        exchange = fakes.make_exchange()
+        before = instance.candidates.find_retry_after(exchange, set())
+        seen = [instance.list_for()]
+        instance.directory.set_evacuated(frozenset({"osu-hall"}))
+        seen.append(instance.list_for())
+        return (
+            before,
+            seen,
+            instance.candidates.find_retry_after(exchange, set()),
+        )
+
+    before, seen, advice = run(step)
+    assert (before, seen) == (None, [["e0", "e1", "e2"], []])
+    assert 1.0 <= advice.after_s <= 2.0
+    assert "evacuated" in advice.reason
--- a/rhubarblock/exchange/crashes.py
+++ b/rhubarblock/exchange/crashes.py
@@ -51,6 +51,7 @@
     __slots__ = (
         "_registry",
         "_has_crashed",
+        "_is_evacuated",
         "_updates",
         "_running",
         "_tasks",
@@ -62,6 +63,7 @@
         updates: peer_updates.PeerUpdates,
         timers: timer_service.Timers,
         probe: Probe = has_crashed,
+        is_evacuated: Callable[[str], bool] = lambda data_centre: False,
     ):
         """Creates a detector with an empty registry.
 
@@ -69,11 +71,13 @@
           updates: exchanges crash announcements with peers.
           timers: the clock; its times are not sent to peers.
           probe: returns whether an address refuses connections.
+          is_evacuated: returns whether nothing may be sent to a data centre.
         """
         self._registry = quarantineregistry.QuarantineRegistry()
         self._updates = updates
         self._timers = timers
         self._has_crashed = probe
+        self._is_evacuated = is_evacuated
         self._running: dict[str, dict[str, float]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         updates.on_crash = self._record_crash
@@ -128,7 +132,10 @@
         """Starts a probe that finds out whether an endpoint crashed.
 
         Must be called while the broken exchange is still tracked as running.
+        An endpoint of an evacuated data centre is not probed.
         """
+        if self._is_evacuated(endpoint.data_centre):
+            return
         now_s = self._timers.read_monotonic()
         started = self._running.get(endpoint.endpoint_id, {})
         ages = {digest: now_s - begun_s for digest, begun_s in started.items()}
--- a/rhubarblock/exchange/crashes_test.py
+++ b/rhubarblock/exchange/crashes_test.py
@@ -118,3 +118,27 @@
         return up, await crashes.has_crashed(endpoint.address)
 
     assert asyncio.run(main()) == (False, True)
+
+
+def test_endpoint_of_an_evacuated_data_centre_is_not_probed():
+    async def main():
+        probed = []
+
+        async def probe(address):
+            probed.append(address)
+            return True
+
+        evacuated = set()
+        detector = crashes.CrashDetector(
+            PeerUpdates([]),
+            timer_service.LoopTimers(0.0),
+            probe,
+            evacuated.__contains__,
+        )
+        await run_and_crash(detector, fakes.make_exchange(digest="p" * 32), 1)
+        before = len(probed)
+        evacuated.add("osu-hall")
+        await run_and_crash(detector, fakes.make_exchange(digest="q" * 32), 1)
+        return before, len(probed)
+
+    assert virtualloop.run(main()) == (1, 1)
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -211,10 +211,10 @@
         pass
 
 
-def make_statement_handler(limits, timers):
+def make_statement_handler(limits, timers, directory=None):
     metrics = metric_store.Metrics()
     return statements.StatementHandler(
-        directories.Directory(timers),
+        directory or directories.Directory(timers),
         limits,
         cooldowns.Cooldowns(metrics),
         timers,
--- a/rhubarblock/exchange/leases.py
+++ b/rhubarblock/exchange/leases.py
@@ -98,10 +98,13 @@
 
         Raises:
           LeaseError: an engine did not grant its lease.
+          statements.EvacuatedError: an engine's data centre is evacuated;
+            nothing was sent.
         """
         if not wanted:
             yield
             return
+        self._statements.check_evacuated(lease.endpoint for lease in wanted)
         renewal: asyncio.Task[None] | None = None
         unsure: set[str] = set()
         try:
--- a/rhubarblock/exchange/leases_test.py
+++ b/rhubarblock/exchange/leases_test.py
@@ -9,6 +9,8 @@
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.exchange import leases
+from rhubarblock.exchange import statements as statement_handlers
+from rhubarblock.exchange.state import directory as directories
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
 
@@ -61,14 +63,14 @@
 ]
 
 
-def run(engines, step):
+def run(engines, step, directory=None):
     async def main():
         timers = timer_service.LoopTimers(0.0)
         limits = fakes.make_limits(timers)
         holder = leases.LeaseHolder(
             engines,
             fakes.BOUNDS,
-            fakes.make_statement_handler(limits, timers),
+            fakes.make_statement_handler(limits, timers, directory),
             timers,
         )
         return await step(holder, timers)
@@ -179,3 +181,22 @@
             return stated, limits.find_rate("e1")
 
     assert virtualloop.run(main()) == (2.0, 2.0)
+
+
+def test_evacuated_engine_gets_no_reservation_but_renewals_and_releases():
+    engines = Engines()
+    directory = directories.Directory(timer_service.LoopTimers(0.0))
+
+    async def step(holder, timers):
+        async with holder.hold(WANTED):
+            directory.set_evacuated(frozenset({"osu-hall"}))
+            await timers.sleep(10.0)
+            during = engines.held
+        await timers.sleep(0.0)
+        before = engines.requests
+        with pytest.raises(statement_handlers.EvacuatedError):
+            async with holder.hold(WANTED):
+                raise AssertionError("nothing may run")
+        return during, engines.held, engines.requests - before
+
+    assert run(engines, step, directory) == (["e1", "e2"], [], 0)
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -22,6 +22,7 @@
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import sink as sinks
 from rhubarblock.exchange import stalls
+from rhubarblock.exchange import statements
 from rhubarblock.exchange import transport as transports
 from rhubarblock.kernel import timers as timer_service
 
@@ -133,7 +134,11 @@
 
             try:
                 await self._run_tracked(flow, placement, may_abandon)
-            except (leases.LeaseError, attempts.ClosedError) as error:
+            except (
+                leases.LeaseError,
+                attempts.ClosedError,
+                statements.EvacuatedError,
+            ) as error:
                 self._outcomes.note_refused(
                     flow, placement, error.failure, error.endpoint_id
                 )
@@ -281,6 +286,9 @@
             # The attempt was abandoned only after the next one had been
             # granted.
             return True
+        if isinstance(error, statements.EvacuatedError):
+            # No endpoint got the request, so this is no repeated one.
+            return True
         return self._outcomes.grant(flow.exchange)
 
 
--- a/rhubarblock/exchange/statements.py
+++ b/rhubarblock/exchange/statements.py
@@ -4,8 +4,10 @@
 statement is overlooked because of the kind of request that it answers.
 """
 
+from collections.abc import Iterable
 import logging
 
+from rhubarblock.core import failure as failures
 from rhubarblock.core import listed as lists
 from rhubarblock.core import statement as statements
 from rhubarblock.exchange import dialect as dialects
@@ -23,6 +25,23 @@
 _logger = logging.getLogger(__name__)
 
 
+class EvacuatedError(failures.FailureError):
+    """The endpoint's data centre was evacuated before a request was sent.
+
+    Attributes:
+      endpoint_id: id of the endpoint.
+    """
+
+    def __init__(self, endpoint: lists.ListedEndpoint):
+        super().__init__(
+            failures.Failure(
+                failures.FailureCode.NO_ENDPOINT,
+                f"data centre {endpoint.data_centre} is evacuated",
+            )
+        )
+        self.endpoint_id = endpoint.endpoint_id
+
+
 class StatementHandler:
     """Passes statements of endpoints to the components that act on them."""
 
@@ -68,6 +87,18 @@
             name, self._timers.read_monotonic()
         )
 
+    def check_evacuated(
+        self, endpoints: Iterable[lists.ListedEndpoint]
+    ) -> None:
+        """Checks right before something is sent that endpoints may get it.
+
+        Raises:
+          EvacuatedError: the data centre of one of them is evacuated.
+        """
+        for endpoint in endpoints:
+            if self._directory.is_evacuated(endpoint.data_centre):
+                raise EvacuatedError(endpoint)
+
     def note_answer(
         self,
         endpoint: lists.ListedEndpoint,
