Show evacuations, and switch them on where the settings have the bound

Cause: the parts for evacuations were not in use, and operators of an instance on the platform had no status to ask for. Change: an instance with `evacuate_s` follows the evacuations. Its metrics listener answers the path of `rhubarblock status` with the instance and the evacuated data centres, and has a gauge of their number. The status of the fleet has a table of evacuations. Result: a complete instance over sockets refuses with 503 and a time while its only data centre is evacuated, and shows it.

--- a/rhubarblock/admin/status.py
+++ b/rhubarblock/admin/status.py
@@ -114,6 +114,19 @@
     in_flight: int | None = None
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class EvacuationStatus:
+    """A data centre to which nothing more is sent.
+
+    Attributes:
+      data_centre: its name.
+      age_s: seconds since this came into force at the answering instance.
+    """
+
+    data_centre: str
+    age_s: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class FleetStatus:
     """Snapshot of the fleet as seen by the instance that answers."""
@@ -125,6 +138,7 @@
     limits: tuple[LimitStatus, ...] = ()
     quarantines: tuple[QuarantineStatus, ...] = ()
     drains: tuple[DrainStatus, ...] = ()
+    evacuations: tuple[EvacuationStatus, ...] = ()
 
 
 class StatusSource(abc.ABC):
--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -33,6 +33,8 @@
 from rhubarblock.exchange.peering import updates as peer_updates
 from rhubarblock.exchange.state import configlease as config_leases
 from rhubarblock.exchange.state import directory as directories
+from rhubarblock.exchange.state import evacuationfollower
+from rhubarblock.exchange.state import evacuationreplica
 from rhubarblock.exchange.state import feed as statefeed
 from rhubarblock.exchange.state import follower as followers
 from rhubarblock.exchange.state import replica as replicas
@@ -103,7 +105,11 @@
         )
         self.subsets = subsets.Subsets(self.directory)
         self.state = replicas.StateReplica(
-            dialect, self.config_lease, self.directory, self.timers
+            dialect,
+            self.config_lease,
+            self.directory,
+            self.timers,
+            self._make_evacuations(dialect),
         )
         self.peers = peer_table.PeerTable(
             settings.instance_id,
@@ -121,6 +127,16 @@
         self._attempt_header = attempt_header
         self._rng = rng
 
+    def _make_evacuations(
+        self, dialect: dialects.Dialect
+    ) -> evacuationreplica.EvacuationReplica | None:
+        """Returns the replica of the evacuations, if there may be any."""
+        if self.settings.bounds.evacuate_s is None:
+            return None
+        return evacuationreplica.EvacuationReplica(
+            dialect, self.directory, self.timers, self.metrics
+        )
+
     async def run(self, stop: asyncio.Event) -> None:
         """Serves until the event is set, then drains.
 
@@ -273,7 +289,9 @@
             self.timers,
             self.metrics,
         )
-        crash_detector = crashes.CrashDetector(updates, self.timers)
+        crash_detector = crashes.CrashDetector(
+            updates, self.timers, is_evacuated=self.directory.is_evacuated
+        )
         return relays.ExchangeRelay(
             placer, runner, outcome, crash_detector, self.timers
         )
@@ -306,11 +324,13 @@
             self.eras,
         )
         pages = statuspages.StatusPages(
+            settings,
             self.lifecycle,
             self.config_lease,
             self.eras,
             self.timers,
             self.metrics,
+            self.state.evacuations,
         )
         self._callers = await stack.enter_async_context(
             listeners.open_listener(
@@ -353,6 +373,24 @@
             self.timers,
             self._rng,
             self.eras,
+            self._make_evacuation_follower(store),
+        )
+
+    def _make_evacuation_follower(
+        self, store: stores.ObjectStore
+    ) -> evacuationfollower.EvacuationFollower | None:
+        """Returns the part that reads the evacuations, if there may be any."""
+        evacuate_s = self.settings.bounds.evacuate_s
+        if evacuate_s is None or self.state.evacuations is None:
+            return None
+        return evacuationfollower.EvacuationFollower(
+            store,
+            self._dialect,
+            self.state.evacuations,
+            evacuate_s,
+            self.timers,
+            self._rng,
+            self.eras,
         )
 
     async def _follow(
--- a/rhubarblock/daemon/exchangeinstance_test.py
+++ b/rhubarblock/daemon/exchangeinstance_test.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import io
 import json
 import random
 import socket
 
 import aiohttp
+import rich.console
 
 from rhubarblock.core import position as positions
 from rhubarblock.core import route as routes
@@ -16,6 +19,7 @@
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.platform import dialect as dialects
 from rhubarblock.platform import names
+from rhubarblock.scripts import status as status_command
 from rhubarblock.settings import exchange as settings_lib
 from rhubarblock.store import store as stores
 
@@ -96,7 +100,7 @@
     async def delete(self, name, expected_version):
         del self.objects[name]
 
-    async def watch(self, prefix, after):
+    async def watch(self, prefix, after, wait_s=None):
         await asyncio.Event().wait()
         yield
 
@@ -107,7 +111,7 @@
         return settings_lib.SocketAddress("127.0.0.1", probe.getsockname()[1])
 
 
-def make_settings(instance_id="i1"):
+def make_settings(instance_id="i1", bounds=fakes.BOUNDS):
     return settings_lib.ExchangeSettings(
         instance_id=instance_id,
         data_centre="osu-hall",
@@ -116,17 +120,19 @@
         peers=find_port(),
         metrics=find_port(),
         store=find_port(),
-        bounds=fakes.BOUNDS,
+        bounds=bounds,
     )
 
 
 @contextlib.asynccontextmanager
-async def open_instance(endpoint):
-    settings = make_settings()
+async def open_instance(endpoint, evacuated=(), bounds=fakes.BOUNDS):
+    settings = make_settings(bounds=bounds)
+    store = FakeStore(endpoint)
+    store.objects |= {f"evacuations/{name}": {} for name in evacuated}
     instance = exchangeinstance.ExchangeInstance(
         settings,
         FakeDialect(),
-        lambda session, metrics, eras: FakeStore(endpoint),
+        lambda session, metrics, eras: store,
         lambda session: fakes.NoLeases(),
         names.ATTEMPT_ID,
         random.Random(1),
@@ -257,3 +263,32 @@
             return instance.eras.current
 
     assert asyncio.run(main()) == 2
+
+
+def test_evacuated_instance_refuses_with_a_time_and_shows_its_status():
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(fakes.whole())
+        bounds = dataclasses.replace(fakes.BOUNDS, evacuate_s=5.0)
+        async with (
+            endpoint.open(),
+            open_instance(endpoint, ["osu-hall"], bounds) as opened,
+        ):
+            settings, session, _, _ = opened
+            url = f"http://{settings.callers}/a/x"
+            async with session.post(url, headers=HEADERS) as answer:
+                refusal = answer.status, float(answer.headers["Retry-After"])
+            url = f"http://{settings.metrics}"
+            async with session.get(f"{url}/admin/v1/status") as answer:
+                status = await answer.json()
+            async with session.get(f"{url}/metrics") as answer:
+                metrics = await answer.text()
+            return refusal, status, metrics, endpoint.heads
+
+    (code, after_s), status, metrics, heads = asyncio.run(main())
+    assert (code, heads) == (503, [])
+    assert 1.0 <= after_s <= 2.0
+    assert [e["data_centre"] for e in status["evacuations"]] == ["osu-hall"]
+    assert "rhubarblock_evacuations_in_force 1" in metrics
+    console = rich.console.Console(file=io.StringIO())
+    status_command.print_status(status, console)
+    assert "osu-hall" in console.file.getvalue().partition("Evacuations")[2]
--- a/rhubarblock/scripts/status.py
+++ b/rhubarblock/scripts/status.py
@@ -87,6 +87,14 @@
             Column("in flight", "in_flight"),
         ),
     ),
+    TableLayout(
+        "Evacuations",
+        "evacuations",
+        (
+            Column("data centre", "data_centre"),
+            Column("for s", "age_s"),
+        ),
+    ),
 )
 
 
@@ -94,7 +102,7 @@
 @client.connection_options
 @client.json_option
 def status_command(url: str, token: str, as_json: bool) -> None:
-    """Shows instances, endpoints, limits, quarantines and drains."""
+    """Shows instances, endpoints, limits, drains and evacuations."""
     response = client.fetch(client.Connection(url, token), "status")
     if as_json:
         client.print_json(response)
