--- a/rhubarblock/scripts/losses_test.py
+++ b/rhubarblock/scripts/losses_test.py
@@ -98,6 +98,15 @@
         "the rate limits of endpoints leave no room",
         verdict="NOT_RUN",
     ),
+    # All data centres with endpoints of q17 are evacuated.
+    failed(
+        13.1,
+        "i1",
+        "q17",
+        "no_endpoint",
+        "its data centres are evacuated",
+        verdict="NOT_RUN",
+    ),
     # q11 is slower than predicted, without a visible reason; q12 is late
     # because no faster engine was available when it was placed.
     placed(14.0, "i1", "q11", "e6"),
@@ -146,10 +155,11 @@
         "moved: paused by other reading": 1,
         "refused: an engine refused it": 1,
         "refused: endpoints' rate limits left no room": 1,
+        "refused: its data centre was evacuated": 1,
         "refused: no confirmed configuration": 1,
         "refused: the instance had just started": 1,
     }
-    assert (summary["requests"], summary["skipped"]) == (16, 2)
+    assert (summary["requests"], summary["skipped"]) == (17, 2)
 
 
 def test_order_of_the_log_files_does_not_matter(tmp_path):
