Ask peers for evacuations that the store does not give at a start

Cause: a restarted reader whose calls for evacuations fail while its other calls succeed used endpoints of an evacuated data centre after a second, though its peers knew. Result: test_restarted_reader_learns_from_peers_what_the_store_does_not_give failed before and passes.

--- a/rhubarblock/exchange/state/evacuationfleet_test.py
+++ b/rhubarblock/exchange/state/evacuationfleet_test.py
@@ -411,6 +411,20 @@
     assert counters["evacuations.unknown"] == 1
 
 
+def test_restarted_reader_learns_from_peers_what_the_store_does_not_give():
+    async def step(fleet, store):
+        store.put("evacuations/osu")
+        await fleet.measure("mill")
+        store.fails_evacuations = True
+        fleet.kill(fleet.instances[0])
+        fleet.instances.insert(0, Instance(fleet, "new"))
+        await stay(fleet, "mill", seconds=4.0)
+        started = fleet.instances[0]
+        return started.usable_centres(), started.replica.complete
+
+    assert run(step) == ({"mill"}, True)
+
+
 def test_evacuation_reaches_an_instance_that_is_cut_off_from_the_reader():
     async def step(fleet, store):
         fleet.cuts = [{"i0", "i2"}]
--- a/rhubarblock/exchange/state/feed.py
+++ b/rhubarblock/exchange/state/feed.py
@@ -355,6 +355,25 @@
         except (KeyError, TypeError, ValueError) as error:
             raise FeedError(f"the state can't be read: {error}") from error
 
+    async def poll_evacuations(self, address: str) -> None:
+        """Requests and applies only the evacuations that a peer knows.
+
+        The endpoint list of an instance that reads the store is whole, and must
+        not be replaced by the part that a peer sends.
+
+        Args:
+          address: ``host:port`` of the peer.
+
+        Raises:
+          FeedError: it served no state.
+        """
+        asked_s = self._timers.read_monotonic()
+        fields = await self._fetch(address, ListCursor(), 0.0)
+        try:
+            self._apply_evacuations(fields, asked_s, positions.NOWHERE)
+        except (stores.StoreError, ValueError) as error:
+            raise FeedError(str(error)) from error
+
     def _check_era(self, fields: dict[str, Any]) -> int:
         """Returns the era of a peer's state.
 
--- a/rhubarblock/exchange/state/follower.py
+++ b/rhubarblock/exchange/state/follower.py
@@ -211,6 +211,7 @@
                     self._peers.back_off_from(result.reader)
                 backoff.reset()
                 await self._timers.sleep(self._intervals.read_s)
+                await self._ask_for_evacuations()
                 continue
             await self._poll_any_peer()
             extra_wait_s = NON_READER_WAIT_S if result.reader else 0.0
@@ -268,6 +269,17 @@
                 ):
                     return
 
+    async def _ask_for_evacuations(self) -> None:
+        """Asks peers for evacuations that the store did not give at a start."""
+        held = self._replica.evacuations
+        if held is None or held.known.is_known:
+            return
+        for address in self._peers.list_peers()[:MAX_READERS_POLLED]:
+            with contextlib.suppress(statefeed.FeedError):
+                await self._client.poll_evacuations(address)
+            if held.known.is_known:
+                return
+
     async def _read_store(self) -> bool:
         sent_s = self._config_lease.read_clock()
         try:
