Decode the home regions of routes, workspaces and data centres

Cause: a route and a workspace may have home regions, and nothing read them.

Change: routes and workspaces carry home regions, the settings carry the region of each data centre (table zones; none if it is missing).

--- a/rhubarblock/core/exchange.py
+++ b/rhubarblock/core/exchange.py
@@ -33,6 +33,7 @@
       answer_tokens: maximum tokens of the answer; 0 if there is none.
       last_event: number of the last event that the caller received, or -1.
       digest: equal for equal path, caller and body.
+      home_regions: regions in which it may run; None without a bound.
     """
 
     request_id: str
@@ -50,3 +51,4 @@
     answer_tokens: int = 0
     last_event: int = -1
     digest: str = ""
+    home_regions: frozenset[str] | None = None
--- a/rhubarblock/core/route.py
+++ b/rhubarblock/core/route.py
@@ -51,6 +51,7 @@
       priority: rank, 0 is the highest.
       anonymous: whether requests need no API key.
       resumable: whether a broken stream may be resumed at another endpoint.
+      home_regions: regions in which its requests may run; empty: all.
     """
 
     name: str
@@ -65,6 +66,7 @@
     priority: int
     anonymous: bool
     resumable: bool
+    home_regions: frozenset[str] = frozenset()
 
     @property
     def repeatable(self) -> bool:
@@ -157,10 +159,12 @@
     Attributes:
       name: unique name.
       priority: rank that overrides the route's, or None.
+      home_regions: regions in which its requests may run; empty: all.
     """
 
     name: str
     priority: int | None
+    home_regions: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/rhubarblock/platform/configuration.py
+++ b/rhubarblock/platform/configuration.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from rhubarblock.core import document as documents
+from rhubarblock.core import homes
 from rhubarblock.core import listed
 from rhubarblock.core import route as routes
 from rhubarblock.exchange import dialect as dialects
@@ -263,6 +264,7 @@
         priority=int(fields.get("priority") or 0),
         anonymous=bool(fields.get("anonymous")),
         resumable=bool(fields.get("streamResume")),
+        home_regions=homes.parse_regions(fields.get("homeRegions")),
     )
 
 
@@ -313,7 +315,9 @@
     # Sorted, so that all instances agree if two workspaces have the same key.
     for name in sorted(_list_entries(pieces, _TENANTS)):
         tenant = json.loads(pieces[f"{_TENANTS}/{name}"])
-        workspace = routes.Workspace(tenant["name"], tenant.get("priority"))
+        regions = homes.parse_regions(tenant.get("homeRegions"))
+        priority = tenant.get("priority")
+        workspace = routes.Workspace(tenant["name"], priority, regions)
         for key in tenant.get("apiKeys") or ():
             keys[key] = workspace
     return keys
@@ -321,15 +325,11 @@
 
 def _decode_bounds(fields: Mapping[str, Any]) -> routes.CallerBounds:
     defaults = routes.CallerBounds()
-    header_ms = fields.get("headerTimeoutMs")
-    idle_ms = fields.get("idleTimeoutMs")
+    header_ms = fields.get("headerTimeoutMs") or 0
+    idle_ms = fields.get("idleTimeoutMs") or 0
     return routes.CallerBounds(
         header_bytes=int(fields.get("maxHeaderBytes") or defaults.header_bytes),
         body_bytes=int(fields.get("maxBodyBytes") or defaults.body_bytes),
-        header_timeout_s=header_ms / _MS_PER_S
-        if header_ms
-        else defaults.header_timeout_s,
-        idle_timeout_s=idle_ms / _MS_PER_S
-        if idle_ms
-        else defaults.idle_timeout_s,
+        header_timeout_s=header_ms / _MS_PER_S or defaults.header_timeout_s,
+        idle_timeout_s=idle_ms / _MS_PER_S or defaults.idle_timeout_s,
     )
--- a/rhubarblock/platform/configuration_test.py
+++ b/rhubarblock/platform/configuration_test.py
@@ -104,6 +104,31 @@
     )
 
 
+def add_home_regions(regions):
+    fields = json.loads(json.dumps(CONFIG))
+    fields["routes"][0]["homeRegions"] = regions
+    fields["tenants"][0]["homeRegions"] = regions
+    return fields
+
+
+def test_home_regions_of_routes_and_tenants_are_decoded():
+    table = decode(add_home_regions(["accra", "kumasi"]))
+    expected = frozenset({"accra", "kumasi"})
+    assert table.routes.find_named("r-1").home_regions == expected
+    assert table.routes.find_named("r-2").home_regions == frozenset()
+    assert table.keys["k2"].home_regions == expected
+    for none in ([], None):
+        table = decode(add_home_regions(none))
+        assert table.routes.find_named("r-1").home_regions == frozenset()
+
+
+@pytest.mark.parametrize("regions", ["accra", [4], [""], {"accra": 1}, 0])
+def test_home_regions_that_cannot_be_read_reject_the_configuration(regions):
+    # Passing them over would lift a bound.
+    with pytest.raises(ValueError, match="home regions"):
+        decode(add_home_regions(regions))
+
+
 def test_requests_of_an_unknown_kind_are_not_retried():
     route = decode(CONFIG).routes.find_named("r-2")
     assert not route.repeatable
--- a/rhubarblock/platform/settings.py
+++ b/rhubarblock/platform/settings.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from rhubarblock.core import capacity as capacities
+from rhubarblock.core import homes
 from rhubarblock.platform import names
 from rhubarblock.settings import exchange as settings_lib
 
@@ -63,6 +64,7 @@
         bounds=_read_bounds(reader),
         is_first_start=reader.read_optional("bootstrap", _read_flag) or False,
         capacity=_read_capacity(reader),
+        regions=reader.read_optional("zones", homes.parse_table) or {},
     )
     if reader.errors:
         return result.Failure(reader.errors)
--- a/rhubarblock/platform/settings_test.py
+++ b/rhubarblock/platform/settings_test.py
@@ -1,3 +1,4 @@
+import pytest
 from returns import result
 
 from rhubarblock.platform import settings
@@ -63,6 +64,24 @@
     ]
 
 
+def test_zones_give_the_region_of_each_data_centre(tmp_path):
+    assert load(tmp_path, TEXT).unwrap().regions == {}
+    zones = '[zones]\nosu-hall = "accra"\ntema-hall = "accra"\n'
+    loaded = load(tmp_path, TEXT + zones).unwrap()
+    assert loaded.regions == {"osu-hall": "accra", "tema-hall": "accra"}
+
+
+@pytest.mark.parametrize("zones", ['"accra"', "{a = 4}", '{a = ""}', "[]"])
+def test_invalid_zones_are_an_error(tmp_path, zones):
+    # Passing them over would let a request leave its home regions, or find no
+    # endpoint without a visible reason.
+    failed = load(tmp_path, f"zones = {zones}\n" + TEXT)
+    assert isinstance(failed, result.Failure)
+    (error,) = failed.failure()
+    assert error.field == "zones"
+    assert "a table of data centres and regions" in error.message
+
+
 def test_missing_bounds_have_defaults(tmp_path):
     text = TEXT.replace("revokeMs = 5000\n", "").replace("maxHoldMs", "other")
     bounds = load(tmp_path, text).unwrap().bounds
--- a/rhubarblock/settings/exchange.py
+++ b/rhubarblock/settings/exchange.py
@@ -4,6 +4,7 @@
 keep, independent of the format in which a deployment states them.
 """
 
+from collections.abc import Mapping
 import dataclasses
 
 from rhubarblock.core import capacity as capacities
@@ -82,6 +83,7 @@
       bounds: guaranteed bounds.
       is_first_start: whether no instance of the fleet ran before.
       capacity: capacity of its machine.
+      regions: region of each data centre; empty if the regions are unknown.
     """
 
     instance_id: str
@@ -94,3 +96,4 @@
     bounds: ExchangeBounds
     is_first_start: bool = False
     capacity: capacities.Capacity = capacities.UNKNOWN
+    regions: Mapping[str, str] = dataclasses.field(default_factory=dict)
