Send requests to endpoints in their home regions only

Cause: candidates were listed without regard to home regions.

Change: Candidates filters by them where the endpoints of a service are listed, which first attempts, retries, parts of prompts, moved streams, probes and predictions all use. The cache is kept per service and set of home regions and dropped with each change of the directory. Without an endpoint the caller gets 503 with Retry-After, or 403 without one if no data centre of the settings is in the regions; neither has run.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -234,6 +234,7 @@
                 self.settings.data_centre,
                 self.timers,
                 self._rng,
+                self.settings.regions,
             ),
             limits,
             self.cooldowns,
--- a/rhubarblock/exchange/candidates.py
+++ b/rhubarblock/exchange/candidates.py
@@ -1,14 +1,18 @@
 """Selects the endpoints that an exchange may be sent to.
 
 An instance uses a subset of the listed endpoints. It sends nothing to endpoints
-in a cool-down or to rate-limited ones without a permit, avoids those that
-failed lately, and probes a recovering endpoint with short requests only.
+outside the home regions of an exchange, in a cool-down or rate-limited without
+a permit, avoids those that failed lately, and probes a recovering endpoint with
+short requests only.
 """
 
+from collections.abc import Mapping
 import dataclasses
 import random
+import types
 
 from rhubarblock.core import exchange as exchanges
+from rhubarblock.core import homes
 from rhubarblock.core import listed as lists
 from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange.state import directory as directories
@@ -24,17 +28,23 @@
 MAX_PROBE_TOKENS = 8_000
 
 
+# The regions of a deployment that states none.
+_NO_REGIONS: Mapping[str, str] = types.MappingProxyType({})
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
-class _UsedEndpoints:
-    """Cached endpoints of a service that this instance uses.
+class HomeShortage:
+    """Why the home regions of an exchange leave it no endpoint.
 
     Attributes:
-      number: the directory's change number from which they were derived.
-      endpoints: the endpoints.
+      is_final: whether no data centre of the deployment may ever serve it.
+      listed: number of endpoints of the service that take new work.
+      unknown: number of these whose region is unknown.
     """
 
-    number: int
-    endpoints: list[lists.ListedEndpoint]
+    is_final: bool
+    listed: int
+    unknown: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -60,10 +70,12 @@
         "_limits",
         "_own_id",
         "_cooldowns",
+        "_regions",
         "_rng",
         "_subsets",
         "_timers",
         "_used",
+        "_used_number",
     )
 
     def __init__(
@@ -77,6 +89,7 @@
         data_centre: str,
         timers: timer_service.Timers,
         rng: random.Random,
+        regions: Mapping[str, str] = _NO_REGIONS,
     ):
         """Creates a selector with an empty cache.
 
@@ -90,6 +103,7 @@
           data_centre: data centre of this instance.
           timers: the clock.
           rng: jitter of Retry-After.
+          regions: region of each data centre; empty if they are unknown.
         """
         self._directory = directory
         self._health = health
@@ -100,7 +114,13 @@
         self._own_id = instance_id
         self._data_centre = data_centre
         self._timers = timers
-        self._used: dict[str, _UsedEndpoints] = {}
+        self._regions = regions
+        # Endpoints by service and home regions, all of one change number of
+        # the directory.
+        self._used: dict[
+            tuple[str, frozenset[str] | None], list[lists.ListedEndpoint]
+        ] = {}
+        self._used_number = -1
 
     def list_for(
         self, exchange: exchanges.Exchange, avoid: set[str]
@@ -183,6 +203,24 @@
         reason = "the rate limits of endpoints leave no room"
         return RetryAdvice(permit_s, reason)
 
+    def find_home_shortage(
+        self, exchange: exchanges.Exchange
+    ) -> HomeShortage | None:
+        """Returns why home regions leave an exchange no endpoint.
+
+        Returns:
+          None if they leave it one, or if it has no home regions.
+        """
+        home_regions = exchange.home_regions
+        if home_regions is None or self._list_used(exchange):
+            return None
+        listed = self._directory.list_usable(exchange.service.name)
+        return HomeShortage(
+            not homes.can_serve(home_regions, self._regions),
+            len(listed),
+            homes.count_unknown(listed, self._regions),
+        )
+
     def _find_cooldown_end(
         self, exchange: exchanges.Exchange, avoid: set[str]
     ) -> float | None:
@@ -243,22 +281,35 @@
     def _list_not_avoided(
         self, exchange: exchanges.Exchange, avoid: set[str]
     ) -> list[lists.ListedEndpoint]:
-        used = self._list_used(exchange.service.name)
+        used = self._list_used(exchange)
         if not avoid:
             return used
         return [e for e in used if e.endpoint_id not in avoid]
 
-    def _list_used(self, service: str) -> list[lists.ListedEndpoint]:
-        """Returns the endpoints of a service that this instance uses.
+    def _list_used(
+        self, exchange: exchanges.Exchange
+    ) -> list[lists.ListedEndpoint]:
+        """Returns the endpoints that this instance uses for an exchange.
 
-        The result is cached until the directory changes: each prompt needs it,
-        and filtering a pool of 195 endpoints takes 0.1 ms.
+        They are those of its service in its home regions. The result is cached
+        until the directory changes: each prompt needs it, and filtering a pool
+        of 195 endpoints takes 0.1 ms.
         """
-        number = self._directory.number
-        cached = self._used.get(service)
-        if cached is not None and cached.number == number:
-            return cached.endpoints
+        if self._used_number != self._directory.number:
+            # Dropping all of them bounds the cache by the home regions in use.
+            self._used.clear()
+            self._used_number = self._directory.number
+        key = exchange.service.name, exchange.home_regions
+        used = self._used.get(key)
+        if used is None:
+            used = self._used[key] = self._select_used(*key)
+        return used
+
+    def _select_used(
+        self, service: str, home_regions: frozenset[str] | None
+    ) -> list[lists.ListedEndpoint]:
         listed = self._directory.list_usable(service)
         used = self._subsets.select(self._own_id, self._data_centre, listed)
-        self._used[service] = _UsedEndpoints(number, used)
-        return used
+        selected = homes.select(used, home_regions, self._regions)
+        # The subset of a large pool may lack the home regions.
+        return selected or homes.select(listed, home_regions, self._regions)
--- a/rhubarblock/exchange/candidates_test.py
+++ b/rhubarblock/exchange/candidates_test.py
@@ -15,9 +15,11 @@
 from rhubarblock.routing import cooldowns
 from rhubarblock.routing import health as healths
 
+REGIONS = {"osu-hall": "accra", "tema-hall": "accra", "oda-hall": "kumasi"}
+
 
 class Instance:
-    def __init__(self, count):
+    def __init__(self, count, regions=REGIONS):
         timers = timer_service.LoopTimers()
         self.directory = directories.Directory(timers)
         self.health = healths.Health("osu-hall")
@@ -33,12 +35,19 @@
             "osu-hall",
             timers,
             random.Random(1),
+            regions,
         )
         for number in range(count):
             self.directory.update(fakes.make_endpoint(number))
 
-    def list_for(self, tokens=0, avoid=()):
-        exchange = fakes.make_exchange(prompt_tokens=tokens)
+    def add(self, number, data_centre):
+        endpoint = fakes.make_endpoint(number)
+        self.directory.update(
+            dataclasses.replace(endpoint, data_centre=data_centre)
+        )
+
+    def list_for(self, tokens=0, avoid=(), homes=None):
+        exchange = fakes.make_exchange(prompt_tokens=tokens, home_regions=homes)
         found = self.candidates.list_for(exchange, set(avoid))
         return [endpoint.endpoint_id for endpoint in found]
 
@@ -175,3 +184,88 @@
         )
 
     assert run(step, 2) == (5.0, "endpoints ask for rest")
+
+
+ACCRA = frozenset({"accra"})
+KUMASI = frozenset({"kumasi"})
+
+
+def test_home_regions_bind_each_kind_of_selection():
+    async def step(instance):
+        instance.add(1, "oda-hall")
+        instance.add(2, "nowhere-hall")
+        long = candidates.MAX_PROBE_TOKENS + 1
+        seen = [
+            instance.list_for(homes=ACCRA),
+            instance.list_for(long, homes=KUMASI),
+            instance.list_for(homes=ACCRA | KUMASI),
+            instance.list_for(homes=frozenset()),
+            instance.list_for(),
+        ]
+        # No failure or cool-down leads out of the regions.
+        now_s = asyncio.get_running_loop().time()
+        instance.health.note_unreachable("e0", "osu-hall", now_s)
+        seen.append(instance.list_for(homes=ACCRA))
+        seen.append(instance.list_for(avoid=["e0"], homes=ACCRA))
+        note_cooldown(instance, "e1")
+        seen.append(instance.list_for(homes=KUMASI))
+        return seen
+
+    assert run(step) == [
+        ["e0"],
+        ["e1"],
+        ["e0", "e1"],
+        [],
+        ["e0", "e1", "e2"],
+        ["e0"],
+        [],
+        [],
+    ]
+
+
+def test_cache_follows_the_directory_for_each_set_of_home_regions():
+    # An endpoint whose data centre changed must not be used from the cache.
+    async def step(instance):
+        seen = [instance.list_for(homes=ACCRA), instance.list_for()]
+        instance.add(0, "oda-hall")
+        seen += [instance.list_for(homes=ACCRA), instance.list_for()]
+        seen.append(instance.list_for(homes=KUMASI))
+        return seen
+
+    assert run(step, 1) == [["e0"], ["e0"], [], ["e0"], ["e0"]]
+
+
+def test_unknown_regions_leave_a_bound_exchange_no_endpoint():
+    async def step(instance):
+        instance = Instance(1, {})
+        exchange = fakes.make_exchange(home_regions=ACCRA)
+        return (
+            instance.list_for(homes=ACCRA),
+            instance.list_for(),
+            instance.candidates.find_home_shortage(exchange),
+        )
+
+    shortage = candidates.HomeShortage(is_final=False, listed=1, unknown=1)
+    assert run(step) == ([], ["e0"], shortage)
+
+
+def test_home_shortage_is_final_if_no_data_centre_is_in_the_regions():
+    async def step(instance):
+        found = []
+        for homes in (None, ACCRA, KUMASI, frozenset({"tamale"}), frozenset()):
+            exchange = fakes.make_exchange(home_regions=homes)
+            shortage = instance.candidates.find_home_shortage(exchange)
+            found.append(shortage and shortage.is_final)
+        return found
+
+    assert run(step) == [None, None, False, True, True]
+
+
+def test_large_pool_is_searched_for_a_region_that_the_subset_lacks():
+    async def step(instance):
+        for number in range(subsets.SUBSET_SIZE + 50):
+            instance.add(number, "osu-hall")
+        instance.add(999, "oda-hall")
+        return instance.list_for(homes=KUMASI)
+
+    assert run(step, 0) == ["e999"]
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -57,6 +57,7 @@
 )
 SERVICE = routes.ServiceSpec("desk", "/health", 100, None)
 ENGINES = routes.ServiceSpec("pool", "/health", 100, MODEL)
+REGIONS = {"osu-hall": "accra", "oda-hall": "kumasi"}
 BOUNDS = settings_lib.ExchangeBounds(retry_ratio=0.2, retry_slack=100)
 
 
@@ -306,6 +307,7 @@
                 "osu-hall",
                 self.timers,
                 random.Random(1),
+                REGIONS,
             ),
             self.limits,
             self.cooldowns,
--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -8,6 +8,7 @@
 from rhubarblock.core import listed as lists
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.exchange import attempts
+from rhubarblock.exchange import candidates
 from rhubarblock.exchange import flow as flows
 from rhubarblock.exchange import placements
 from rhubarblock.exchange import stalls
@@ -94,6 +95,27 @@
             },
         )
 
+    def note_home_shortage(
+        self, flow: flows.Flow, shortage: candidates.HomeShortage
+    ) -> None:
+        """Records that home regions leave an exchange no endpoint."""
+        exchange = flow.exchange
+        self._metrics.count("exchange.homes_unserved")
+        _logger.warning(
+            "no endpoint in home regions",
+            extra={
+                **_describe_exchange(exchange),
+                "service": exchange.service.name,
+                "home_regions": sorted(exchange.home_regions or ()),
+                "final": shortage.is_final,
+                "listed": shortage.listed,
+                "unknown_region": shortage.unknown,
+                "since_arrival_s": round(
+                    self._timers.read_monotonic() - exchange.arrived_s, 3
+                ),
+            },
+        )
+
     def note_placed(
         self, flow: flows.Flow, placement: placements.Placement
     ) -> None:
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -200,6 +200,12 @@
             flow.exchange, flow.history.failed_endpoints
         )
 
+    def find_home_shortage(
+        self, exchange: exchanges.Exchange
+    ) -> candidates.HomeShortage | None:
+        """Returns why home regions leave an exchange no endpoint, or None."""
+        return self._candidates.find_home_shortage(exchange)
+
     def predict_availability(self, flow: flows.Flow) -> float | None:
         """Returns the seconds until an endpoint may be available.
 
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -12,6 +12,7 @@
 from rhubarblock.core import failure as failures
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.exchange import attempts
+from rhubarblock.exchange import candidates
 from rhubarblock.exchange import crashes
 from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange import flow as flows
@@ -233,6 +234,10 @@
 
     def _make_refusal(self, flow: flows.Flow) -> failures.FailureError:
         """Returns the error of an exchange that no endpoint can take."""
+        shortage = self._placer.find_home_shortage(flow.exchange)
+        if shortage is not None:
+            self._outcomes.note_home_shortage(flow, shortage)
+            return _make_home_error(flow, shortage)
         advice = self._placer.find_retry_after(flow)
         if advice is None:
             return _make_final_error(flow, "no endpoint has room")
@@ -284,6 +289,21 @@
         return self._outcomes.grant(flow.exchange)
 
 
+def _make_home_error(
+    flow: flows.Flow, shortage: candidates.HomeShortage
+) -> failures.FailureError:
+    """Returns the error of an exchange without an endpoint in its regions."""
+    if shortage.is_final:
+        # Without Retry-After: only another configuration helps the caller.
+        return failures.FailureError(
+            failures.Failure(
+                failures.FailureCode.FORBIDDEN,
+                "no data centre is in the home regions",
+            )
+        )
+    return _make_final_error(flow, "no endpoint is in the home regions")
+
+
 def _make_final_error(
     flow: flows.Flow, message: str, retry_after_s: float = RETRY_AFTER_S
 ) -> failures.FailureError:
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -1,6 +1,7 @@
 """Retries of the relay, and the final answers to callers."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -612,3 +613,39 @@
 
     before, after = asyncio.run(main())
     assert before == after > 0.0
+
+
+def test_retry_stays_in_the_home_regions():
+    async def main():
+        endpoints = [fakes.ScriptedEndpoint(x) for x in (FAILS, fakes.whole())]
+        async with fakes.open_parts(*endpoints) as parts:
+            away = dataclasses.replace(
+                fakes.make_endpoint(2, endpoints[1].address),
+                data_centre="oda-hall",
+            )
+            parts.directory.update(away)
+            exchange = fakes.make_exchange(home_regions=frozenset({"accra"}))
+            with pytest.raises(failures.FailureError) as caught:
+                await parts.relay.serve(exchange, fakes.MemorySink())
+            verdict = caught.value.failure.verdict
+            return verdict, [len(e.heads) for e in endpoints]
+
+    assert asyncio.run(main()) == (verdicts.Verdict.RAN, [1, 0])
+
+
+@pytest.mark.parametrize(
+    ("regions", "code", "has_time"),
+    [
+        ({"kumasi"}, failures.FailureCode.NO_ENDPOINT, True),
+        ({"tamale"}, failures.FailureCode.FORBIDDEN, False),
+        (set(), failures.FailureCode.FORBIDDEN, False),
+    ],
+)
+def test_exchange_without_an_endpoint_at_home_has_not_run(
+    regions, code, has_time
+):
+    _, failure, heads = run(fakes.whole(), home_regions=frozenset(regions))
+    assert (failure.code, heads) == (code, [])
+    assert failure.verdict is verdicts.Verdict.NOT_RUN
+    assert (failure.retry_after_s is not None) is has_time
+    assert "home regions" in failure.message
--- a/rhubarblock/exchange/requesthandler.py
+++ b/rhubarblock/exchange/requesthandler.py
@@ -10,6 +10,7 @@
 
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import failure as failures
+from rhubarblock.core import homes
 from rhubarblock.core import route as routes
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import relay as relays
@@ -188,6 +189,10 @@
             answer_tokens=fields.answer_tokens,
             last_event=fields.last_event,
             digest=_digest(request, workspace, body),
+            home_regions=homes.combine(
+                route.home_regions,
+                workspace.home_regions if workspace else frozenset(),
+            ),
         )
 
     def _choose_service(
--- a/rhubarblock/loganalysis/causes.py
+++ b/rhubarblock/loganalysis/causes.py
@@ -45,6 +45,7 @@
 class Cause(enum.Enum):
     """Why a request was lost.
 
+    NOT_AT_HOME: no endpoint was in the home regions of route and workspace.
     RATE_LIMITED: the endpoints' rate limits were exhausted.
     RESTING: the endpoints were in a cool-down that they had asked for.
     OVERTAKEN: the prefill of a later prompt on the same engines delayed the
@@ -60,6 +61,7 @@
 
     NO_CONNECTION = "no connection could be opened"
     ENGINE_REFUSED = "an engine refused it"
+    NOT_AT_HOME = "no endpoint in its home regions"
     RATE_LIMITED = "endpoints' rate limits left no room"
     RESTING = "endpoints wanted no more requests"
     OVERTAKEN = "overtaken by later reading"
@@ -82,6 +84,7 @@
     ("Connection timeout", Cause.NO_CONNECTION),
     ("refused it", Cause.ENGINE_REFUSED),
     ("set no memory aside", Cause.ENGINE_REFUSED),
+    ("home regions", Cause.NOT_AT_HOME),
     ("no endpoint has room", Cause.ENGINE_REFUSED),
     ("rate limits of endpoints", Cause.RATE_LIMITED),
     ("ask for rest", Cause.RESTING),
