--- a/rhubarblock/platform/settings.py
+++ b/rhubarblock/platform/settings.py
@@ -113,9 +113,8 @@
     def read(name: str) -> float:
         return reader.read_optional(f"limits.{name}", _read_positive) or 0.0
 
-    return capacities.Capacity(
-        link_mbps=read("linkMbps"), cores=read("cpuShare") * read("cores")
-    )
+    cores = read("cpuShare") * read("cores")
+    return capacities.Capacity(read("linkMbps"), cores, read("memoryMb"))
 
 
 def _read_bounds(reader: _Reader) -> settings_lib.ExchangeBounds:
--- a/rhubarblock/platform/settings_test.py
+++ b/rhubarblock/platform/settings_test.py
@@ -82,6 +82,14 @@
     assert "a table of data centres and regions" in error.message
 
 
+def test_memory_is_unknown_unless_the_settings_give_it(tmp_path):
+    assert load(tmp_path, TEXT).unwrap().capacity.memory_mb == 0.0
+    text = TEXT.replace("maxFds = 4100", "memoryMb = 200")
+    assert load(tmp_path, text).unwrap().capacity.memory_mb == 200.0
+    failed = load(tmp_path, text.replace("200\n[bounds]", "-1\n[bounds]"))
+    assert failed.failure()[0].field == "limits.memoryMb"
+
+
 def test_missing_bounds_have_defaults(tmp_path):
     text = TEXT.replace("revokeMs = 5000\n", "").replace("maxHoldMs", "other")
     bounds = load(tmp_path, text).unwrap().bounds
