Send large bodies to endpoints in pieces if memory is bounded

Cause: aiohttp writes a body at once and asyncio copies what the endpoint has not taken, so an endpoint that reads slowly makes the instance hold a body twice.

Change: a transport with bounded memory writes 64 KB and waits for the endpoint; the buffer for answers of a connection can be set.

Result: of a body of 16 MB for an endpoint that does not read, at most 192 KB are in the transport's buffer, against over 4 MB before (a test over sockets for each).

--- a/rhubarblock/exchange/transport.py
+++ b/rhubarblock/exchange/transport.py
@@ -44,6 +44,10 @@
 # bound above they detect a lost machine after three seconds, a second before
 # the memory leases of its request must be free.
 KEEPALIVE_PROBE_S = 1
+# Bytes of an answer that a connection buffers, as aiohttp has them by default.
+READ_BYTES = 1 << 18
+# Bytes of a body that are written before the endpoint has to take them.
+PIECE_BYTES = 65_536
 # aiohttp errors that mean that nothing was sent.
 _NOT_SENT = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 _FAILED = (
@@ -137,6 +141,25 @@
         return await super().start(connection)
 
 
+class PiecewiseBody(aiohttp.BytesPayload):
+    """A body that is written as fast as the endpoint takes it.
+
+    aiohttp writes a whole body at once, and asyncio copies what the endpoint
+    has not taken, so that an endpoint that reads slowly would make the instance
+    hold a body twice.
+    """
+
+    async def write_with_length(
+        self,
+        writer: aiohttp.abc.AbstractStreamWriter,
+        content_length: int | None,
+    ) -> None:
+        body = memoryview(self._value)[:content_length]
+        for at in range(0, len(body), PIECE_BYTES):
+            await writer.write(body[at : at + PIECE_BYTES])
+            await writer.drain()
+
+
 class Answer:
     """An endpoint's answer whose body has not been read yet."""
 
@@ -203,10 +226,23 @@
 class EndpointTransport:
     """Sends exchanges to endpoints and returns their answers."""
 
-    __slots__ = ("_dialect", "_sessions")
+    __slots__ = ("_dialect", "_is_memory_bounded", "_sessions")
 
-    def __init__(self, sessions: EndpointSessions, dialect: dialects.Dialect):
-        """Creates a transport on sessions of ``open_sessions``."""
+    def __init__(
+        self,
+        sessions: EndpointSessions,
+        dialect: dialects.Dialect,
+        is_memory_bounded: bool = False,
+    ):
+        """Creates a transport on sessions of ``open_sessions``.
+
+        Args:
+          sessions: the aiohttp sessions.
+          dialect: header fields of the deployment.
+          is_memory_bounded: whether endpoints that read slowly must not make
+            the instance hold more than a request's body.
+        """
+        self._is_memory_bounded = is_memory_bounded
         self._sessions = sessions
         self._dialect = dialect
 
@@ -237,7 +273,7 @@
                 exchange.method,
                 yarl.URL(f"http://{address}{exchange.target}", encoded=True),
                 headers=self._dialect.address(exchange, options),
-                data=exchange.body or None,
+                data=self._make_body(exchange.body),
                 allow_redirects=False,
                 middlewares=(sendonce.send_once,),
             )
@@ -249,6 +285,12 @@
         finally:
             response.close()
 
+    def _make_body(self, body: bytes) -> bytes | PiecewiseBody | None:
+        """Returns a body as aiohttp takes it; None if it is empty."""
+        if self._is_memory_bounded and len(body) > PIECE_BYTES:
+            return PiecewiseBody(body)
+        return body or None
+
 
 @contextlib.contextmanager
 def translate_errors() -> Any:
@@ -274,25 +316,32 @@
 @contextlib.asynccontextmanager
 async def open_sessions(
     attempt_header: str,
+    read_bytes: int = READ_BYTES,
 ) -> AsyncIterator[EndpointSessions]:
     """Opens sessions for requests to endpoints.
 
     Args:
       attempt_header: name of the header field that answers echo.
+      read_bytes: bytes of an answer that a connection buffers before they are
+        read; up to twice as many, and one read of the socket more.
 
     Yields:
       The sessions; they are closed with the context.
     """
     async with (
-        _open_session(attempt_header, _make_socket) as unprobed,
-        _open_session(attempt_header, _make_probed_socket) as probed,
+        _open_session(attempt_header, _make_socket, read_bytes) as unprobed,
+        _open_session(
+            attempt_header, _make_probed_socket, read_bytes
+        ) as probed,
     ):
         yield EndpointSessions(unprobed, probed)
 
 
 @contextlib.asynccontextmanager
 async def _open_session(
-    attempt_header: str, make_socket: Callable[[Any], socket.socket]
+    attempt_header: str,
+    make_socket: Callable[[Any], socket.socket],
+    read_bytes: int,
 ) -> AsyncIterator[aiohttp.ClientSession]:
     loop = asyncio.get_running_loop()
     connector = aiohttp.TCPConnector(
@@ -315,6 +364,7 @@
         skip_auto_headers=_SKIPPED_HEADERS,
         request_class=request_class,
         response_class=EndpointResponse,
+        read_bufsize=read_bytes,
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
         ),
--- a/rhubarblock/exchange/transport_test.py
+++ b/rhubarblock/exchange/transport_test.py
@@ -9,6 +9,7 @@
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.exchange import transport as transports
+from rhubarblock.platform import dialect as platform_dialect
 from rhubarblock.platform import names
 
 OPTIONS = dialects.SendOptions("e1", 1.0)
@@ -259,3 +260,57 @@
     found = asyncio.run(main())
     assert found[0] == is_probed
     assert times is None or found[1:] == times
+
+
+def measure_held(is_memory_bounded, size):
+    """Returns the bytes buffered for an endpoint that does not read yet.
+
+    Also returns the length of the body that the endpoint read in the end.
+    """
+    lengths = []
+    release = asyncio.Event()
+
+    async def serve(reader, writer):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        await release.wait()
+        lengths.append(len(await reader.readexactly(size)))
+        await fakes.whole()(head, writer)
+
+    async def main():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=1024)
+        host, port = server.sockets[0].getsockname()
+        async with server, transports.open_sessions(fakes.ATTEMPT) as sessions:
+            transport = transports.EndpointTransport(
+                sessions, platform_dialect.PlatformDialect(), is_memory_bounded
+            )
+
+            async def send():
+                async with transport.send(
+                    fakes.make_exchange(body=b"b" * size),
+                    f"{host}:{port}",
+                    OPTIONS,
+                ) as answer:
+                    return answer.status
+
+            sending = asyncio.ensure_future(send())
+            await asyncio.sleep(0.3)
+            held = sum(
+                protocol.transport.get_write_buffer_size()
+                for protocol in sessions.unprobed.connector._acquired
+            )
+            release.set()
+            return held, await sending, lengths
+
+    return asyncio.run(main())
+
+
+def test_slow_endpoint_does_not_make_the_instance_hold_a_body_twice():
+    held, status, lengths = measure_held(True, 16_000_000)
+    assert 0 < held <= 3 * transports.PIECE_BYTES
+    assert (status, lengths) == (200, [16_000_000])
+
+
+@pytest.mark.filterwarnings("ignore::ResourceWarning")
+def test_body_is_buffered_at_once_without_a_bound_of_memory():
+    held, _, lengths = measure_held(False, 16_000_000)
+    assert (held > 4_000_000, lengths) == (True, [16_000_000])
