Bound what is held for callers that read or send slowly

Cause: request bodies were read whole without a bound on their sum. An answer for a caller that reads slowly stayed unread, so that its endpoint cut it.

Change: if settings give the memory, a large body needs memory of the account before it is read, waits up to 0.5 s for it or is refused as not run with Retry-After, and must arrive within its caller's time. What a slow caller does not take is buffered within its share, while the endpoint is read on with short delays; when the share is used up, the connection is aborted. Callers' and endpoints' connections buffer less.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -22,6 +22,7 @@
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange import leases
+from rhubarblock.exchange import memoryaccount
 from rhubarblock.exchange import outcomes
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
@@ -256,11 +257,20 @@
             )
         )
         endpoint_sessions = await stack.enter_async_context(
-            transports.open_sessions(self._attempt_header)
+            transports.open_sessions(
+                self._attempt_header,
+                memoryaccount.READ_BYTES
+                if self.settings.capacity.memory_mb
+                else transports.READ_BYTES,
+            )
         )
         runner = attempts.AttemptRunner(
             placer,
-            transports.EndpointTransport(endpoint_sessions, self._dialect),
+            transports.EndpointTransport(
+                endpoint_sessions,
+                self._dialect,
+                bool(self.settings.capacity.memory_mb),
+            ),
             self.health,
             lease_holder,
             statement_handler,
@@ -296,6 +306,9 @@
             self.timers,
             self.metrics,
             self._rng,
+            memoryaccount.make_account(
+                settings.capacity.memory_mb, self.metrics
+            ),
         )
         feed = statefeed.StateServer(
             self.state,
@@ -315,7 +328,12 @@
         )
         self._callers = await stack.enter_async_context(
             listeners.open_listener(
-                request_handler.handle, settings.callers, KEEPALIVE_S
+                request_handler.handle,
+                settings.callers,
+                KEEPALIVE_S,
+                memoryaccount.READ_BYTES
+                if settings.capacity.memory_mb
+                else listeners.READ_BYTES,
             )
         )
         for handler, address in (
--- a/rhubarblock/daemon/listener.py
+++ b/rhubarblock/daemon/listener.py
@@ -13,6 +13,9 @@
 
 # Length of the queue of connections to accept.
 BACKLOG = 1024
+# Bytes of a body that are received before its handler reads it, as aiohttp has
+# them by default.
+READ_BYTES = 1 << 18
 # Seconds for the last responses to end when the server is closed.
 SHUTDOWN_S = 0.3
 
@@ -26,10 +29,11 @@
       listener: server of the listening socket.
     """
 
-    __slots__ = ("_keepalive_s", "_registry", "listener")
+    __slots__ = ("_keepalive_s", "_read_bytes", "_registry", "listener")
 
-    def __init__(self, keepalive_s: float):
+    def __init__(self, keepalive_s: float, read_bytes: int = READ_BYTES):
         self._keepalive_s = keepalive_s
+        self._read_bytes = read_bytes
         self._registry = connections.Registry()
         self.listener: asyncio.Server
 
@@ -41,6 +45,7 @@
             loop=asyncio.get_running_loop(),
             keepalive_timeout=self._keepalive_s,
             access_log=None,
+            read_bufsize=self._read_bytes,
         )
 
     def count_connections(self) -> connections.ConnectionCounts:
@@ -71,7 +76,10 @@
 
 @contextlib.asynccontextmanager
 async def open_listener(
-    handler: Handler, address: settings_lib.SocketAddress, keepalive_s: float
+    handler: Handler,
+    address: settings_lib.SocketAddress,
+    keepalive_s: float,
+    read_bytes: int = READ_BYTES,
 ) -> AsyncIterator[Listener]:
     """Serves HTTP at an address while the context is open.
 
@@ -79,6 +87,8 @@
       handler: handles each request; cancelled when its caller disconnects.
       address: address to listen on.
       keepalive_s: seconds for which an idle connection is kept open.
+      read_bytes: bytes of a body that a connection may receive before its
+        handler reads it; up to twice as many, and one read of the socket more.
 
     Yields:
       The listener.
@@ -86,7 +96,7 @@
     Raises:
       OSError: the address cannot be listened on.
     """
-    http_listener = Listener(keepalive_s)
+    http_listener = Listener(keepalive_s, read_bytes)
     server = web.Server(handler, handler_cancellation=True)
     loop = asyncio.get_running_loop()
     http_listener.listener = await loop.create_server(
--- a/rhubarblock/exchange/attempts.py
+++ b/rhubarblock/exchange/attempts.py
@@ -276,7 +276,7 @@
         self, flow: flows.Flow, answer: transports.Answer
     ) -> None:
         """Buffers a short answer until it is complete, then forwards it."""
-        body = await _read_buffered(answer)
+        body = await _read_buffered(answer, flow.sink)
         repeatable = flow.exchange.route.repeatable
         if flow.sink.begun or not answer.fields.sealed:
             # An error that the endpoint did not sign is not forwarded as the
@@ -294,12 +294,10 @@
     sink: sinks.Sink, answer: transports.Answer, body: bytes
 ) -> None:
     """Sends a buffered answer to the caller."""
-    await sink.begin(answer.status, answer.headers, len(body))
-    await sink.write(body)
-    await sink.finish()
+    await sink.send_whole(answer.status, answer.headers, body)
 
 
-async def _read_buffered(answer: transports.Answer) -> bytes:
+async def _read_buffered(answer: transports.Answer, sink: sinks.Sink) -> bytes:
     buffered: list[bytes] = []
     size = 0
     while data := await answer.read_some():
@@ -307,6 +305,8 @@
         size += len(data)
         if size > MAX_BUFFERED_BYTES:
             raise transports.make_error("the answer is too long to hold")
+        if not await sink.reserve(len(data)):
+            raise transports.make_error("no memory is free for the answer")
     return b"".join(buffered)
 
 
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -21,6 +21,7 @@
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
 from rhubarblock.exchange import requesthandler
+from rhubarblock.exchange import sink as sinks
 from rhubarblock.exchange import statements
 from rhubarblock.exchange import transport as transports
 from rhubarblock.exchange.peering import limitupdates
@@ -229,7 +230,7 @@
     )
 
 
-class MemorySink:
+class MemorySink(sinks.Sink):
     """Records what a caller would receive."""
 
     def __init__(self):
@@ -322,6 +323,7 @@
             self.metrics,
         )
         self.sessions = sessions
+        self.memory = None
         self.transport = transports.EndpointTransport(sessions, self.dialect)
         runner = attempts.AttemptRunner(
             self.placer,
@@ -364,6 +366,7 @@
             self.timers,
             self.metrics,
             rng,
+            self.memory,
         )
 
 
--- a/rhubarblock/exchange/requesthandler.py
+++ b/rhubarblock/exchange/requesthandler.py
@@ -1,6 +1,8 @@
 """Handles callers' HTTP requests: reads, authenticates, routes, relays."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 import hashlib
 import logging
@@ -12,7 +14,9 @@
 from rhubarblock.core import failure as failures
 from rhubarblock.core import homes
 from rhubarblock.core import route as routes
+from rhubarblock.exchange import callerbuffer
 from rhubarblock.exchange import dialect as dialects
+from rhubarblock.exchange import memoryaccount
 from rhubarblock.exchange import relay as relays
 from rhubarblock.exchange import sink as sinks
 from rhubarblock.exchange.state import configlease as config_leases
@@ -30,6 +34,20 @@
 # Retry-After in seconds of a caller that could not be authenticated because the
 # configuration has no valid lease.
 LEASE_RETRY_S = 1.0
+# Seconds for which a body waits for memory, and Retry-After in seconds of one
+# that got none. Most requests end within a second and release theirs.
+BODY_WAIT_S = 0.5
+BODY_RETRY_S = 1.0
+# Seconds within which a body must arrive if its caller states no deadline, so
+# that a caller that sends slowly does not hold memory for long: 4 MB take 3.4 s
+# over 10 Mbit/s.
+BODY_READ_S = 15.0
+# Bytes that the chunked encoding adds to a piece, and the head of an answer
+# that is written with the first piece, at most.
+CHUNK_OVERHEAD_BYTES = 16_384
+
+_ANSWERS = memoryaccount.Kind.ANSWERS
+_BODIES = memoryaccount.Kind.BODIES
 
 _logger = logging.getLogger(__name__)
 
@@ -42,6 +60,7 @@
         "_dialect",
         "_lifecycle",
         "_listed",
+        "_memory",
         "_metrics",
         "_relay",
         "_rng",
@@ -58,6 +77,7 @@
         timers: timer_service.Timers,
         metrics: metric_store.Metrics,
         rng: random.Random,
+        memory: memoryaccount.MemoryAccount | None = None,
     ):
         """Creates a handler.
 
@@ -70,6 +90,7 @@
           timers: the clock.
           metrics: counters.
           rng: splits requests between the services of a route.
+          memory: bounds what is held for callers; None: no bound.
         """
         self._config_lease = config_lease
         self._dialect = dialect
@@ -79,17 +100,36 @@
         self._timers = timers
         self._metrics = metrics
         self._rng = rng
+        self._memory = memory
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serves one request of a caller."""
         arrived_s = self._timers.read_monotonic()
         sink = HttpSink(request, self._lifecycle)
         self._metrics.count("exchange.requests")
-        with self._lifecycle.track_request():
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self._lifecycle.track_request())
+            share = None
+            if self._memory is not None:
+                share = stack.enter_context(self._memory.open_share())
             try:
-                exchange = await self._read_exchange(request, arrived_s)
-                await self._relay.serve(exchange, sink)
+                exchange = await self._read_exchange(request, arrived_s, share)
+                caller: sinks.Sink = sink
+                if share is not None:
+                    caller = stack.enter_context(
+                        callerbuffer.open_buffer(
+                            sink,
+                            share,
+                            exchange.request_id,
+                            self._timers,
+                            self._metrics,
+                        )
+                    )
+                await self._relay.serve(exchange, caller)
             except failures.FailureError as error:
+                if share is not None and sink.begun and share.held[_ANSWERS]:
+                    # Unsent data would be kept until this caller reads it.
+                    sink.abort()
                 return self._answer_failure(request, sink, error.failure)
             assert sink.response is not None
             return sink.response
@@ -134,8 +174,82 @@
             return None
         return round(self._config_lease.age_s, 2)
 
+    async def _read_body(
+        self,
+        request: web.BaseRequest,
+        bounds: routes.CallerBounds,
+        share: memoryaccount.Share | None,
+    ) -> bytes:
+        """Reads a body, within the memory that its connection may hold.
+
+        Raises:
+          failures.FailureError: the request is refused.
+        """
+        if share is None:
+            return await _read_body(request, bounds)
+        fields = self._dialect.read_caller(request.headers)
+
+        async def hold(size: int) -> None:
+            await self._hold_body(share, size, fields)
+
+        try:
+            async with asyncio.timeout(fields.remaining_s or BODY_READ_S):
+                declared = request.content_length
+                if declared is None:
+                    return await _read_body(request, bounds, hold)
+                if 0 < declared <= bounds.body_bytes:
+                    await hold(declared)
+                return await _read_body(request, bounds)
+        except TimeoutError:
+            raise apierrors.make_rejection(
+                failures.FailureCode.DEADLINE_EXCEEDED,
+                "the body did not arrive in time",
+            ) from None
+
+    async def _hold_body(
+        self,
+        share: memoryaccount.Share,
+        size: int,
+        fields: dialects.CallerFields,
+    ) -> None:
+        """Waits briefly for the memory of a body.
+
+        Raises:
+          failures.FailureError: none became free; the request did not run.
+        """
+        if share.try_hold_first(_BODIES, size):
+            return
+        account = share.account
+        self._metrics.count("memory.bodies_waited")
+        started_s = self._timers.read_monotonic()
+        if await share.wait_hold(_BODIES, size, BODY_WAIT_S):
+            return
+        self._metrics.count("memory.bodies_refused")
+        _logger.warning(
+            "no memory for a body",
+            extra={
+                "request": fields.request_id,
+                "size": size,
+                "held_bodies": account.held[_BODIES],
+                "held_total": account.total,
+                "limit": account.limit,
+                "waiting": account.count_waiting(),
+                "waited_s": round(self._timers.read_monotonic() - started_s, 3),
+            },
+        )
+        raise failures.FailureError(
+            failures.Failure(
+                failures.FailureCode.QUEUE_FULL,
+                "no memory is free for the body",
+                retry_after_s=BODY_RETRY_S,
+            )
+        )
+
     async def _read_exchange(
-        self, request: web.BaseRequest, arrived_s: float
+        self,
+        request: web.BaseRequest,
+        arrived_s: float,
+        share: memoryaccount.Share | None,
     ) -> exchanges.Exchange:
         """Reads a request and checks its key and route.
 
@@ -143,9 +257,8 @@
           failures.FailureError: the request is refused.
         """
         table = self._config_lease.table
-        body = await _read_body(
-            request, table.bounds if table else routes.CallerBounds()
-        )
+        bounds = table.bounds if table else routes.CallerBounds()
+        body = await self._read_body(request, bounds, share)
         wait_s = START_WAIT_S if table is None else LEASE_WAIT_S
         table = await self._config_lease.wait_valid(wait_s)
         if not self._listed.is_set():
@@ -253,6 +366,19 @@
         if transport is not None:
             transport.close()
 
+    def abort(self) -> None:
+        transport = self._request.transport
+        if transport is not None:
+            transport.abort()
+
+    def fits(self, size: int) -> bool:
+        transport = self._request.transport
+        if transport is None:
+            return True
+        _, most = transport.get_write_buffer_limits()
+        buffered = transport.get_write_buffer_size()
+        return buffered + size + CHUNK_OVERHEAD_BYTES <= most
+
 
 def _closes_connection(
     request: web.BaseRequest, lifecycle: lifecycles.InstanceLifecycle
@@ -275,9 +401,16 @@
         raise asyncio.CancelledError from error
 
 
+async def _hold_nothing(size: int) -> None:
+    del size
+
+
 async def _read_body(
-    request: web.BaseRequest, bounds: routes.CallerBounds
+    request: web.BaseRequest,
+    bounds: routes.CallerBounds,
+    hold: Callable[[int], Awaitable[None]] = _hold_nothing,
 ) -> bytes:
+    """Reads a body; ``hold`` is awaited with the size of each piece."""
     pieces = []
     size = 0
     while data := await request.content.readany():
@@ -287,6 +420,7 @@
                 failures.FailureCode.BODY_TOO_LARGE,
                 f"the body is over {bounds.body_bytes} bytes",
             )
+        await hold(len(data))
         pieces.append(data)
     return b"".join(pieces)
 
--- a/rhubarblock/exchange/requesthandler_test.py
+++ b/rhubarblock/exchange/requesthandler_test.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 import aiohttp
+import pytest
 
 from rhubarblock.core import route as routes
 from rhubarblock.exchange import fakeparts_test as fakes
+from rhubarblock.exchange import memoryaccount
 from rhubarblock.platform import names
+from rhubarblock.relay import apierrors
 
 TABLE = routes.RoutingTable(
     1,
@@ -210,3 +214,65 @@
             return (await pending).status
 
     assert asyncio.run(main()) == 200
+
+
+ROOMY = dataclasses.replace(TABLE, bounds=routes.CallerBounds())
+
+
+@contextlib.asynccontextmanager
+async def open_bounded(limit, *scripts):
+    """Opens an instance that may hold some bytes for its callers."""
+    endpoint = fakes.ScriptedEndpoint(*scripts)
+    async with fakes.open_parts(endpoint) as parts:
+        parts.memory = memoryaccount.MemoryAccount(limit, parts.metrics)
+        async with (
+            fakes.open_callers(parts, ROOMY) as url,
+            aiohttp.ClientSession() as session,
+        ):
+            yield parts, session, url
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_body_that_gets_no_memory_is_refused_as_not_run(is_chunked):
+    async def pieces():
+        for _ in range(8):
+            yield b"b" * 50_000
+
+    async def main():
+        async with open_bounded(400_000, fakes.whole()) as (parts, *rest):
+            session, url = rest
+            data = pieces() if is_chunked else b"b" * 400_000
+            async with session.post(
+                url + "/a/x", headers=make_headers(), data=data
+            ) as answer:
+                verdict = answer.headers[apierrors.VERDICT_HEADER]
+                seen = answer.status, answer.headers["Retry-After"], verdict
+            async with session.post(
+                url + "/a/x", headers=make_headers(), data=b"small"
+            ) as answer:
+                return seen, answer.status, parts.memory.total
+
+    assert asyncio.run(main()) == ((503, "1", "NOT_RUN"), 200, 0)
+
+
+def test_body_that_arrives_too_late_releases_its_memory():
+    # A caller that declares a body and never sends it would hold it for good.
+    async def main():
+        async with open_bounded(4_000_000) as (parts, _, url):
+            host, port = url.removeprefix("http://").split(":")
+            reader, writer = await asyncio.open_connection(host, port)
+            fields = make_headers(**{names.REMAINING: "200"})
+            head = "".join(f"{k}: {v}\r\n" for k, v in fields.items())
+            writer.write(
+                f"POST /a/x HTTP/1.1\r\n{head}"
+                "Content-Length: 1000000\r\n\r\n".encode()
+            )
+            while not parts.memory.total:
+                await asyncio.sleep(0.01)
+            held = parts.memory.total
+            async with asyncio.timeout(5.0):
+                line = await reader.readline()
+            writer.close()
+            return held, line.split()[1], parts.memory.total
+
+    assert asyncio.run(main()) == (1_000_000, b"504", 0)
--- a/rhubarblock/exchange/sink.py
+++ b/rhubarblock/exchange/sink.py
@@ -39,3 +39,36 @@
     @abc.abstractmethod
     def cut(self) -> None:
         """Closes the connection, so that the answer can't look complete."""
+
+    def abort(self) -> None:
+        """Cuts the answer and discards what the caller has not received."""
+        self.cut()
+
+    def fits(self, size: int) -> bool:
+        """Returns whether a piece can be written without waiting.
+
+        Args:
+          size: length of the piece in bytes.
+        """
+        del size
+        return True
+
+    async def reserve(self, size: int) -> bool:
+        """Reserves memory for a piece of an answer that is buffered.
+
+        Args:
+          size: length of the piece in bytes.
+
+        Returns:
+          Whether the piece may be held.
+        """
+        del size
+        return True
+
+    async def send_whole(
+        self, status: int, headers: tuple[exchanges.Header, ...], body: bytes
+    ) -> None:
+        """Sends an answer whose body was buffered."""
+        await self.begin(status, headers, len(body))
+        await self.write(body)
+        await self.finish()
--- a/rhubarblock/loganalysis/causes.py
+++ b/rhubarblock/loganalysis/causes.py
@@ -46,6 +46,8 @@
     """Why a request was lost.
 
     NOT_AT_HOME: no endpoint was in the home regions of route and workspace.
+    NO_MEMORY: the instance had no memory free for the body or the answer.
+    SLOW_CALLER: the caller read its answer too slowly.
     RATE_LIMITED: the endpoints' rate limits were exhausted.
     RESTING: the endpoints were in a cool-down that they had asked for.
     OVERTAKEN: the prefill of a later prompt on the same engines delayed the
@@ -62,6 +64,8 @@
     NO_CONNECTION = "no connection could be opened"
     ENGINE_REFUSED = "an engine refused it"
     NOT_AT_HOME = "no endpoint in its home regions"
+    NO_MEMORY = "the instance had no memory free"
+    SLOW_CALLER = "the caller read too slowly"
     RATE_LIMITED = "endpoints' rate limits left no room"
     RESTING = "endpoints wanted no more requests"
     OVERTAKEN = "overtaken by later reading"
@@ -85,6 +89,8 @@
     ("refused it", Cause.ENGINE_REFUSED),
     ("set no memory aside", Cause.ENGINE_REFUSED),
     ("home regions", Cause.NOT_AT_HOME),
+    ("no memory is free", Cause.NO_MEMORY),
+    ("caller read too slowly", Cause.SLOW_CALLER),
     ("no endpoint has room", Cause.ENGINE_REFUSED),
     ("rate limits of endpoints", Cause.RATE_LIMITED),
     ("ask for rest", Cause.RESTING),
