Let each instance know endpoints of each region

Cause: an instance that is not a reader knows a subset of a large pool, which may lack a region. Requests with these home regions would then be refused there although endpoints are free.

Change: if the settings give regions, the list for a peer has 8 endpoints of each region and service on average. Requests without home regions use the same subset as before. A request with home regions also uses endpoints outside the subset if fewer than 4 are in it.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -102,7 +102,7 @@
         self.directory = directories.Directory(
             self.timers, settings.bounds.drain_s
         )
-        self.subsets = subsets.Subsets(self.directory)
+        self.subsets = subsets.Subsets(self.directory, regions=settings.regions)
         self.state = replicas.StateReplica(
             dialect, self.config_lease, self.directory, self.timers
         )
--- a/rhubarblock/exchange/candidates.py
+++ b/rhubarblock/exchange/candidates.py
@@ -28,6 +28,11 @@
 MAX_PROBE_TOKENS = 8_000
 
 
+# Number of endpoints in its home regions below which an exchange also uses
+# those outside the instance's subset, so that it has some for retries.
+# Placements of other instances there are not known, so predictions are worse.
+MIN_HOME_ENDPOINTS = 4
+
 # The regions of a deployment that states none.
 _NO_REGIONS: Mapping[str, str] = types.MappingProxyType({})
 
@@ -311,5 +316,7 @@
         listed = self._directory.list_usable(service)
         used = self._subsets.select(self._own_id, self._data_centre, listed)
         selected = homes.select(used, home_regions, self._regions)
+        if home_regions is None or len(selected) >= MIN_HOME_ENDPOINTS:
+            return selected
         # The subset of a large pool may lack the home regions.
-        return selected or homes.select(listed, home_regions, self._regions)
+        return homes.select(listed, home_regions, self._regions)
--- a/rhubarblock/exchange/state/subset.py
+++ b/rhubarblock/exchange/state/subset.py
@@ -13,6 +13,8 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
+import types
 
 from rhubarblock.core import listed as lists
 from rhubarblock.exchange.state import directory as directories
@@ -23,6 +25,14 @@
 # more traffic.
 SUBSET_SIZE = 48
 
+# Average number of engines of a pool in each region that a list for an instance
+# contains, as requests with home regions need some of each: with 8, one
+# instance in 3,000 gets none.
+REGION_SIZE = 8
+
+# The regions of a deployment that states none.
+_NO_REGIONS: Mapping[str, str] = types.MappingProxyType({})
+
 # Returns whether an instance, given by name and data centre, is selected.
 InstanceFilter = Callable[[str, str], bool]
 
@@ -30,12 +40,13 @@
 class Subsets:
     """Selects the engines that each instance uses."""
 
-    __slots__ = ("_directory", "_subset_size")
+    __slots__ = ("_directory", "_regions", "_subset_size")
 
     def __init__(
         self,
         directory: directories.Directory,
         subset_size: int = SUBSET_SIZE,
+        regions: Mapping[str, str] = _NO_REGIONS,
     ):
         """Creates subsets of the listed endpoints.
 
@@ -43,7 +54,9 @@
           directory: sizes of each pool in each data centre.
           subset_size: average number of engines of a pool that an instance
             uses.
+          regions: region of each data centre; empty if they are unknown.
         """
+        self._regions = regions
         self._directory = directory
         self._subset_size = subset_size
 
@@ -63,29 +76,34 @@
     def list_used(
         self, instance_id: str, data_centre: str, endpoint_ids: Iterable[str]
     ) -> set[str]:
-        """Returns the subset of some endpoints that an instance uses.
+        """Returns some endpoints that an instance uses or needs to know.
 
         Equivalent to calling ``uses`` for each, but much faster: the reader of
         the store filters the whole list for each peer that starts, and when all
-        instances restart at once its answers would otherwise be too late.
+        instances restart at once its answers would otherwise be too late. If
+        regions are known, some endpoints of each region are added, for requests
+        that must stay there.
 
         Args:
           instance_id: name of the instance.
           data_centre: its data centre.
           endpoint_ids: ids of endpoints; unlisted ones are included.
         """
-        fractions: dict[tuple[str, bool], float] = {}
+        fractions: dict[tuple[str, str], float] = {}
         used = set()
         for endpoint_id in endpoint_ids:
             endpoint = self._directory.find(endpoint_id)
             if endpoint is None:
                 used.add(endpoint_id)
                 continue
-            key = endpoint.service, endpoint.data_centre == data_centre
+            key = endpoint.service, endpoint.data_centre
             fraction = fractions.get(key)
             if fraction is None:
-                fraction = self._find_fraction(key[0], data_centre, key[1])
-                fractions[key] = fraction
+                is_near = endpoint.data_centre == data_centre
+                fraction = fractions[key] = max(
+                    self._find_fraction(key[0], data_centre, is_near),
+                    self._find_region_fraction(*key),
+                )
             if _is_selected(instance_id, endpoint_id, fraction):
                 used.add(endpoint_id)
         return used
@@ -166,6 +184,23 @@
         missing = max(0, self._subset_size - near)
         return min(1.0, missing / far) if far else 1.0
 
+    def _find_region_fraction(self, service: str, data_centre: str) -> float:
+        """Returns the fraction of a region's endpoints that each list contains.
+
+        Args:
+          service: name of the service.
+          data_centre: a data centre of the region.
+        """
+        region = self._regions.get(data_centre)
+        if region is None:
+            return 0.0
+        count = sum(
+            self._directory.count(service, other)
+            for other, others_region in self._regions.items()
+            if others_region == region
+        )
+        return min(1.0, REGION_SIZE / count) if count else 0.0
+
 
 def _is_selected(instance_id: str, endpoint_id: str, fraction: float) -> bool:
     if fraction >= 1.0:
--- a/rhubarblock/exchange/state/subset_test.py
+++ b/rhubarblock/exchange/state/subset_test.py
@@ -6,7 +6,7 @@
 from rhubarblock.kernel import timers as timer_service
 
 
-def make_subsets(count, subset_size, centres=("osu",)):
+def make_subsets(count, subset_size, centres=("osu",), regions=None):
     directory = directories.Directory(timer_service.LoopTimers())
     engines = [
         lists.ListedEndpoint(
@@ -21,7 +21,7 @@
     ]
     for engine in engines:
         directory.update(engine)
-    return subsets.Subsets(directory, subset_size), engines
+    return subsets.Subsets(directory, subset_size, regions or {}), engines
 
 
 def test_small_pool_has_no_subsets():
@@ -116,3 +116,22 @@
                 for name in endpoint_ids
                 if made.uses(f"i{number}", centre, name)
             }
+
+
+def test_list_of_each_instance_has_engines_of_each_region():
+    # Otherwise requests with home regions would find none at some instances.
+    regions = {"osu": "accra", "oda": "kumasi", "wa": "kumasi", "x": "tamale"}
+    centres = tuple(regions)
+    plain, _ = make_subsets(400, 4, centres)
+    made, engines = make_subsets(400, 4, centres, regions)
+    ids = [engine.endpoint_id for engine in engines]
+    for number in range(50):
+        used = made.list_used(f"i{number}", "osu", ids)
+        listed = [e for e in engines if e.endpoint_id in used]
+        found = {regions[e.data_centre] for e in listed}
+        assert found == set(regions.values())
+        assert plain.list_used(f"i{number}", "osu", ids) <= used
+        assert len(used) < 60
+        # What an instance uses for other requests stays the same.
+        selected = made.select(f"i{number}", "osu", engines)
+        assert selected == plain.select(f"i{number}", "osu", engines)
