--- a/rhubarblock/exchange/state/subset_test.py
+++ b/rhubarblock/exchange/state/subset_test.py
@@ -6,7 +6,7 @@
 from rhubarblock.kernel import timers as timer_service
 
 
-def make_pool(count, subset_size, centres=("osu",)):
+def make_pool(count, subset_size, centres=("osu",), regions=None):
     directory = directories.Directory(timer_service.LoopTimers())
     engines = [
         lists.ListedEndpoint(
@@ -21,11 +21,12 @@
     ]
     for engine in engines:
         directory.update(engine)
-    return directory, subsets.Subsets(directory, subset_size), engines
+    made = subsets.Subsets(directory, subset_size, regions or {})
+    return directory, made, engines
 
 
-def make_subsets(count, subset_size, centres=("osu",)):
-    return make_pool(count, subset_size, centres)[1:]
+def make_subsets(count, subset_size, centres=("osu",), regions=None):
+    return make_pool(count, subset_size, centres, regions)[1:]
 
 
 def test_small_pool_has_no_subsets():
@@ -133,3 +134,22 @@
     assert {e.data_centre for e in chosen} == {"mill"}
     assert 25 < len(chosen) < 60
     assert {e.endpoint_id for e in chosen} <= used
+
+
+def test_list_of_each_instance_has_engines_of_each_region():
+    # Otherwise requests with home regions would find none at some instances.
+    regions = {"osu": "accra", "oda": "kumasi", "wa": "kumasi", "x": "tamale"}
+    centres = tuple(regions)
+    plain, _ = make_subsets(400, 4, centres)
+    made, engines = make_subsets(400, 4, centres, regions)
+    ids = [engine.endpoint_id for engine in engines]
+    for number in range(50):
+        used = made.list_used(f"i{number}", "osu", ids)
+        listed = [e for e in engines if e.endpoint_id in used]
+        found = {regions[e.data_centre] for e in listed}
+        assert found == set(regions.values())
+        assert plain.list_used(f"i{number}", "osu", ids) <= used
+        assert len(used) < 60
+        # What an instance uses for other requests stays the same.
+        selected = made.select(f"i{number}", "osu", engines)
+        assert selected == plain.select(f"i{number}", "osu", engines)
--- a/rhubarblock/platform/headercodec.py
+++ b/rhubarblock/platform/headercodec.py
@@ -5,6 +5,7 @@
 import re
 
 from rhubarblock.core import exchange as exchanges
+from rhubarblock.core import hopbyhop
 from rhubarblock.core import ratelimit as ratelimits
 from rhubarblock.core import statement as statements
 from rhubarblock.exchange import dialect as dialects
@@ -16,22 +17,6 @@
 _MS_PER_S = 1000.0
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 
-# Fields that apply to one connection and are not forwarded.
-_HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "expect",
-    }
-)
 # Statuses with which an endpoint rejects a request.
 _REJECTION_STATUSES = frozenset({429, 503})
 # Known fields that an endpoint sets about itself.
@@ -84,14 +69,14 @@
       connection: value of the Connection field, which names further fields
         that apply to one connection.
     """
-    return _filter(fields, _HOP_BY_HOP | _RESERVED | _split_names(connection))
+    return hopbyhop.remove(fields, connection, _RESERVED)
 
 
 def filter_response_headers(
     fields: Iterable[tuple[str, str]], connection: str
 ) -> tuple[exchanges.Header, ...]:
     """Returns an endpoint's fields that are forwarded to the caller."""
-    return _filter(fields, _HOP_BY_HOP | _split_names(connection))
+    return hopbyhop.remove(fields, connection)
 
 
 def address(
@@ -191,26 +176,12 @@
     return ratelimits.StatedLimit(float(text))
 
 
-def _filter(
-    fields: Iterable[tuple[str, str]], dropped: frozenset[str]
-) -> tuple[exchanges.Header, ...]:
-    return tuple(
-        exchanges.Header(name, value)
-        for name, value in fields
-        if name.lower() not in dropped
-    )
-
-
 def _format_helper(helper: dialects.Helper) -> str:
     if helper.lease_id:
         return f"{helper.address}/{helper.lease_id}"
     return helper.address
 
 
-def _split_names(connection: str) -> set[str]:
-    return {name.strip().lower() for name in connection.split(",")}
-
-
 def _read_number(text: str | None, default: float = 0.0) -> float:
     try:
         return float(text) if text else default
--- a/rhubarblock/platform/settings.py
+++ b/rhubarblock/platform/settings.py
@@ -11,6 +11,7 @@
 from returns import result
 
 from rhubarblock.core import capacity as capacities
+from rhubarblock.core import homes
 from rhubarblock.platform import names
 from rhubarblock.settings import exchange as settings_lib
 
@@ -63,6 +64,7 @@
         bounds=_read_bounds(reader),
         is_first_start=reader.read_optional("bootstrap", _read_flag) or False,
         capacity=_read_capacity(reader),
+        regions=reader.read_optional("zones", homes.parse_table) or {},
     )
     if reader.errors:
         return result.Failure(reader.errors)
@@ -111,9 +113,8 @@
     def read(name: str) -> float:
         return reader.read_optional(f"limits.{name}", _read_positive) or 0.0
 
-    return capacities.Capacity(
-        link_mbps=read("linkMbps"), cores=read("cpuShare") * read("cores")
-    )
+    cores = read("cpuShare") * read("cores")
+    return capacities.Capacity(read("linkMbps"), cores, read("memoryMb"))
 
 
 def _read_bounds(reader: _Reader) -> settings_lib.ExchangeBounds:
