--- a/rhubarblock/core/hopbyhop.py
+++ b/rhubarblock/core/hopbyhop.py
@@ -1,4 +1,4 @@
-"""Header fields that concern one connection and are not forwarded (RFC 9110)."""
+"""Header fields that concern one connection and are not forwarded."""
 
 from collections.abc import Iterable
 
