Decide who is let in while a service is saturated

Cause: past saturation each newcomer was placed as long as a slot was free, however late it and the others became, so the rate of answers on time fell to a third of what the engines can do, and who was refused was whoever came last.

Change: a new exchange is let in only if its placement costs less than a part of its value. That part depends on its standing once requests are refused: a workspace over its fair share and a kind that is served more often than a more urgent one come last, a caller that returns comes first up to a tenth of the capacity. Refused callers are told to return when there is spare capacity. Summaries of demand travel between instances while a service is pressed.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -16,6 +16,7 @@
 from rhubarblock.daemon import peerdiscovery
 from rhubarblock.daemon import plannedstop
 from rhubarblock.daemon import statuspages
+from rhubarblock.exchange import admission
 from rhubarblock.exchange import attempts
 from rhubarblock.exchange import candidates
 from rhubarblock.exchange import crashes
@@ -28,6 +29,7 @@
 from rhubarblock.exchange import requesthandler
 from rhubarblock.exchange import statements
 from rhubarblock.exchange import transport as transports
+from rhubarblock.exchange.peering import demandupdates
 from rhubarblock.exchange.peering import limitupdates
 from rhubarblock.exchange.peering import table as peer_table
 from rhubarblock.exchange.peering import updates as peer_updates
@@ -43,6 +45,7 @@
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import cooldowns
 from rhubarblock.routing import health as healths
+from rhubarblock.routing.admission import controller as controllers
 from rhubarblock.routing.placement import jobtracker
 from rhubarblock.settings import exchange as settings_lib
 from rhubarblock.store import era as era_lib
@@ -275,7 +278,24 @@
         )
         crash_detector = crashes.CrashDetector(updates, self.timers)
         return relays.ExchangeRelay(
-            placer, runner, outcome, crash_detector, self.timers
+            placer,
+            runner,
+            outcome,
+            crash_detector,
+            self._make_admission(updates),
+            self.timers,
+        )
+
+    def _make_admission(
+        self, updates: peer_updates.PeerUpdates
+    ) -> admission.ExchangeAdmission:
+        """Returns the admission control, which tells peers of its demand."""
+        controller = controllers.AdmissionController(self._rng)
+        demand_updates = demandupdates.DemandUpdates(
+            controller, updates, self.peers, self.timers, self._rng
+        )
+        return admission.ExchangeAdmission(
+            controller, self.timers, self.metrics, demand_updates.note_pressure
         )
 
     async def _listen(
--- a/rhubarblock/daemon/promptparts.py
+++ b/rhubarblock/daemon/promptparts.py
@@ -28,10 +28,10 @@
 from rhubarblock.relay import runner as runners
 from rhubarblock.relay import stalls
 from rhubarblock.relay import tries
-from rhubarblock.routing import admission as admissions
 from rhubarblock.routing import fairqueue
 from rhubarblock.routing import lanes
 from rhubarblock.routing import ledger as ledgers
+from rhubarblock.routing.admission import deadline as admissions
 from rhubarblock.routing.placement import coordination
 from rhubarblock.routing.placement import loadtable
 from rhubarblock.routing.placement import policy as policies
--- /dev/null
+++ b/rhubarblock/exchange/admission.py
@@ -0,0 +1,266 @@
+"""Applies admission control to exchanges.
+
+A gate asks the admission controller whether a new exchange is let in at the
+placement that was found for it. Exchanges that wait are tried again in the
+order of their rank; only the first few of a service are, as each try searches
+all endpoints.
+"""
+
+import asyncio
+import bisect
+from collections.abc import Callable
+import dataclasses
+import logging
+
+from rhubarblock.core import exchange as exchanges
+from rhubarblock.core import route as routes
+from rhubarblock.kernel import metrics as metric_store
+from rhubarblock.kernel import timers as timer_service
+from rhubarblock.routing.admission import controller as controllers
+from rhubarblock.routing.placement import latencycost
+from rhubarblock.routing.placement import partplan
+
+# Seconds between two tries of a waiting exchange: less than a short prompt's
+# slack, and about the time in which a slot of a pool becomes free.
+POLL_S = 0.02
+# Waiting exchanges of a service that are tried.
+MAX_TRIED = 2
+# Seconds for which a refused placement stands for those of exchanges that cost
+# as much or more: the endpoints can't have changed much since.
+REFUSAL_TTL_S = 0.01
+# An exchange whose time is shorter than the route's usual time by more than
+# this, in seconds, is from a caller that returns after a refusal.
+RETURN_GAP_S = 0.3
+# Engine seconds of a call to a service without a cost model.
+CALL_COST_S = 0.02
+
+_logger = logging.getLogger(__name__)
+
+_Verdict = controllers.Verdict
+# Holds until the controller is asked, which it isn't without any endpoint.
+_NOT_DECIDED = controllers.Decision(_Verdict.REFUSE)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Refusal:
+    """The cheapest exchange of a rank that found no placement lately.
+
+    Attributes:
+      at_s: when, in monotonic seconds.
+      cost_s: its cost in engine seconds.
+    """
+
+    at_s: float
+    cost_s: float
+
+
+class ExchangeAdmission:
+    """Admission control of one instance."""
+
+    __slots__ = (
+        "_controller",
+        "_longest_s",
+        "_metrics",
+        "_on_refusal",
+        "_refusals",
+        "_timers",
+        "_waiting",
+    )
+
+    def __init__(
+        self,
+        controller: controllers.AdmissionController,
+        timers: timer_service.Timers,
+        metrics: metric_store.Metrics,
+        on_refusal: Callable[[], None] = lambda: None,
+    ):
+        """Creates the admission control; nothing waits yet.
+
+        Args:
+          controller: decides.
+          timers: the clock.
+          metrics: counts decisions.
+          on_refusal: called after each refusal, so that peers are told.
+        """
+        self._controller = controller
+        self._timers = timers
+        self._metrics = metrics
+        self._on_refusal = on_refusal
+        # Longest time that a caller of a route allowed, in seconds.
+        self._longest_s: dict[str, float] = {}
+        self._refusals: dict[tuple[str, int], _Refusal] = {}
+        # Order keys of the waiting exchanges by service, sorted.
+        self._waiting: dict[str, list[tuple[int, bool, float]]] = {}
+
+    def open_gate(self, exchange: exchanges.Exchange) -> "Gate":
+        """Returns the gate of a new exchange."""
+        is_returning = self._note_time(exchange)
+        return Gate(self, exchange, is_returning)
+
+    def _note_time(self, exchange: exchanges.Exchange) -> bool:
+        """Returns whether the caller of an exchange has been refused before."""
+        name = exchange.route.name
+        whole_s = exchange.deadline_s - exchange.arrived_s
+        longest_s = max(self._longest_s.get(name, 0.0), whole_s)
+        self._longest_s[name] = longest_s
+        return whole_s < longest_s - RETURN_GAP_S
+
+
+class Gate:
+    """The way of one exchange through admission control.
+
+    Attributes:
+      decision: the last decision.
+    """
+
+    __slots__ = ("_admission", "_cost_s", "_exchange", "_key", "decision")
+
+    def __init__(
+        self,
+        admission: ExchangeAdmission,
+        exchange: exchanges.Exchange,
+        is_returning: bool,
+    ):
+        self._admission = admission
+        self._exchange = exchange
+        self._cost_s = compute_cost(exchange)
+        # Sorts by rank, then returning callers first, then by arrival.
+        self._key = (exchange.priority, not is_returning, exchange.arrived_s)
+        self.decision = _NOT_DECIDED
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether it should be tried again after a wait."""
+        return self.decision.verdict is _Verdict.WAIT
+
+    @property
+    def _is_returning(self) -> bool:
+        return not self._key[1]
+
+    def begin_try(self) -> bool:
+        """Begins a try and says whether it is worth looking for a placement.
+
+        It isn't if an exchange of its rank that costs less found none just now.
+        """
+        self.decision = _NOT_DECIDED
+        refusal = self._admission._refusals.get(self._name_class())
+        if refusal is None or self._cost_s < refusal.cost_s:
+            return True
+        now_s = self._admission._timers.read_monotonic()
+        return now_s - refusal.at_s >= REFUSAL_TTL_S
+
+    def check(self, outlook: controllers.Outlook | None) -> bool:
+        """Returns whether the exchange is let in at a placement.
+
+        Args:
+          outlook: the best placement, None if there is none.
+        """
+        admission = self._admission
+        now_s = admission._timers.read_monotonic()
+        service = self._exchange.service.name
+        waiting = admission._waiting.get(service, [])
+        self.decision = admission._controller.decide(
+            self._describe(now_s), outlook, len(waiting), now_s
+        )
+        if self.decision.verdict is _Verdict.ADMIT:
+            return True
+        admission._refusals[self._name_class()] = _Refusal(now_s, self._cost_s)
+        if self.decision.verdict is _Verdict.REFUSE:
+            self._note_refused(outlook, now_s)
+        return False
+
+    async def wait(self) -> None:
+        """Waits until the exchange should be tried again."""
+        admission = self._admission
+        service = self._exchange.service.name
+        waiting = admission._waiting.setdefault(service, [])
+        bisect.insort(waiting, self._key)
+        admission._metrics.count("admission.waits")
+        until_s = (
+            self._exchange.arrived_s
+            + controllers.MAX_WAIT_PART * self._exchange.route.objective_s
+        )
+        try:
+            while True:
+                await asyncio.sleep(POLL_S)
+                if self._key in waiting[:MAX_TRIED]:
+                    return
+                if admission._timers.read_monotonic() >= until_s:
+                    return
+        finally:
+            waiting.remove(self._key)
+
+    def _name_class(self) -> tuple[str, int]:
+        return self._exchange.service.name, self._exchange.priority
+
+    def _describe(self, now_s: float) -> controllers.Candidate:
+        exchange = self._exchange
+        return controllers.Candidate(
+            service=exchange.service.name,
+            rank=exchange.priority,
+            workspace=exchange.workspace,
+            value=latencycost.compute_value(exchange.prompt_tokens),
+            cost_s=self._cost_s,
+            objective_s=exchange.route.objective_s,
+            waited_s=now_s - exchange.arrived_s,
+            left_s=exchange.deadline_s - now_s,
+            is_returning=self._is_returning,
+            is_slow=_is_slow(exchange),
+        )
+
+    def _note_refused(
+        self, outlook: controllers.Outlook | None, now_s: float
+    ) -> None:
+        admission = self._admission
+        exchange = self._exchange
+        decision = self.decision
+        admission._metrics.count("admission.refused")
+        _logger.info(
+            "admission refused",
+            extra={
+                "request": exchange.request_id,
+                "route": exchange.route.name,
+                "workspace": exchange.workspace,
+                "rank": exchange.priority,
+                "reason": decision.reason,
+                "standing": decision.standing.value
+                if decision.standing
+                else None,
+                "cost": round(outlook.cost, 2) if outlook else None,
+                "start_s": round(outlook.start_s, 3) if outlook else None,
+                "waited_s": round(now_s - exchange.arrived_s, 3),
+                "returning": self._is_returning,
+                "retry_after_s": round(decision.retry_after_s, 2),
+            },
+        )
+        admission._on_refusal()
+
+
+def compute_cost(exchange: exchanges.Exchange) -> float:
+    """Returns what an exchange costs in engine seconds, without waiting."""
+    model = exchange.service.engine
+    if model is None or not exchange.prompt_tokens:
+        return CALL_COST_S
+    prefill_s = model.predict_prefill(exchange.prompt_tokens)
+    return prefill_s + _compute_decode(exchange, model)
+
+
+def _is_slow(exchange: exchanges.Exchange) -> bool:
+    """Returns whether a prompt would be late even if all engines were idle."""
+    model = exchange.service.engine
+    if model is None or not exchange.prompt_tokens:
+        return False
+    prefill_s = model.predict_prefill(
+        exchange.prompt_tokens, partplan.MAX_PARTS
+    )
+    return prefill_s > latencycost.SAFE_SHARE * exchange.route.objective_s
+
+
+def _compute_decode(
+    exchange: exchanges.Exchange, model: routes.EngineCostModel
+) -> float:
+    """Returns one slot's share of the passes that decode an answer."""
+    passes = exchange.answer_tokens / model.stride
+    context_tokens = exchange.prompt_tokens * model.slots
+    pass_s = model.predict_stride(model.slots, context_tokens)
+    return passes * pass_s / model.slots
--- a/rhubarblock/exchange/callbalancer.py
+++ b/rhubarblock/exchange/callbalancer.py
@@ -9,6 +9,7 @@
 from rhubarblock.core import listed as lists
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import health as healths
+from rhubarblock.routing.admission import controller as controllers
 
 # Extra cost of an endpoint in another data centre, in calls in flight: an idle
 # far endpoint is used once the near one has three calls of this instance. The
@@ -55,6 +56,18 @@
         """Returns the endpoint with the lowest cost."""
         return min(endpoints, key=self._compute_cost)
 
+    def predict(
+        self, endpoints: list[lists.ListedEndpoint]
+    ) -> controllers.Outlook | None:
+        """Returns the outlook of a call, None if all endpoints are full.
+
+        Args:
+          endpoints: endpoints that may be used; at least one.
+        """
+        if all(self._is_full(e.endpoint_id) for e in endpoints):
+            return None
+        return controllers.Outlook(0.0, 0.0, 0.0)
+
     @contextlib.contextmanager
     def hold(self, endpoint_id: str) -> Iterator[None]:
         """Counts a call as in flight while the context is open."""
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -11,6 +11,7 @@
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import listed
 from rhubarblock.core import route as routes
+from rhubarblock.exchange import admission
 from rhubarblock.exchange import attempts
 from rhubarblock.exchange import candidates
 from rhubarblock.exchange import crashes
@@ -36,6 +37,7 @@
 from rhubarblock.platform import names
 from rhubarblock.routing import cooldowns
 from rhubarblock.routing import health as healths
+from rhubarblock.routing.admission import controller as controllers
 from rhubarblock.routing.endpointlimits import peers as limitpeers
 from rhubarblock.routing.placement import jobtracker
 from rhubarblock.settings import exchange as settings_lib
@@ -343,6 +345,11 @@
                 self.metrics,
             ),
             crashes.CrashDetector(self.updates, self.timers),
+            admission.ExchangeAdmission(
+                controllers.AdmissionController(random.Random(1)),
+                self.timers,
+                self.metrics,
+            ),
             self.timers,
         )
 
--- a/rhubarblock/exchange/peering/updates.py
+++ b/rhubarblock/exchange/peering/updates.py
@@ -34,6 +34,7 @@
 LIMIT_REPORT = "l"
 PERMIT_REQUEST = "q"
 PERMIT_GRANT = "t"
+DEMAND = "d"
 _COUNTERS = {
     _PLACED: "placed",
     _ENDED: "ended",
@@ -43,6 +44,7 @@
     LIMIT_REPORT: "limit",
     PERMIT_REQUEST: "permit_request",
     PERMIT_GRANT: "permit_grant",
+    DEMAND: "demand",
 }
 # Receives the fields after the code and the address of the sender.
 Listener = Callable[[list[Any], peer_table.Address], None]
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -17,6 +17,7 @@
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import cooldowns
 from rhubarblock.routing import health as healths
+from rhubarblock.routing.admission import controller as controllers
 from rhubarblock.routing.placement import jobtracker
 from rhubarblock.routing.placement import prompt as prompts
 from rhubarblock.routing.placement import splitpolicy
@@ -32,6 +33,14 @@
 # predicted pause; otherwise the gain is not worth the second prefill.
 MOVE_FRACTION = 0.6
 
+# Says whether an exchange is let in at a placement, None for no placement.
+Admits = Callable[[controllers.Outlook | None], bool]
+
+
+def _admit_all(outlook: controllers.Outlook | None) -> bool:
+    del outlook
+    return True
+
 
 class Placer:
     """Places the exchanges of one instance."""
@@ -98,6 +107,7 @@
         avoid: set[str],
         is_mid_stream: bool = False,
         refusals: int = 0,
+        admits: Admits = _admit_all,
     ) -> Iterator[placements.Placement | None]:
         """Places an attempt and tracks it while the context is open.
 
@@ -106,9 +116,12 @@
           avoid: ids of endpoints at which it failed.
           is_mid_stream: whether the caller already receives a stream.
           refusals: number of attempts that endpoints refused.
+          admits: says whether the exchange is let in at the best placement; it
+            isn't asked if there is no endpoint.
 
         Yields:
-          The placement, or None if no endpoint has capacity.
+          The placement, or None if no endpoint has capacity or the exchange is
+          not let in.
         """
         endpoints = self._candidates.list_for(exchange, avoid)
         if not endpoints:
@@ -116,13 +129,15 @@
             return
         model = _find_model(exchange)
         if model is None:
-            with self._hold_call(endpoints) as placement:
+            with self._hold_call(endpoints, admits) as placement:
                 yield placement
             return
         now_s = self._timers.read_monotonic()
         job_id = self._make_job_id()
         prompt = _make_prompt(exchange, job_id, is_mid_stream, now_s, refusals)
-        with self._hold_prompt(prompt, endpoints, model, now_s) as placement:
+        with self._hold_prompt(
+            prompt, endpoints, model, now_s, admits
+        ) as placement:
             yield placement
 
     def _make_job_id(self) -> str:
@@ -314,6 +329,23 @@
                 stack.enter_context(watch)
             yield
 
+    def _describe_outlook(
+        self,
+        choice: prompts.Choice | None,
+        engines: list[lists.ListedEndpoint],
+        model: routes.EngineCostModel,
+        now_s: float,
+    ) -> controllers.Outlook | None:
+        if choice is None:
+            return None
+        ids = [engine.endpoint_id for engine in engines]
+        return controllers.Outlook(
+            choice.cost,
+            choice.others_cost,
+            choice.expected_s,
+            self._job_tracker.measure_utilisation(ids, model.slots, now_s),
+        )
+
     def _note_chosen(
         self, endpoint: lists.ListedEndpoint, now_s: float
     ) -> None:
@@ -323,8 +355,11 @@
 
     @contextlib.contextmanager
     def _hold_call(
-        self, endpoints: list[lists.ListedEndpoint]
-    ) -> Iterator[placements.Placement]:
+        self, endpoints: list[lists.ListedEndpoint], admits: Admits
+    ) -> Iterator[placements.Placement | None]:
+        if not admits(self._calls.predict(endpoints)):
+            yield None
+            return
         chosen = self._calls.choose(endpoints)
         self._note_chosen(chosen, self._timers.read_monotonic())
         with self._calls.hold(chosen.endpoint_id):
@@ -338,10 +373,12 @@
         endpoints: list[lists.ListedEndpoint],
         model: routes.EngineCostModel,
         now_s: float,
+        admits: Admits,
     ) -> Iterator[placements.Placement | None]:
         self._job_tracker.expire(now_s)
         choice = self._prompt_policy.choose(prompt, endpoints, model, now_s)
-        if choice is None:
+        outlook = self._describe_outlook(choice, endpoints, model, now_s)
+        if not admits(outlook) or choice is None:
             yield None
             return
         for engine in choice.engines:
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -11,6 +11,7 @@
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import failure as failures
 from rhubarblock.core import verdict as verdicts
+from rhubarblock.exchange import admission
 from rhubarblock.exchange import attempts
 from rhubarblock.exchange import crashes
 from rhubarblock.exchange import endpointlimits
@@ -24,6 +25,7 @@
 from rhubarblock.exchange import stalls
 from rhubarblock.exchange import transport as transports
 from rhubarblock.kernel import timers as timer_service
+from rhubarblock.routing.admission import controller as controllers
 
 # Retry-After of a refused caller in seconds; a rate limit or a cool-down may
 # lead to a longer one.
@@ -44,6 +46,7 @@
     """Serves exchanges at one instance."""
 
     __slots__ = (
+        "_admission",
         "_crashes",
         "_outcomes",
         "_placer",
@@ -58,6 +61,7 @@
         runner: attempts.AttemptRunner,
         outcomes_: outcomes.OutcomeRecorder,
         crash_detector: crashes.CrashDetector,
+        admission_: admission.ExchangeAdmission,
         timers: timer_service.Timers,
     ):
         """Creates a relay.
@@ -67,8 +71,10 @@
           runner: runs attempts.
           outcomes_: records how attempts end and grants retries.
           crash_detector: refuses exchanges that crash endpoints.
+          admission_: lets new exchanges in, or refuses them.
           timers: the clock.
         """
+        self._admission = admission_
         self._placer = placer
         self._runner = runner
         self._outcomes = outcomes_
@@ -121,32 +127,55 @@
         await self._wait_for_room(flow)
         await self._wait_for_availability(flow)
         await self._wait_for_start(flow)
-        with self._placer.hold(
-            flow.exchange, avoid, flow.sink.begun, flow.refusals
-        ) as placement:
-            if placement is None:
-                raise self._make_refusal(flow)
-            self._outcomes.note_placed(flow, placement)
-
-            def may_abandon(reason: stalls.Reason) -> bool:
-                return self._may_abandon(flow, placement, reason)
+        gate = self._open_gate(flow)
+        while True:
+            if gate is not None and not gate.begin_try():
+                gate.check(None)
+            else:
+                with self._placer.hold(
+                    flow.exchange,
+                    avoid,
+                    flow.sink.begun,
+                    flow.refusals,
+                    gate.check if gate else _admit,
+                ) as placement:
+                    if placement is not None:
+                        return await self._attempt(flow, placement)
+            if gate is None or not gate.is_waiting:
+                raise self._make_refusal(flow, gate)
+            await gate.wait()
 
-            try:
-                await self._run_tracked(flow, placement, may_abandon)
-            except (leases.LeaseError, attempts.ClosedError) as error:
-                self._outcomes.note_refused(
-                    flow, placement, error.failure, error.endpoint_id
-                )
-                return error
-            except attempts.RefusedError as error:
-                self._note_refused(flow, placement, error)
-                return error
-            except transports.AttemptError as error:
-                self._outcomes.note_failed(flow, placement, error)
-                return error
-            self._outcomes.note_served(flow, placement)
-            self._crashes.note_served(flow.exchange)
+    def _open_gate(self, flow: flows.Flow) -> admission.Gate | None:
+        """Returns the gate of a new exchange; None if it was let in before."""
+        if flow.history.attempts or flow.refusals or flow.sink.begun:
             return None
+        return self._admission.open_gate(flow.exchange)
+
+    async def _attempt(
+        self, flow: flows.Flow, placement: placements.Placement
+    ) -> failures.FailureError | None:
+        """Makes an attempt at a placement and returns its error, or None."""
+        self._outcomes.note_placed(flow, placement)
+
+        def may_abandon(reason: stalls.Reason) -> bool:
+            return self._may_abandon(flow, placement, reason)
+
+        try:
+            await self._run_tracked(flow, placement, may_abandon)
+        except (leases.LeaseError, attempts.ClosedError) as error:
+            self._outcomes.note_refused(
+                flow, placement, error.failure, error.endpoint_id
+            )
+            return error
+        except attempts.RefusedError as error:
+            self._note_refused(flow, placement, error)
+            return error
+        except transports.AttemptError as error:
+            self._outcomes.note_failed(flow, placement, error)
+            return error
+        self._outcomes.note_served(flow, placement)
+        self._crashes.note_served(flow.exchange)
+        return None
 
     def _note_refused(
         self,
@@ -231,10 +260,17 @@
                 return has_room
             await asyncio.sleep(AVAILABILITY_POLL_S)
 
-    def _make_refusal(self, flow: flows.Flow) -> failures.FailureError:
+    def _make_refusal(
+        self, flow: flows.Flow, gate: admission.Gate | None
+    ) -> failures.FailureError:
         """Returns the error of an exchange that no endpoint can take."""
         advice = self._placer.find_retry_after(flow)
         if advice is None:
+            if gate is not None and gate.decision.retry_after_s:
+                decision = gate.decision
+                return _make_final_error(
+                    flow, decision.reason, round(decision.retry_after_s, 2)
+                )
             return _make_final_error(flow, "no endpoint has room")
         after_s = max(RETRY_AFTER_S, round(advice.after_s, 2))
         return _make_final_error(flow, advice.reason, after_s)
@@ -284,6 +320,12 @@
         return self._outcomes.grant(flow.exchange)
 
 
+def _admit(outlook: controllers.Outlook | None) -> bool:
+    """Lets in what was let in at an earlier attempt."""
+    del outlook
+    return True
+
+
 def _make_final_error(
     flow: flows.Flow, message: str, retry_after_s: float = RETRY_AFTER_S
 ) -> failures.FailureError:
--- a/rhubarblock/relay/tries.py
+++ b/rhubarblock/relay/tries.py
@@ -23,9 +23,9 @@
 from rhubarblock.relay import guard as guards
 from rhubarblock.relay import retries
 from rhubarblock.relay import runner as runners
-from rhubarblock.routing import admission as admissions
 from rhubarblock.routing import fairqueue
 from rhubarblock.routing import lanes
+from rhubarblock.routing.admission import deadline as admissions
 from rhubarblock.routing.placement import coordination
 from rhubarblock.routing.placement import decision as placements
 from rhubarblock.routing.placement import predictor as predictors
--- a/rhubarblock/routing/admission_test.py
+++ b/rhubarblock/routing/admission/deadline_test.py
@@ -5,7 +5,7 @@
 
 from rhubarblock.core import failure as failures
 from rhubarblock.core import request as requests
-from rhubarblock.routing import admission as admissions
+from rhubarblock.routing.admission import deadline as admissions
 from rhubarblock.routing.placement import predictor as predictors
 
 
--- a/rhubarblock/routing/placement/jobtracker.py
+++ b/rhubarblock/routing/placement/jobtracker.py
@@ -12,12 +12,15 @@
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import math
 
 from rhubarblock.core import route as routes
 
 # Seconds after which a job is dropped if its end was not announced: twice the
 # longest time that callers wait in known deployments.
 JOB_TTL_S = 30.0
+# Time constant in seconds of the average of placed work.
+WORK_DECAY_S = 2.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -188,9 +191,19 @@
 class JobTracker:
     """The jobs placed on all engines, and the loads that follow from them."""
 
-    __slots__ = ("_expiries", "_jobs", "_loads", "_watchers")
+    __slots__ = (
+        "_expiries",
+        "_jobs",
+        "_loads",
+        "_watchers",
+        "_work_at_s",
+        "_work_s",
+    )
 
     def __init__(self) -> None:
+        # Seconds of prefill placed lately; decays with WORK_DECAY_S.
+        self._work_s = 0.0
+        self._work_at_s = 0.0
         self._loads: dict[str, EngineLoad] = {}
         self._jobs: dict[str, PlacedJob] = {}
         self._expiries: dict[str, float] = {}
@@ -203,6 +216,31 @@
             load = self._loads[endpoint_id] = EngineLoad()
         return load
 
+    def measure_utilisation(
+        self, endpoint_ids: list[str], slots: int, now_s: float
+    ) -> float:
+        """Returns the part of the capacity of some engines that is in use.
+
+        It is the larger one of the part of their slots that have jobs, and the
+        part of their time that the prefills placed lately take.
+
+        Args:
+          endpoint_ids: the engines; at least one.
+          slots: slots of each of them.
+          now_s: current time in monotonic seconds.
+        """
+        loads = (self._loads.get(name) for name in endpoint_ids)
+        jobs = sum(len(load.jobs) for load in loads if load is not None)
+        self._decay_work(now_s)
+        work = self._work_s / WORK_DECAY_S
+        return max(jobs / slots, work) / len(endpoint_ids)
+
+    def _decay_work(self, now_s: float) -> None:
+        elapsed_s = now_s - self._work_at_s
+        if elapsed_s > 0.0:
+            self._work_s *= math.exp(-elapsed_s / WORK_DECAY_S)
+            self._work_at_s = now_s
+
     def add(self, job: Job, now_s: float) -> None:
         """Adds a placed job; one that is tracked already is ignored."""
         if job.job_id in self._jobs:
@@ -210,6 +248,8 @@
         placed = PlacedJob(job, now_s)
         self._jobs[job.job_id] = placed
         self._expiries[job.job_id] = now_s + JOB_TTL_S
+        self._decay_work(now_s)
+        self._work_s += sum(part.prefill_s for part in job.parts)
         self.find(job.endpoint_id).jobs[job.job_id] = placed
         for part, prefill in zip(job.parts, placed.prefills, strict=True):
             load = self.find(part.endpoint_id)
--- a/rhubarblock/routing/placement/partplan.py
+++ b/rhubarblock/routing/placement/partplan.py
@@ -53,6 +53,7 @@
 
     Attributes:
       cost: what it costs the caller and all other jobs, in short prompts.
+      others_cost: what of it the other jobs lose.
       parts: the engines; the first one also decodes the answer.
       tokens: memory that each of them holds.
       prefill_s: prefill seconds at each of them.
@@ -61,6 +62,7 @@
     """
 
     cost: float
+    others_cost: float
     parts: list[engineview.EngineView]
     tokens: list[int]
     prefill_s: float
@@ -221,10 +223,18 @@
         prefill_s = self._prefill_s
         expected_s = max(part.predict_end(prefill_s) for part in parts)
         pause_s = first.predict_pause(prefill_s, expected_s)
-        cost = self._compute_own_cost(expected_s, pause_s)
-        cost += sum(part.compute_pause_cost(prefill_s) for part in parts)
-        cost += engineview.compute_delayed_cost(parts, prefill_s)
-        return Plan(cost, parts, tokens, prefill_s, expected_s, pause_s)
+        own_cost = self._compute_own_cost(expected_s, pause_s)
+        others_cost = sum(part.compute_pause_cost(prefill_s) for part in parts)
+        others_cost += engineview.compute_delayed_cost(parts, prefill_s)
+        return Plan(
+            own_cost + others_cost,
+            others_cost,
+            parts,
+            tokens,
+            prefill_s,
+            expected_s,
+            pause_s,
+        )
 
     def _choose_first(self) -> engineview.EngineView | None:
         """Returns the engine that decodes the answer, None if none has a slot.
--- a/rhubarblock/routing/placement/prompt.py
+++ b/rhubarblock/routing/placement/prompt.py
@@ -42,9 +42,14 @@
       engines: the engines of the job's parts, in the same order.
       expected_s: predicted seconds until its first event.
       pause_s: predicted seconds between the first event and the next one.
+      cost: what the placement costs all requests, in short prompts; 0 if the
+        policy doesn't tell.
+      others_cost: what of it other requests lose.
     """
 
     job: jobtracker.Job
     engines: tuple[lists.ListedEndpoint, ...]
     expected_s: float
     pause_s: float = 0.0
+    cost: float = 0.0
+    others_cost: float = 0.0
--- a/rhubarblock/routing/placement/splitpolicy.py
+++ b/rhubarblock/routing/placement/splitpolicy.py
@@ -133,4 +133,6 @@
         tuple(part.endpoint for part in plan.parts),
         plan.expected_s,
         plan.pause_s,
+        plan.cost,
+        plan.others_cost,
     )
