--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -16,6 +16,7 @@
 from rhubarblock.daemon import peerdiscovery
 from rhubarblock.daemon import plannedstop
 from rhubarblock.daemon import statuspages
+from rhubarblock.exchange import admission
 from rhubarblock.exchange import attempts
 from rhubarblock.exchange import candidates
 from rhubarblock.exchange import crashes
@@ -29,6 +30,7 @@
 from rhubarblock.exchange import requesthandler
 from rhubarblock.exchange import statements
 from rhubarblock.exchange import transport as transports
+from rhubarblock.exchange.peering import demandupdates
 from rhubarblock.exchange.peering import limitupdates
 from rhubarblock.exchange.peering import table as peer_table
 from rhubarblock.exchange.peering import updates as peer_updates
@@ -46,6 +48,7 @@
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import cooldowns
 from rhubarblock.routing import health as healths
+from rhubarblock.routing.admission import controller as controllers
 from rhubarblock.routing.placement import jobtracker
 from rhubarblock.settings import exchange as settings_lib
 from rhubarblock.store import era as era_lib
@@ -304,7 +307,24 @@
             updates, self.timers, is_evacuated=self.directory.is_evacuated
         )
         return relays.ExchangeRelay(
-            placer, runner, outcome, crash_detector, self.timers
+            placer,
+            runner,
+            outcome,
+            crash_detector,
+            self._make_admission(updates),
+            self.timers,
+        )
+
+    def _make_admission(
+        self, updates: peer_updates.PeerUpdates
+    ) -> admission.ExchangeAdmission:
+        """Returns the admission control, which tells peers of its demand."""
+        controller = controllers.AdmissionController(self._rng)
+        demand_updates = demandupdates.DemandUpdates(
+            controller, updates, self.peers, self.timers, self._rng
+        )
+        return admission.ExchangeAdmission(
+            controller, self.timers, self.metrics, demand_updates.note_pressure
         )
 
     async def _listen(
