Make the text form of peer addresses public

It moves from the datagrams about rate limits to the table of peers, with its inverse; nothing else changes.

--- a/rhubarblock/exchange/peering/limitupdates.py
+++ b/rhubarblock/exchange/peering/limitupdates.py
@@ -67,7 +67,7 @@
         now_s = self._timers.read_monotonic()
         best = rendezvous.compute_score(endpoint_id, self._own_id), ""
         for address, peer in self._list_users(endpoint_id):
-            name = _format_address(address)
+            name = peer_table.format_address(address)
             if name in silent or not peer.instance_id:
                 continue
             if peer.is_alive(now_s, peer_table.FAR_HEARTBEATS):
@@ -83,7 +83,7 @@
             _to_ms(request.free_in_s),
             _to_ms(request.within_s),
         ]
-        self._updates.send_to(_parse_address(peer), fields)
+        self._updates.send_to(peer_table.parse_address(peer), fields)
 
     def send_grant(self, peer: str, grant: messages.PermitGrant) -> None:
         fields = [
@@ -94,11 +94,11 @@
             _to_ms(grant.spacing_s),
             _to_ms(grant.retry_after_s),
         ]
-        self._updates.send_to(_parse_address(peer), fields)
+        self._updates.send_to(peer_table.parse_address(peer), fields)
 
     def send_report(self, peer: str, report: messages.LimitReport) -> None:
         fields = [peer_updates.LIMIT_REPORT, *_encode_report(report)]
-        self._updates.send_to(_parse_address(peer), fields)
+        self._updates.send_to(peer_table.parse_address(peer), fields)
 
     def broadcast_report(self, report: messages.LimitReport) -> None:
         fields = [peer_updates.LIMIT_REPORT, *_encode_report(report)]
@@ -135,14 +135,16 @@
     for code, handler in handlers.items():
         updates.listen(code, _make_listener(handler))
     updates.on_start = lambda address: limits.send_limits(
-        _format_address(address)
+        peer_table.format_address(address)
     )
 
 
 def _make_listener(
     handler: Callable[[list[Any], str], None],
 ) -> peer_updates.Listener:
-    return lambda fields, address: handler(fields, _format_address(address))
+    return lambda fields, address: handler(
+        fields, peer_table.format_address(address)
+    )
 
 
 def _encode_report(report: messages.LimitReport) -> list[Any]:
@@ -188,12 +190,3 @@
 def _to_ms(seconds: float) -> float:
     """Returns milliseconds, rounded to the microsecond."""
     return round(seconds * _MS_PER_S, 3)
-
-
-def _format_address(address: peer_table.Address) -> str:
-    return "{}:{}".format(*address)
-
-
-def _parse_address(peer: str) -> peer_table.Address:
-    host, _, port = peer.rpartition(":")
-    return host, int(port)
--- a/rhubarblock/exchange/peering/table.py
+++ b/rhubarblock/exchange/peering/table.py
@@ -235,6 +235,17 @@
                 yield address
 
 
+def format_address(address: Address) -> str:
+    """Returns an address as ``host:port``."""
+    return "{}:{}".format(*address)
+
+
+def parse_address(text: str) -> Address:
+    """Returns the address that ``host:port`` denotes."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
 def _rank(
     capacity: capacities.Capacity, instance_id: str
 ) -> tuple[float, float, str]:
