Lend the slack of the retry budget between instances

Cause: the slack that the platform allows to all instances was divided into equal shares. At 82 instances a share is 2.3 retries, which most do not use and which is too little where a data centre fails.

Change: an instance whose budget runs low asks four peers by datagram, its own data centre first, and one that finds it spent waits up to 40 ms for answers. A lender deducts a loan for the window and the time for which it may be spent, which the borrower counts from the sending of its request, on the boot clock. An instance that starts has no share until what an earlier start spent or lent no longer counts. The number of instances that divide the slack falls only after an hour, since a network partition hides peers that still spend.

A budget of which a quarter is left is kept for exchanges that can still be in time, and is not spent on a workspace whose repeats exceed 1.5 times an equal share. Each denied retry is logged with the inputs of the decision.

The tests of the back-off of endpoints start their instance with a full budget: they need a retry right after the start, and a start has none now.

Random schedules with cuts, pauses, restarts, lost, doubled and late datagrams never exceed the bound at 7 and 82 instances; a loan without a deduction, a doubled loan, a restart with a full share and a share that grows in a cut are each detected.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -26,9 +26,11 @@
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
 from rhubarblock.exchange import requesthandler
+from rhubarblock.exchange import retrybudgets
 from rhubarblock.exchange import statements
 from rhubarblock.exchange import transport as transports
 from rhubarblock.exchange.peering import limitupdates
+from rhubarblock.exchange.peering import retryupdates
 from rhubarblock.exchange.peering import table as peer_table
 from rhubarblock.exchange.peering import updates as peer_updates
 from rhubarblock.exchange.state import configlease as config_leases
@@ -210,6 +212,22 @@
         limitupdates.connect(updates, limits)
         return limits
 
+    def _make_budgets(
+        self, updates: peer_updates.PeerUpdates
+    ) -> retrybudgets.RetryBudgets:
+        """Returns the retry budgets that this instance shares with peers."""
+        budgets = retrybudgets.RetryBudgets(
+            retryupdates.DatagramLoanPeers(
+                updates, self.peers, self.settings.data_centre, self.timers
+            ),
+            self.peers.count_instances,
+            self.settings.bounds,
+            self._rng,
+            self.metrics,
+        )
+        retryupdates.connect(updates, budgets)
+        return budgets
+
     async def _open_relay(
         self,
         stack: contextlib.AsyncExitStack,
@@ -265,11 +283,16 @@
             statement_handler,
             self.timers,
         )
+        budgets = self._make_budgets(updates)
+        stack.enter_context(
+            self.timers.subscribe(
+                peer_table.HEARTBEAT_S, budgets.count_instances
+            )
+        )
         outcome = outcomes.OutcomeRecorder(
             self.health,
             updates,
-            self.peers.count_instances,
-            bounds,
+            budgets,
             self.timers,
             self.metrics,
         )
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -21,6 +21,7 @@
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
 from rhubarblock.exchange import requesthandler
+from rhubarblock.exchange import retrybudgets
 from rhubarblock.exchange import statements
 from rhubarblock.exchange import transport as transports
 from rhubarblock.exchange.peering import limitupdates
@@ -38,6 +39,7 @@
 from rhubarblock.routing import health as healths
 from rhubarblock.routing.endpointlimits import peers as limitpeers
 from rhubarblock.routing.placement import jobtracker
+from rhubarblock.routing.retrylending import peers as loanpeers
 from rhubarblock.settings import exchange as settings_lib
 
 ATTEMPT = names.ATTEMPT_ID
@@ -211,6 +213,19 @@
         pass
 
 
+class NoLenders(loanpeers.LoanPeers):
+    """No other instance."""
+
+    def list_names(self, near):
+        return []
+
+    def send_request(self, peer, request):
+        raise AssertionError
+
+    def send_grant(self, peer, grant):
+        raise AssertionError
+
+
 def make_statement_handler(limits, timers):
     metrics = metric_store.Metrics()
     return statements.StatementHandler(
@@ -337,8 +352,14 @@
             outcomes.OutcomeRecorder(
                 self.health,
                 self.updates,
-                lambda: 8,
-                BOUNDS,
+                retrybudgets.RetryBudgets(
+                    NoLenders(),
+                    lambda: 8,
+                    BOUNDS,
+                    random.Random(1),
+                    self.metrics,
+                    is_first_start=True,
+                ),
                 self.timers,
                 self.metrics,
             ),
--- a/rhubarblock/exchange/flow.py
+++ b/rhubarblock/exchange/flow.py
@@ -21,10 +21,12 @@
       progress: timing of the answer.
       history: outcomes of the attempts so far.
       refusals: number of refusals by endpoints.
+      denied: whether the retry budget denied a retry.
     """
 
     __slots__ = (
         "cursor",
+        "denied",
         "exchange",
         "history",
         "progress",
@@ -40,6 +42,7 @@
         self.progress = progress.Progress(exchange.arrived_s)
         self.history = retries.History()
         self.refusals = 0
+        self.denied = False
 
     @property
     def is_last_attempt(self) -> bool:
--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -1,6 +1,5 @@
 """Records how attempts end: health, retry budgets, metrics and logs."""
 
-from collections.abc import Callable
 import logging
 
 from rhubarblock.core import exchange as exchanges
@@ -10,18 +9,15 @@
 from rhubarblock.exchange import attempts
 from rhubarblock.exchange import flow as flows
 from rhubarblock.exchange import placements
+from rhubarblock.exchange import retrybudgets
 from rhubarblock.exchange import stalls
 from rhubarblock.exchange import transport as transports
 from rhubarblock.exchange.peering import updates as peer_updates
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.relay import retrybudget
 from rhubarblock.routing import health as healths
-from rhubarblock.settings import exchange as settings_lib
+from rhubarblock.routing.retrylending import reserve as reserves
 
-# Fraction of the retries allowed to all instances that they divide among them.
-# The remainder covers instances that count too few peers.
-SLACK_FRACTION = 0.8
 # Upper bounds of the bands of prompt lengths, in tokens.
 BANDS = ((16_000, "short"), (120_000, "middle"), (450_000, "long"))
 
@@ -32,9 +28,7 @@
     """Records the outcomes of attempts of one instance."""
 
     __slots__ = (
-        "_bounds",
         "_budgets",
-        "_count_instances",
         "_health",
         "_metrics",
         "_updates",
@@ -45,36 +39,75 @@
         self,
         health: healths.Health,
         updates: peer_updates.PeerUpdates,
-        count_instances: Callable[[], int],
-        bounds: settings_lib.ExchangeBounds,
+        budgets: retrybudgets.RetryBudgets,
         timers: timer_service.Timers,
         metrics: metric_store.Metrics,
     ):
-        """Starts with empty retry budgets.
+        """Creates a recorder.
 
         Args:
           health: circuit breakers of endpoints.
           updates: announces unreachable endpoints to peers.
-          count_instances: returns the number of instances that share the retry
-            slack.
-          bounds: limits of retries.
+          budgets: grant retries.
           timers: the clock.
           metrics: counters.
         """
         self._health = health
         self._updates = updates
-        self._count_instances = count_instances
-        self._bounds = bounds
+        self._budgets = budgets
         self._timers = timers
         self._metrics = metrics
-        self._budgets: dict[str, retrybudget.RetryBudget] = {}
 
-    def grant(self, exchange: exchanges.Exchange) -> bool:
-        """Takes a retry from the budget of the exchange's service."""
-        granted = self._budget(exchange).try_spend()
-        name = "exchange.retries" if granted else "exchange.retries_denied"
-        self._metrics.count(name)
-        return granted
+    def note_arrival(self, exchange: exchanges.Exchange) -> None:
+        """Records a request of a caller."""
+        self._budgets.note_arrival(exchange)
+
+    def try_grant(self, flow: flows.Flow, outlook: reserves.Outlook) -> bool:
+        """Takes a retry from what the budget of the service holds now."""
+        decision = self._budgets.try_grant(flow.exchange, outlook)
+        # A stalled attempt asks several times a second.
+        self._note_decision(flow, decision, is_logged=not flow.denied)
+        return decision.granted
+
+    async def grant(self, flow: flows.Flow, outlook: reserves.Outlook) -> bool:
+        """Takes a retry from the budget of the service; waits for a loan."""
+        decision = await self._budgets.grant(flow.exchange, outlook)
+        self._note_decision(flow, decision)
+        return decision.granted
+
+    def _note_decision(
+        self,
+        flow: flows.Flow,
+        decision: retrybudgets.Decision,
+        is_logged: bool = True,
+    ) -> None:
+        """Counts a decision, and logs a denial."""
+        if decision.granted:
+            self._metrics.count("exchange.retries")
+            return
+        self._metrics.count("exchange.retries_denied")
+        flow.denied = True
+        if not is_logged:
+            return
+        balance = decision.balance
+        _logger.info(
+            "retry denied",
+            extra={
+                **_describe_exchange(flow.exchange),
+                "reason": "retry budget spent",
+                "service": flow.exchange.service.name,
+                "share": round(balance.share, 3),
+                "left": round(balance.left, 3),
+                "usable": round(balance.usable, 3),
+                "lent": round(balance.lent, 3),
+                "borrowed": round(balance.borrowed, 3),
+                "successes": balance.successes,
+                "age_s": round(balance.age_s, 3),
+                "outlook": decision.outlook.value,
+                "flooding": decision.is_flooding,
+                "waited_s": round(decision.waited_s, 3),
+            },
+        )
 
     def note_waiting(self, flow: flows.Flow, start_s: float) -> None:
         """Records that the start of an exchange is delayed.
@@ -120,7 +153,7 @@
     ) -> None:
         """Records a complete answer."""
         exchange = flow.exchange
-        self._budget(exchange).record_success()
+        self._budgets.record_success(exchange.service.name)
         self._metrics.count("exchange.served")
         first_s = flow.progress.first_s or 0.0
         self._metrics.observe("exchange.first", _name_kind(exchange), first_s)
@@ -199,24 +232,6 @@
                 endpoint.endpoint_id, endpoint.data_centre
             )
 
-    def _budget(self, exchange: exchanges.Exchange) -> retrybudget.RetryBudget:
-        name = exchange.service.name
-        budget = self._budgets.get(name)
-        if budget is None:
-            budget = retrybudget.RetryBudget(
-                self._timers,
-                self._share_slack,
-                self._bounds.retry_ratio,
-                self._bounds.retry_window_s,
-            )
-            self._budgets[name] = budget
-        return budget
-
-    def _share_slack(self) -> float:
-        """Returns the retries that this instance may always make."""
-        slack = SLACK_FRACTION * self._bounds.retry_slack
-        return slack / self._count_instances()
-
     def _log(
         self,
         flow: flows.Flow,
--- a/rhubarblock/exchange/peering/__init__.py
+++ b/rhubarblock/exchange/peering/__init__.py
@@ -1,5 +1,6 @@
 """The other instances, and the messages between instances.
 
 ``table`` holds the known peers, ``updates`` exchanges datagrams about placed
-work, and ``limitupdates`` those about rate limits and permits.
+work, ``limitupdates`` those about rate limits and permits, and ``retryupdates``
+those about loans of retries.
 """
--- a/rhubarblock/exchange/peering/updates.py
+++ b/rhubarblock/exchange/peering/updates.py
@@ -34,6 +34,8 @@
 LIMIT_REPORT = "l"
 PERMIT_REQUEST = "q"
 PERMIT_GRANT = "t"
+LOAN_REQUEST = "rq"
+LOAN_GRANT = "rg"
 _COUNTERS = {
     _PLACED: "placed",
     _ENDED: "ended",
@@ -43,6 +45,8 @@
     LIMIT_REPORT: "limit",
     PERMIT_REQUEST: "permit_request",
     PERMIT_GRANT: "permit_grant",
+    LOAN_REQUEST: "loan_request",
+    LOAN_GRANT: "loan_grant",
 }
 # Receives the fields after the code and the address of the sender.
 Listener = Callable[[list[Any], peer_table.Address], None]
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -20,6 +20,7 @@
 from rhubarblock.routing.placement import jobtracker
 from rhubarblock.routing.placement import prompt as prompts
 from rhubarblock.routing.placement import splitpolicy
+from rhubarblock.routing.retrylending import reserve as reserves
 
 # Longest prompt in tokens that is prefilled again elsewhere to spare its caller
 # a pause: this prefill takes a tenth of a second.
@@ -189,6 +190,25 @@
             is not None
         )
 
+    def predict_outlook(self, flow: flows.Flow) -> reserves.Outlook:
+        """Returns what an exchange can still meet if it is retried now."""
+        exchange = flow.exchange
+        now_s = self._timers.read_monotonic()
+        start_s = self._predict_start_elsewhere(
+            flow, flow.history.failed_endpoints
+        )
+        if now_s + (start_s or 0.0) >= exchange.deadline_s:
+            return reserves.Outlook.NOTHING
+        if start_s is None:
+            # An endpoint may get capacity while the exchange waits for it.
+            return reserves.Outlook.DEADLINE
+        first_s = flow.progress.first_s
+        if first_s is None:
+            first_s = now_s + start_s - exchange.arrived_s
+        if first_s <= exchange.route.objective_s:
+            return reserves.Outlook.OBJECTIVE
+        return reserves.Outlook.DEADLINE
+
     def find_retry_after(
         self, flow: flows.Flow
     ) -> candidates.RetryAdvice | None:
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -86,6 +86,7 @@
             start of an answer.
         """
         self._crashes.check(exchange)
+        self._outcomes.note_arrival(exchange)
         flow = flows.Flow(exchange, sink)
         try:
             async with asyncio.timeout_at(exchange.deadline_s):
@@ -108,7 +109,7 @@
             if isinstance(error, attempts.FailedAnswerError):
                 failed = error
             flow.cursor.discard_partial_event()
-            if self._may_retry(flow, error):
+            if await self._may_retry(flow, error):
                 continue
             if failed is None or flow.sink.begun:
                 raise _make_final_error(flow, error.failure.message)
@@ -180,7 +181,8 @@
         is_busy = reason is stalls.Reason.BUSY
         if not self._placer.can_move(flow, placement, is_busy):
             return False
-        return self._outcomes.grant(flow.exchange)
+        outlook = self._placer.predict_outlook(flow)
+        return self._outcomes.try_grant(flow, outlook)
 
     async def _wait_for_room(self, flow: flows.Flow) -> None:
         """Waits for an endpoint with capacity before a retry.
@@ -267,12 +269,13 @@
                     self._crashes.note_broken(placement.endpoint)
                 raise
 
-    def _may_retry(
+    async def _may_retry(
         self, flow: flows.Flow, error: failures.FailureError
     ) -> bool:
         """Returns whether another attempt is made."""
         if not flow.may_retry():
             return False
+        outlook = self._placer.predict_outlook(flow)
         # A peer may have reported meanwhile that this exchange crashes
         # endpoints.
         if self._crashes.is_quarantined(flow.exchange):
@@ -281,7 +284,7 @@
             # The attempt was abandoned only after the next one had been
             # granted.
             return True
-        return self._outcomes.grant(flow.exchange)
+        return await self._outcomes.grant(flow, outlook)
 
 
 def _make_final_error(
