Tell a spent retry budget as a cause of losses

A request that failed because a retry was denied was counted under the cause of its last attempt, or as one without an end if its caller got the response of the endpoint. `losses` now counts it as "retry budget spent", with the last attempt's cause as the detail; `explain` names it after that cause.

--- a/rhubarblock/loganalysis/causes.py
+++ b/rhubarblock/loganalysis/causes.py
@@ -56,6 +56,7 @@
     NOT_CONFIRMED: the instance had no configuration with a valid lease.
     CALLER_GONE: the caller disconnected, or the end of the request is not
       logged.
+    RETRY_BUDGET_SPENT: an attempt failed, and no retry was left.
     """
 
     NO_CONNECTION = "no connection could be opened"
@@ -73,6 +74,7 @@
     JUST_STARTED = "the instance had just started"
     CALLER_GONE = "the caller left, or no line tells the end"
     TIME_OVER = "its time was over"
+    RETRY_BUDGET_SPENT = "retry budget spent"
 
 
 # Causes by a substring of the logged reason; the first match counts. The texts
@@ -188,7 +190,9 @@
     if end is None:
         if index.has_lost_instance(trace):
             return Cause.INSTANCE_LOST, ""
-        return Cause.CALLER_GONE, ""
+        if not trace.has_ended_by_denial():
+            return Cause.CALLER_GONE, ""
+        return _describe_denial(trace)
     start_s = index.find_last_start(trace.instance, trace.arrived_s)
     is_starting = start_s is not None and trace.arrived_s - start_s < STARTUP_S
     if end.fields.get("code") == _NOT_CONFIRMED_CODE:
@@ -196,6 +200,8 @@
             return Cause.JUST_STARTED, ""
         return Cause.NOT_CONFIRMED, ""
     attempts = trace.list_failed_attempts()
+    if trace.has_ended_by_denial():
+        return _describe_denial(trace)
     if attempts:
         # The last attempt decides a failure; the first failed attempt causes
         # the delay of a request that was served late.
@@ -208,6 +214,13 @@
     return _find_lateness_cause(trace, end, index)
 
 
+def _describe_denial(trace: requesttraces.RequestTrace) -> tuple[Cause, str]:
+    """Returns the cause of a denied retry, and why the last attempt failed."""
+    attempts = trace.list_failed_attempts()
+    detail = parse_reason(attempts[-1])[0].value if attempts else ""
+    return Cause.RETRY_BUDGET_SPENT, detail
+
+
 def parse_reason(line: log_lines.Line) -> tuple[Cause, str]:
     """Returns the cause of the reason in a log line, and a detail text."""
     reason = str(line.fields.get("reason", ""))
--- a/rhubarblock/loganalysis/requesttraces.py
+++ b/rhubarblock/loganalysis/requesttraces.py
@@ -11,6 +11,7 @@
 SERVED_LATE = "served late"
 FAILED = "request failed"
 ATTEMPT_ENDED = "attempt ended"
+RETRY_DENIED = "retry denied"
 _END_MESSAGES = frozenset({SERVED, SERVED_LATE, FAILED})
 _STARTING = "starting"
 _IN_FORCE = "configuration in force"
@@ -46,6 +47,16 @@
         """Returns the lines of attempts that ended without a response."""
         return [x for x in self.lines if x.message == ATTEMPT_ENDED]
 
+    def has_ended_by_denial(self) -> bool:
+        """Returns whether it failed because a retry was denied.
+
+        An error response of an endpoint that is forwarded to the caller after
+        that has no line of its own.
+        """
+        messages = [line.message for line in self.lines if line is not self.end]
+        is_served = self.end is not None and self.end.message != FAILED
+        return not is_served and messages[-1:] == [RETRY_DENIED]
+
     def list_placement_lines(self) -> list[log_lines.Line]:
         """Returns the lines of the request's placements."""
         return [x for x in self.lines if x.message == PLACED]
--- a/rhubarblock/scripts/explain_test.py
+++ b/rhubarblock/scripts/explain_test.py
@@ -77,3 +77,17 @@
     )
     result = run("q5", tmp_path, text)
     assert result.output.splitlines()[-1] == "cause: the endpoint kept silent"
+
+
+def test_denied_retry_is_reported_as_a_cause(tmp_path):
+    text = (
+        '1.0 edge-1 {"message": "placed", "request": "q6", "endpoint": "e1"}\n'
+        '1.2 edge-1 {"message": "attempt ended", "request": "q6", '
+        '"reason": "the endpoint answered 500"}\n'
+        '1.3 edge-1 {"message": "retry denied", "request": "q6", '
+        '"reason": "retry budget spent"}\n'
+    )
+    result = run("q6", tmp_path, text)
+    assert result.output.splitlines()[-1] == (
+        "cause: the endpoint answered 500; then retry budget spent"
+    )
--- a/rhubarblock/scripts/losses_test.py
+++ b/rhubarblock/scripts/losses_test.py
@@ -98,6 +98,22 @@
         "the rate limits of endpoints leave no room",
         verdict="NOT_RUN",
     ),
+    # The endpoint of q17 fails, and no retry is left; q18 got one earlier.
+    ended(13.1, "i1", "q17", "the endpoint answered 500"),
+    line(
+        13.2, "i1", "retry denied", request="q17", reason="retry budget spent"
+    ),
+    failed(13.2, "i1", "q17", "endpoint_failed"),
+    line(
+        13.3, "i1", "retry denied", request="q18", reason="retry budget spent"
+    ),
+    ended(13.4, "i1", "q18", "the endpoint answered 500"),
+    failed(13.5, "i1", "q18", "endpoint_failed"),
+    # No retry is left for q19, and its caller gets the endpoint's error.
+    ended(13.6, "i1", "q19", "the endpoint answered 500"),
+    line(
+        13.7, "i1", "retry denied", request="q19", reason="retry budget spent"
+    ),
     # q11 is slower than predicted, without a visible reason; q12 is late
     # because no faster engine was available when it was placed.
     placed(14.0, "i1", "q11", "e6"),
@@ -138,7 +154,9 @@
     assert summary["by_cause"] == {
         "cut: no connection could be opened": 1,
         "cut: the instance was lost": 1,
+        "failed: retry budget spent": 2,
         "failed: the caller left, or no line tells the end": 1,
+        "failed: the endpoint failed": 1,
         "late: no better place when it came": 1,
         "late: overtaken by later reading": 1,
         "late: paused by other reading": 1,
@@ -149,7 +167,7 @@
         "refused: no confirmed configuration": 1,
         "refused: the instance had just started": 1,
     }
-    assert (summary["requests"], summary["skipped"]) == (16, 2)
+    assert (summary["requests"], summary["skipped"]) == (19, 2)
 
 
 def test_order_of_the_log_files_does_not_matter(tmp_path):
