Let refusals end an exchange only when it can't be in time

An exchange failed after its fourth refusal, although a refusal that says not run is no run of the route's maxAttempts and other endpoints were free. After that number it now goes on while an endpoint has room, its deadline can be met by the prediction and the retry budget allows it. The paths that end an attempt as not run (refusal, refused lease, closed endpoint, refused connection) don't count as attempts of the route; that was so before.

Measured: test_refusals_do_not_use_up_the_attempts_of_the_route fails without the change, and six refusals are followed by an answer with it.

--- a/rhubarblock/exchange/flow.py
+++ b/rhubarblock/exchange/flow.py
@@ -7,7 +7,8 @@
 from rhubarblock.exchange import sink as sinks
 from rhubarblock.relay import retries
 
-# Number of refusals after which an exchange fails.
+# Number of refusals after which an exchange is only retried if an endpoint is
+# predicted to serve it in time.
 MAX_REFUSALS = 4
 
 
@@ -53,11 +54,12 @@
         return self.history.attempts + 1 >= route.max_attempts
 
     def may_retry(self) -> bool:
-        """Returns whether the outcomes so far allow a retry."""
+        """Returns whether the outcomes so far allow a retry.
+
+        Refusals don't count: the route limits how often an exchange runs.
+        """
         route = self.exchange.route
         not_run = self.history.verdict is verdicts.Verdict.NOT_RUN
         if not route.repeatable and (self.sink.begun or not not_run):
             return False
-        if self.history.attempts >= route.max_attempts:
-            return False
-        return self.refusals < MAX_REFUSALS
+        return self.history.attempts < route.max_attempts
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -24,6 +24,7 @@
 from rhubarblock.exchange import stalls
 from rhubarblock.exchange import transport as transports
 from rhubarblock.kernel import timers as timer_service
+from rhubarblock.routing.retrylending import reserve as reserves
 
 # Retry-After of a refused caller in seconds; a rate limit or a cool-down may
 # lead to a longer one.
@@ -276,6 +277,11 @@
         if not flow.may_retry():
             return False
         outlook = self._placer.predict_outlook(flow)
+        if flow.refusals >= flows.MAX_REFUSALS and (
+            outlook is reserves.Outlook.NOTHING
+            or not self._placer.has_room(flow)
+        ):
+            return False
         # A peer may have reported meanwhile that this exchange crashes
         # endpoints.
         if self._crashes.is_quarantined(flow.exchange):
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -74,6 +74,33 @@
     assert failure.retry_after_s > 0.0
 
 
+def test_refusals_do_not_use_up_the_attempts_of_the_route():
+    sink, failure, heads = run(*[SHED] * 6, fakes.whole(), route=ONCE)
+    assert failure is None
+    assert sink.body == b"ok"
+    assert len(heads) == 7
+
+
+def test_refused_exchange_is_not_retried_when_it_would_be_too_late():
+    async def slow_refusal(head, writer):
+        await asyncio.sleep(0.12)
+        await SHED(head, writer)
+
+    async def main():
+        endpoints = [fakes.ScriptedEndpoint(slow_refusal) for _ in range(6)]
+        async with fakes.open_parts(*endpoints) as parts:
+            now_s = asyncio.get_running_loop().time()
+            exchange = fakes.make_exchange(ONCE, deadline_s=now_s + 0.55)
+            with pytest.raises(failures.FailureError) as raised:
+                await parts.relay.serve(exchange, fakes.MemorySink())
+            return raised.value.failure, sum(len(e.heads) for e in endpoints)
+
+    failure, count = asyncio.run(main())
+    assert count == flows.MAX_REFUSALS
+    assert failure.http_status == 503
+    assert failure.verdict is verdicts.Verdict.NOT_RUN
+
+
 def test_endpoint_whose_address_was_reused_is_removed():
     async def main():
         endpoint = fakes.ScriptedEndpoint(MISDIRECTED)
