Notify peers when an endpoint's address belongs to another one

Each instance learned from a refusal of its own that an address had been reused, which costs a retry at each of them. The instance that got the 421 now announces endpoint, address and start to the peers that use the endpoint, and they drop it until a list names it again. They keep it if they know another address or a later start, or if a list has named it again within the last two seconds: a late report must not remove an endpoint that no later list names. An instance of the version before ignores the datagram.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -283,6 +283,7 @@
             statement_handler,
             self.timers,
         )
+        updates.listen(peer_updates.ADDRESS_REUSED, placer.receive_reused)
         budgets = self._make_budgets(updates)
         stack.enter_context(
             self.timers.subscribe(
--- a/rhubarblock/exchange/peering/updates.py
+++ b/rhubarblock/exchange/peering/updates.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from rhubarblock.core import capacity as capacities
+from rhubarblock.core import listed as lists
 from rhubarblock.exchange.peering import table as peer_table
 from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.kernel import metrics as metric_store
@@ -36,6 +37,7 @@
 PERMIT_GRANT = "t"
 LOAN_REQUEST = "rq"
 LOAN_GRANT = "rg"
+ADDRESS_REUSED = "ar"
 _COUNTERS = {
     _PLACED: "placed",
     _ENDED: "ended",
@@ -47,6 +49,7 @@
     PERMIT_GRANT: "permit_grant",
     LOAN_REQUEST: "loan_request",
     LOAN_GRANT: "loan_grant",
+    ADDRESS_REUSED: "address_reused",
 }
 # Receives the fields after the code and the address of the sender.
 Listener = Callable[[list[Any], peer_table.Address], None]
@@ -164,12 +167,12 @@
         now_s = self._timers.read_monotonic()
         self._own_jobs[job.job_id] = (job, now_s)
         fields = _encode_job(job, job.parts[0].prefill_s)
-        self._broadcast(fields, self._make_filter(job))
+        self._broadcast(fields, self._make_job_filter(job))
 
     def announce_ended(self, job: jobtracker.Job) -> None:
         """Announces the end of a job to the same peers."""
         self._own_jobs.pop(job.job_id, None)
-        self._broadcast([_ENDED, job.job_id], self._make_filter(job))
+        self._broadcast([_ENDED, job.job_id], self._make_job_filter(job))
 
     def announce_broken(self, endpoint_id: str, data_centre: str) -> None:
         """Announces an endpoint that broke a connection or stalled.
@@ -182,6 +185,20 @@
             self._is_in_own_data_centre,
         )
 
+    def announce_reused(self, endpoint: lists.ListedEndpoint) -> None:
+        """Announces that an endpoint's address belongs to another one now.
+
+        The peers that use the endpoint receive it. Call it before the endpoint
+        is removed from the directory, which tells which peers these are.
+        """
+        fields = [
+            ADDRESS_REUSED,
+            endpoint.endpoint_id,
+            endpoint.address,
+            endpoint.born_ms,
+        ]
+        self._broadcast(fields, self._make_filter((endpoint.endpoint_id,)))
+
     def announce_crash(self, endpoint_id: str, ages: dict[str, float]) -> None:
         """Announces a crash and the ages of the requests that ran there."""
         rounded = {digest: round(age_s, 2) for digest, age_s in ages.items()}
@@ -285,12 +302,16 @@
         del address
         return peer.data_centre in ("", self._data_centre)
 
-    def _make_filter(self, job: jobtracker.Job) -> peer_table.Filter:
-        """Returns a filter of the peers that use an engine of a job.
+    def _make_job_filter(self, job: jobtracker.Job) -> peer_table.Filter:
+        """Returns a filter of the peers that use an engine of a job."""
+        return self._make_filter(part.endpoint_id for part in job.parts)
+
+    def _make_filter(self, endpoint_ids: Iterable[str]) -> peer_table.Filter:
+        """Returns a filter of the peers that use one of some endpoints.
 
         It includes unidentified peers.
         """
-        uses = self._subsets.make_filter(p.endpoint_id for p in job.parts)
+        uses = self._subsets.make_filter(endpoint_ids)
         return lambda address, peer: (
             not peer.instance_id or uses(peer.instance_id, peer.data_centre)
         )
--- a/rhubarblock/exchange/peering/updates_test.py
+++ b/rhubarblock/exchange/peering/updates_test.py
@@ -212,3 +212,24 @@
                 return list(second.job_tracker.find("a").jobs)
 
     assert asyncio.run(main()) == ["i1.s1.1"]
+
+
+def test_reused_address_is_announced_to_peers_that_use_the_endpoint():
+    async def step(first, second):
+        for node in (first, second):
+            list_engines(node, 50)
+        await exchange_heartbeats(first, second)
+        received = []
+        second.updates.listen(
+            peer_updates.ADDRESS_REUSED,
+            lambda fields, address: received.append(fields),
+        )
+        for number in range(50):
+            first.updates.announce_reused(first.directory.find(f"e{number}"))
+        first.updates.announce_placed(JOB)
+        await wait_for(lambda: second.job_tracker.find("a").jobs)
+        return received
+
+    received = run(step)
+    assert 0 < len(received) < 25
+    assert received[0][1:] == ["a:1", 0]
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
+import logging
+from typing import Any
 
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import listed as lists
@@ -12,6 +14,7 @@
 from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange import flow as flows
 from rhubarblock.exchange import placements
+from rhubarblock.exchange.peering import table as peer_table
 from rhubarblock.exchange.peering import updates as peer_updates
 from rhubarblock.exchange.state import directory as directories
 from rhubarblock.kernel import timers as timer_service
@@ -33,6 +36,8 @@
 # predicted pause; otherwise the gain is not worth the second prefill.
 MOVE_FRACTION = 0.6
 
+_logger = logging.getLogger(__name__)
+
 
 class Placer:
     """Places the exchanges of one instance."""
@@ -133,10 +138,29 @@
     def forget(self, endpoint: lists.ListedEndpoint) -> None:
         """Removes an endpoint whose address belongs to another one now.
 
-        It is not used again until a list names it.
+        It is not used again until a list names it. Peers are notified.
         """
+        self._updates.announce_reused(endpoint)
         self._directory.remove(endpoint.endpoint_id)
 
+    def receive_reused(
+        self, fields: list[Any], peer: peer_table.Address
+    ) -> None:
+        """Applies a peer's report that an endpoint's address was reused."""
+        endpoint_id, address, born_ms = fields[:3]
+        is_removed = self._directory.remove_reused(
+            str(endpoint_id), str(address), int(born_ms)
+        )
+        _logger.info(
+            "address belongs to another endpoint",
+            extra={
+                "endpoint": endpoint_id,
+                "address": address,
+                "peer": peer_table.format_address(peer),
+                "removed": is_removed,
+            },
+        )
+
     def note_refused(self, endpoint: lists.ListedEndpoint) -> None:
         """Records that an endpoint refused an attempt."""
         self._calls.note_refused(endpoint.endpoint_id)
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -10,6 +10,7 @@
 from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.exchange import flow as flows
+from rhubarblock.exchange.peering import updates as peer_updates
 from rhubarblock.platform import names
 from rhubarblock.routing.placement import jobtracker
 from rhubarblock.routing.retrylending import reserve as reserves
@@ -114,6 +115,32 @@
     assert asyncio.run(main()) == []
 
 
+def test_peer_learns_of_a_reused_address_from_the_refusal():
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(MISDIRECTED)
+        async with (
+            fakes.open_parts(endpoint) as parts,
+            fakes.open_parts() as peer,
+            parts.updates.open("127.0.0.1", 0),
+            peer.updates.open("127.0.0.1", 0),
+        ):
+            peer.add_endpoints(endpoint)
+            peer.updates.listen(
+                peer_updates.ADDRESS_REUSED, peer.placer.receive_reused
+            )
+            socket = peer.updates._transport.get_extra_info("sockname")
+            parts.updates._peers.add(*socket[:2])
+            with pytest.raises(failures.FailureError):
+                await parts.relay.serve(
+                    fakes.make_exchange(ONCE), fakes.MemorySink()
+                )
+            async with asyncio.timeout(5.0):
+                while peer.directory.list_usable("desk"):
+                    await asyncio.sleep(0.001)
+
+    asyncio.run(main())
+
+
 def test_health_of_unlisted_endpoints_is_dropped():
     async def main():
         endpoint = fakes.ScriptedEndpoint(cut)
--- a/rhubarblock/exchange/state/directory.py
+++ b/rhubarblock/exchange/state/directory.py
@@ -29,6 +29,10 @@
 # is used if its service has no other. The remainder is a margin, as the list
 # may have shown to other instances earlier that it leaves.
 LAST_RESORT_FRACTION = 0.5
+# Seconds for which a peer's report doesn't remove an endpoint that a list has
+# just named again: the peer may have sent it before that, and a list that does
+# not change names no endpoint. A datagram takes much less time.
+REPORT_DELAY_S = 2.0
 
 # Numbers of endpoints by service and data centre.
 Sizes = dict[str, dict[str, int]]
@@ -44,6 +48,7 @@
       listed: its entry in the list.
       draining: whether it takes no new work; never reset.
       missing_since_s: when a new list first lacked it, in monotonic seconds.
+      named_s: when a list last named it again, in monotonic seconds.
       last_resort_s: until when it is used while leaving if its service has no
         other endpoint, in monotonic seconds.
     """
@@ -51,6 +56,7 @@
     listed: lists.ListedEndpoint
     draining: bool = False
     missing_since_s: float | None = None
+    named_s: float = -math.inf
     last_resort_s: float = -math.inf
 
 
@@ -171,6 +177,7 @@
             return
         known.listed = entry
         known.missing_since_s = None
+        known.named_s = self._timers.read_monotonic()
         if entry.draining:
             known.last_resort_s = -math.inf
         if entry.draining and not known.draining:
@@ -188,6 +195,8 @@
         self._ended.pop(entry.endpoint_id, None)
         has_left = ended is not None and ended.has_left
         endpoint = Endpoint(entry, entry.draining or has_left)
+        if ended is not None:
+            endpoint.named_s = self._timers.read_monotonic()
         self._endpoints[entry.endpoint_id] = endpoint
         pool = self._services.setdefault(entry.service, {})
         pool[entry.endpoint_id] = endpoint
@@ -241,6 +250,30 @@
                 _logger, f"endpoint {endpoint_id}", "listed", "gone"
             )
 
+    def remove_reused(
+        self, endpoint_id: str, address: str, born_ms: int
+    ) -> bool:
+        """Removes an endpoint whose address belongs to another one now.
+
+        Args:
+          endpoint_id: id of the endpoint that a peer could not reach.
+          address: where the peer expected it.
+          born_ms: the start that the peer knew, in Unix milliseconds.
+
+        Returns:
+          False if the endpoint stays: it is unknown, has another address or a
+          later start, or a list has just named it again.
+        """
+        known = self._endpoints.get(endpoint_id)
+        if known is None or known.listed.address != address:
+            return False
+        if known.listed.born_ms > born_ms:
+            return False
+        if self._timers.read_monotonic() - known.named_s < REPORT_DELAY_S:
+            return False
+        self.remove(endpoint_id)
+        return True
+
     def _remember_ended(self, endpoint_id: str, ended: _Ended) -> None:
         """Keeps a record of a removed endpoint and evicts the oldest."""
         self._ended.pop(endpoint_id, None)
--- a/rhubarblock/exchange/state/directory_test.py
+++ b/rhubarblock/exchange/state/directory_test.py
@@ -85,6 +85,46 @@
     assert directory.find("a") is None
 
 
+def report_reused(directory, known=A):
+    return directory.remove_reused(
+        known.endpoint_id, known.address, known.born_ms
+    )
+
+
+def test_report_of_a_reused_address_removes_the_endpoint():
+    directory = directories.Directory(Timers())
+    directory.replace([A, B])
+    assert report_reused(directory)
+    assert not report_reused(directory)
+    assert usable(directory) == ["b"]
+    directory.update(A)
+    assert usable(directory) == ["a", "b"]
+
+
+@pytest.mark.parametrize(
+    "later", [{"address": "10.0.0.3:1"}, {"address": A.address, "born_ms": 9}]
+)
+def test_report_of_a_reused_address_keeps_a_later_start(later):
+    directory = directories.Directory(Timers())
+    directory.replace([A])
+    directory.update(dataclasses.replace(A, **later))
+    assert not report_reused(directory)
+    assert usable(directory) == ["a"]
+
+
+def test_late_report_keeps_an_endpoint_that_a_list_named_again():
+    # A list that does not change later would not name it once more.
+    timers = Timers()
+    directory = directories.Directory(timers)
+    directory.replace([A])
+    directory.remove("a")
+    directory.update(A)
+    timers.now_s = directories.REPORT_DELAY_S - 0.1
+    assert not report_reused(directory)
+    timers.now_s = directories.REPORT_DELAY_S
+    assert report_reused(directory)
+
+
 def test_restart_under_the_same_id_clears_the_drain():
     directory = directories.Directory(Timers())
     restarted = []
