Ask an engine again last after it refused a prompt

It may queue it and refuse it again until the deadline. The engine that was asked is now used again only if no other choice of engines can serve the prompt within its deadline.

--- a/rhubarblock/exchange/flow.py
+++ b/rhubarblock/exchange/flow.py
@@ -22,6 +22,7 @@
       progress: timing of the answer.
       history: outcomes of the attempts so far.
       refusals: number of refusals by endpoints.
+      refused_by: ids of engines that refused it because of another engine.
       denied: whether the retry budget denied a retry.
     """
 
@@ -32,6 +33,7 @@
         "history",
         "progress",
         "refusals",
+        "refused_by",
         "sink",
     )
 
@@ -43,6 +45,7 @@
         self.progress = progress.Progress(exchange.arrived_s)
         self.history = retries.History()
         self.refusals = 0
+        self.refused_by: set[str] = set()
         self.denied = False
 
     @property
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -104,6 +104,7 @@
         avoid: set[str],
         is_mid_stream: bool = False,
         refusals: int = 0,
+        last_choice: frozenset[str] = frozenset(),
     ) -> Iterator[placements.Placement | None]:
         """Places an attempt and tracks it while the context is open.
 
@@ -112,6 +113,8 @@
           avoid: ids of endpoints at which it failed.
           is_mid_stream: whether the caller already receives a stream.
           refusals: number of attempts that endpoints refused.
+          last_choice: ids of engines that are used only if no other one can
+            serve the exchange in time.
 
         Yields:
           The placement, or None if no endpoint has capacity.
@@ -128,7 +131,16 @@
         now_s = self._timers.read_monotonic()
         job_id = self._make_job_id()
         prompt = _make_prompt(exchange, job_id, is_mid_stream, now_s, refusals)
-        with self._hold_prompt(prompt, endpoints, model, now_s) as placement:
+        self._job_tracker.expire(now_s)
+        choice = None
+        if last_choice:
+            others = self._candidates.list_for(exchange, avoid | last_choice)
+            choice = self._prompt_policy.choose(prompt, others, model, now_s)
+            if choice and now_s + choice.expected_s >= exchange.deadline_s:
+                choice = None
+        if choice is None:
+            choice = self._prompt_policy.choose(prompt, endpoints, model, now_s)
+        with self._hold_choice(choice, now_s) as placement:
             yield placement
 
     def _make_job_id(self) -> str:
@@ -376,15 +388,9 @@
             yield placements.Placement(chosen, limit_per_s=rate)
 
     @contextlib.contextmanager
-    def _hold_prompt(
-        self,
-        prompt: prompts.Prompt,
-        endpoints: list[lists.ListedEndpoint],
-        model: routes.EngineCostModel,
-        now_s: float,
+    def _hold_choice(
+        self, choice: prompts.Choice | None, now_s: float
     ) -> Iterator[placements.Placement | None]:
-        self._job_tracker.expire(now_s)
-        choice = self._prompt_policy.choose(prompt, endpoints, model, now_s)
         if choice is None:
             yield None
             return
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -124,7 +124,11 @@
         await self._wait_for_availability(flow)
         await self._wait_for_start(flow)
         with self._placer.hold(
-            flow.exchange, avoid, flow.sink.begun, flow.refusals
+            flow.exchange,
+            avoid,
+            flow.sink.begun,
+            flow.refusals,
+            frozenset(flow.refused_by),
         ) as placement:
             if placement is None:
                 raise self._make_refusal(flow)
@@ -156,8 +160,13 @@
         placement: placements.Placement,
         error: attempts.RefusedError,
     ) -> None:
-        """Avoids the engine that refused: the one asked or a helper."""
+        """Avoids the engine at fault, and the one that it was sent to.
+
+        If a helper is at fault, the engine that was asked is used again only
+        if no other one can serve the exchange, as it may refuse again.
+        """
         blamed = placement.find_helper(error.at_fault) or placement.endpoint
+        flow.refused_by.add(placement.endpoint.endpoint_id)
         self._outcomes.note_refused(
             flow, placement, error.failure, blamed.endpoint_id, error.cooldown_s
         )
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -392,6 +392,58 @@
     assert asyncio.run(main())
 
 
+def test_engine_that_refused_is_not_asked_again_while_another_can_serve():
+    # An engine that queues a prompt for seconds and then refuses it because of
+    # a helper would refuse it again.
+    asked = []
+
+    def make_engine():
+        async def refuse(head, writer):
+            target = next(x for x in head.split("\r\n") if names.TARGET in x)
+            asked.append(target)
+            lines = [x for x in head.split("\r\n") if names.HELPERS in x]
+            extra = f"{names.NOT_EXECUTED}: 1\r\n"
+            if lines:
+                helper = lines[0].split(": ")[1].split(",")[0].split("/")[0]
+                extra += f"{names.AT_SERVER}: {helper}\r\n"
+            await fakes.whole(b"", "503 Service Unavailable", extra)(
+                head, writer
+            )
+
+        return fakes.ScriptedEndpoint(*[refuse] * 9)
+
+    async def main():
+        endpoints = [make_engine() for _ in range(6)]
+        async with fakes.open_parts(*endpoints, service="pool") as parts:
+            exchange = fakes.make_exchange(
+                STREAM, fakes.ENGINES, prompt_tokens=60_000, answer_tokens=800
+            )
+            flow = flows.Flow(exchange, fakes.MemorySink())
+            for _ in range(3):
+                await parts.relay._try_once(flow)
+
+    asyncio.run(main())
+    assert len(asked) == len(set(asked)) == 3
+
+
+def test_engine_that_refused_is_asked_again_if_no_other_one_can_serve():
+    async def main():
+        endpoints = [
+            fakes.ScriptedEndpoint(*[fakes.events(1)] * 2) for _ in range(2)
+        ]
+        async with fakes.open_parts(*endpoints, service="pool") as parts:
+            exchange = fakes.make_exchange(
+                STREAM, fakes.ENGINES, prompt_tokens=2_000, answer_tokens=100
+            )
+            flow = flows.Flow(exchange, fakes.MemorySink())
+            flow.history.failed_endpoints.add("e2")
+            flow.refused_by.add("e1")
+            error = await parts.relay._try_once(flow)
+            return error, [len(e.heads) for e in endpoints]
+
+    assert asyncio.run(main()) == (None, [1, 0])
+
+
 def make_long_prefill(number, prefill_s):
     part = jobtracker.Part(f"e{number}", prefill_s)
     return jobtracker.Job(f"long{number}", (part,), 0.8)
