Check the retry bound in windows that begin with a retry too

The test of random schedules looked only at windows that end with a retry. A window that begins with one contains later requests, so it checks the retries that earlier successes paid.

--- a/rhubarblock/exchange/retryfleet_test.py
+++ b/rhubarblock/exchange/retryfleet_test.py
@@ -233,19 +233,23 @@
         """Returns by how much a window exceeds a bound at most, in retries.
 
         The first bound is that of the slack alone, which instances divide; the
-        second one that of the platform, for windows that end with a retry.
+        second one that of the platform. Windows begin or end with a retry.
         """
         slack = total = float("-inf")
+        shares = retrybudgets.SLACK_FRACTION * self.bounds.retry_slack
         times = [spent.at_s for spent in self.spent]
-        for last, spent in enumerate(self.spent):
-            first = bisect.bisect_left(times, spent.at_s - WINDOW_S)
-            window = self.spent[first : last + 1]
-            paid = sum(x.slack for x in window)
-            shares = retrybudgets.SLACK_FRACTION * self.bounds.retry_slack
-            slack = max(slack, paid - shares)
-            since = bisect.bisect_left(self.requests, spent.at_s - WINDOW_S)
-            until = bisect.bisect_right(self.requests, spent.at_s)
-            allowed = self.bounds.retry_slack + RATIO * (until - since)
+        starts = [at_s - WINDOW_S for at_s in times] + times
+        for start_s in starts:
+            end_s = start_s + WINDOW_S
+            window = self.spent[
+                bisect.bisect_left(times, start_s) : bisect.bisect_right(
+                    times, end_s
+                )
+            ]
+            slack = max(slack, sum(x.slack for x in window) - shares)
+            since = bisect.bisect_left(self.requests, start_s)
+            requests = bisect.bisect_right(self.requests, end_s) - since
+            allowed = self.bounds.retry_slack + RATIO * requests
             total = max(total, len(window) - allowed)
         return slack, total
 
