--- a/rhubarblock/exchange/flow.py
+++ b/rhubarblock/exchange/flow.py
@@ -7,7 +7,8 @@
 from rhubarblock.exchange import sink as sinks
 from rhubarblock.relay import retries
 
-# Number of refusals after which an exchange fails.
+# Number of refusals after which an exchange is only retried if an endpoint is
+# predicted to serve it in time.
 MAX_REFUSALS = 4
 
 
@@ -21,14 +22,18 @@
       progress: timing of the answer.
       history: outcomes of the attempts so far.
       refusals: number of refusals by endpoints.
+      refused_by: ids of engines that refused it because of another engine.
+      denied: whether the retry budget denied a retry.
     """
 
     __slots__ = (
         "cursor",
+        "denied",
         "exchange",
         "history",
         "progress",
         "refusals",
+        "refused_by",
         "sink",
     )
 
@@ -40,6 +45,8 @@
         self.progress = progress.Progress(exchange.arrived_s)
         self.history = retries.History()
         self.refusals = 0
+        self.refused_by: set[str] = set()
+        self.denied = False
 
     @property
     def is_last_attempt(self) -> bool:
@@ -50,11 +57,12 @@
         return self.history.attempts + 1 >= route.max_attempts
 
     def may_retry(self) -> bool:
-        """Returns whether the outcomes so far allow a retry."""
+        """Returns whether the outcomes so far allow a retry.
+
+        Refusals don't count: the route limits how often an exchange runs.
+        """
         route = self.exchange.route
         not_run = self.history.verdict is verdicts.Verdict.NOT_RUN
         if not route.repeatable and (self.sink.begun or not not_run):
             return False
-        if self.history.attempts >= route.max_attempts:
-            return False
-        return self.refusals < MAX_REFUSALS
+        return self.history.attempts < route.max_attempts
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
+import logging
+from typing import Any
 
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import listed as lists
@@ -12,6 +14,7 @@
 from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange import flow as flows
 from rhubarblock.exchange import placements
+from rhubarblock.exchange.peering import table as peer_table
 from rhubarblock.exchange.peering import updates as peer_updates
 from rhubarblock.exchange.state import directory as directories
 from rhubarblock.kernel import timers as timer_service
@@ -21,6 +24,7 @@
 from rhubarblock.routing.placement import jobtracker
 from rhubarblock.routing.placement import prompt as prompts
 from rhubarblock.routing.placement import splitpolicy
+from rhubarblock.routing.retrylending import reserve as reserves
 
 # Longest prompt in tokens that is prefilled again elsewhere to spare its caller
 # a pause: this prefill takes a tenth of a second.
@@ -42,6 +46,9 @@
     return True
 
 
+_logger = logging.getLogger(__name__)
+
+
 class Placer:
     """Places the exchanges of one instance."""
 
@@ -108,6 +115,7 @@
         is_mid_stream: bool = False,
         refusals: int = 0,
         admits: Admits = _admit_all,
+        last_choice: frozenset[str] = frozenset(),
     ) -> Iterator[placements.Placement | None]:
         """Places an attempt and tracks it while the context is open.
 
@@ -118,6 +126,8 @@
           refusals: number of attempts that endpoints refused.
           admits: says whether the exchange is let in at the best placement; it
             isn't asked if there is no endpoint.
+          last_choice: ids of engines that are used only if no other one can
+            serve the exchange in time.
 
         Yields:
           The placement, or None if no endpoint has capacity or the exchange is
@@ -135,9 +145,19 @@
         now_s = self._timers.read_monotonic()
         job_id = self._make_job_id()
         prompt = _make_prompt(exchange, job_id, is_mid_stream, now_s, refusals)
-        with self._hold_prompt(
-            prompt, endpoints, model, now_s, admits
-        ) as placement:
+        self._job_tracker.expire(now_s)
+        choice = None
+        if last_choice:
+            others = self._candidates.list_for(exchange, avoid | last_choice)
+            choice = self._prompt_policy.choose(prompt, others, model, now_s)
+            if choice and now_s + choice.expected_s >= exchange.deadline_s:
+                choice = None
+        if choice is None:
+            choice = self._prompt_policy.choose(prompt, endpoints, model, now_s)
+        outlook = self._describe_outlook(choice, endpoints, model, now_s)
+        if not admits(outlook):
+            choice = None
+        with self._hold_choice(choice, now_s) as placement:
             yield placement
 
     def _make_job_id(self) -> str:
@@ -147,10 +167,29 @@
     def forget(self, endpoint: lists.ListedEndpoint) -> None:
         """Removes an endpoint whose address belongs to another one now.
 
-        It is not used again until a list names it.
+        It is not used again until a list names it. Peers are notified.
         """
+        self._updates.announce_reused(endpoint)
         self._directory.remove(endpoint.endpoint_id)
 
+    def receive_reused(
+        self, fields: list[Any], peer: peer_table.Address
+    ) -> None:
+        """Applies a peer's report that an endpoint's address was reused."""
+        endpoint_id, address, born_ms = fields[:3]
+        is_removed = self._directory.remove_reused(
+            str(endpoint_id), str(address), int(born_ms)
+        )
+        _logger.info(
+            "address belongs to another endpoint",
+            extra={
+                "endpoint": endpoint_id,
+                "address": address,
+                "peer": peer_table.format_address(peer),
+                "removed": is_removed,
+            },
+        )
+
     def note_refused(self, endpoint: lists.ListedEndpoint) -> None:
         """Records that an endpoint refused an attempt."""
         self._calls.note_refused(endpoint.endpoint_id)
@@ -204,6 +243,25 @@
             is not None
         )
 
+    def predict_outlook(self, flow: flows.Flow) -> reserves.Outlook:
+        """Returns what an exchange can still meet if it is retried now."""
+        exchange = flow.exchange
+        now_s = self._timers.read_monotonic()
+        start_s = self._predict_start_elsewhere(
+            flow, flow.history.failed_endpoints
+        )
+        if now_s + (start_s or 0.0) >= exchange.deadline_s:
+            return reserves.Outlook.NOTHING
+        if start_s is None:
+            # An endpoint may get capacity while the exchange waits for it.
+            return reserves.Outlook.DEADLINE
+        first_s = flow.progress.first_s
+        if first_s is None:
+            first_s = now_s + start_s - exchange.arrived_s
+        if first_s <= exchange.route.objective_s:
+            return reserves.Outlook.OBJECTIVE
+        return reserves.Outlook.DEADLINE
+
     def find_retry_after(
         self, flow: flows.Flow
     ) -> candidates.RetryAdvice | None:
@@ -373,18 +431,10 @@
             yield placements.Placement(chosen, limit_per_s=rate)
 
     @contextlib.contextmanager
-    def _hold_prompt(
-        self,
-        prompt: prompts.Prompt,
-        endpoints: list[lists.ListedEndpoint],
-        model: routes.EngineCostModel,
-        now_s: float,
-        admits: Admits,
+    def _hold_choice(
+        self, choice: prompts.Choice | None, now_s: float
     ) -> Iterator[placements.Placement | None]:
-        self._job_tracker.expire(now_s)
-        choice = self._prompt_policy.choose(prompt, endpoints, model, now_s)
-        outlook = self._describe_outlook(choice, endpoints, model, now_s)
-        if not admits(outlook) or choice is None:
+        if choice is None:
             yield None
             return
         for engine in choice.engines:
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -28,6 +28,7 @@
 from rhubarblock.exchange import transport as transports
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing.admission import controller as controllers
+from rhubarblock.routing.retrylending import reserve as reserves
 
 # Retry-After of a refused caller in seconds; a rate limit or a cool-down may
 # lead to a longer one.
@@ -94,6 +95,7 @@
             start of an answer.
         """
         self._crashes.check(exchange)
+        self._outcomes.note_arrival(exchange)
         flow = flows.Flow(exchange, sink)
         try:
             async with asyncio.timeout_at(exchange.deadline_s):
@@ -116,7 +118,7 @@
             if isinstance(error, attempts.FailedAnswerError):
                 failed = error
             flow.cursor.discard_partial_event()
-            if self._may_retry(flow, error):
+            if await self._may_retry(flow, error):
                 continue
             if failed is None or flow.sink.begun:
                 raise _make_final_error(flow, error.failure.message)
@@ -140,6 +142,7 @@
                     flow.sink.begun,
                     flow.refusals,
                     gate.check if gate else _admit,
+                    frozenset(flow.refused_by),
                 ) as placement:
                     if placement is not None:
                         return await self._attempt(flow, placement)
@@ -189,8 +192,13 @@
         placement: placements.Placement,
         error: attempts.RefusedError,
     ) -> None:
-        """Avoids the engine that refused: the one asked or a helper."""
+        """Avoids the engine at fault, and the one that it was sent to.
+
+        If a helper is at fault, the engine that was asked is used again only
+        if no other one can serve the exchange, as it may refuse again.
+        """
         blamed = placement.find_helper(error.at_fault) or placement.endpoint
+        flow.refused_by.add(placement.endpoint.endpoint_id)
         self._outcomes.note_refused(
             flow, placement, error.failure, blamed.endpoint_id, error.cooldown_s
         )
@@ -215,7 +223,8 @@
         is_busy = reason is stalls.Reason.BUSY
         if not self._placer.can_move(flow, placement, is_busy):
             return False
-        return self._outcomes.grant(flow.exchange)
+        outlook = self._placer.predict_outlook(flow)
+        return self._outcomes.try_grant(flow, outlook)
 
     async def _wait_for_room(self, flow: flows.Flow) -> None:
         """Waits for an endpoint with capacity before a retry.
@@ -313,12 +322,18 @@
                     self._crashes.note_broken(placement.endpoint)
                 raise
 
-    def _may_retry(
+    async def _may_retry(
         self, flow: flows.Flow, error: failures.FailureError
     ) -> bool:
         """Returns whether another attempt is made."""
         if not flow.may_retry():
             return False
+        outlook = self._placer.predict_outlook(flow)
+        if flow.refusals >= flows.MAX_REFUSALS and (
+            outlook is reserves.Outlook.NOTHING
+            or not self._placer.has_room(flow)
+        ):
+            return False
         # A peer may have reported meanwhile that this exchange crashes
         # endpoints.
         if self._crashes.is_quarantined(flow.exchange):
@@ -330,7 +345,7 @@
         if isinstance(error, statements.EvacuatedError):
             # No endpoint got the request, so this is no repeated one.
             return True
-        return self._outcomes.grant(flow.exchange)
+        return await self._outcomes.grant(flow, outlook)
 
 
 def _make_home_error(
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -15,8 +15,10 @@
 from rhubarblock.exchange import placements
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import statements
+from rhubarblock.exchange.peering import updates as peer_updates
 from rhubarblock.platform import names
 from rhubarblock.routing.placement import jobtracker
+from rhubarblock.routing.retrylending import reserve as reserves
 
 ONCE = fakes.make_route(routes.RouteKind.NON_IDEMPOTENT)
 STREAM = fakes.make_route(routes.RouteKind.STREAMING)
@@ -78,6 +80,33 @@
     assert failure.retry_after_s > 0.0
 
 
+def test_refusals_do_not_use_up_the_attempts_of_the_route():
+    sink, failure, heads = run(*[SHED] * 6, fakes.whole(), route=ONCE)
+    assert failure is None
+    assert sink.body == b"ok"
+    assert len(heads) == 7
+
+
+def test_refused_exchange_is_not_retried_when_it_would_be_too_late():
+    async def slow_refusal(head, writer):
+        await asyncio.sleep(0.12)
+        await SHED(head, writer)
+
+    async def main():
+        endpoints = [fakes.ScriptedEndpoint(slow_refusal) for _ in range(6)]
+        async with fakes.open_parts(*endpoints) as parts:
+            now_s = asyncio.get_running_loop().time()
+            exchange = fakes.make_exchange(ONCE, deadline_s=now_s + 0.55)
+            with pytest.raises(failures.FailureError) as raised:
+                await parts.relay.serve(exchange, fakes.MemorySink())
+            return raised.value.failure, sum(len(e.heads) for e in endpoints)
+
+    failure, count = asyncio.run(main())
+    assert count == flows.MAX_REFUSALS
+    assert failure.http_status == 503
+    assert failure.verdict is verdicts.Verdict.NOT_RUN
+
+
 def test_endpoint_whose_address_was_reused_is_removed():
     async def main():
         endpoint = fakes.ScriptedEndpoint(MISDIRECTED)
@@ -91,6 +120,32 @@
     assert asyncio.run(main()) == []
 
 
+def test_peer_learns_of_a_reused_address_from_the_refusal():
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(MISDIRECTED)
+        async with (
+            fakes.open_parts(endpoint) as parts,
+            fakes.open_parts() as peer,
+            parts.updates.open("127.0.0.1", 0),
+            peer.updates.open("127.0.0.1", 0),
+        ):
+            peer.add_endpoints(endpoint)
+            peer.updates.listen(
+                peer_updates.ADDRESS_REUSED, peer.placer.receive_reused
+            )
+            socket = peer.updates._transport.get_extra_info("sockname")
+            parts.updates._peers.add(*socket[:2])
+            with pytest.raises(failures.FailureError):
+                await parts.relay.serve(
+                    fakes.make_exchange(ONCE), fakes.MemorySink()
+                )
+            async with asyncio.timeout(5.0):
+                while peer.directory.list_usable("desk"):
+                    await asyncio.sleep(0.001)
+
+    asyncio.run(main())
+
+
 def test_health_of_unlisted_endpoints_is_dropped():
     async def main():
         endpoint = fakes.ScriptedEndpoint(cut)
@@ -273,7 +328,9 @@
         endpoints = [fakes.ScriptedEndpoint(cut, cut) for _ in range(2)]
         async with fakes.open_parts(*endpoints) as parts:
             exchange = fakes.make_exchange()
-            while parts.relay._outcomes.grant(exchange):
+            flow = flows.Flow(exchange, fakes.MemorySink())
+            outlook = reserves.Outlook.OBJECTIVE
+            while parts.relay._outcomes.try_grant(flow, outlook):
                 pass
             with pytest.raises(failures.FailureError):
                 await parts.relay.serve(exchange, fakes.MemorySink())
@@ -340,6 +397,58 @@
     assert asyncio.run(main())
 
 
+def test_engine_that_refused_is_not_asked_again_while_another_can_serve():
+    # An engine that queues a prompt for seconds and then refuses it because of
+    # a helper would refuse it again.
+    asked = []
+
+    def make_engine():
+        async def refuse(head, writer):
+            target = next(x for x in head.split("\r\n") if names.TARGET in x)
+            asked.append(target)
+            lines = [x for x in head.split("\r\n") if names.HELPERS in x]
+            extra = f"{names.NOT_EXECUTED}: 1\r\n"
+            if lines:
+                helper = lines[0].split(": ")[1].split(",")[0].split("/")[0]
+                extra += f"{names.AT_SERVER}: {helper}\r\n"
+            await fakes.whole(b"", "503 Service Unavailable", extra)(
+                head, writer
+            )
+
+        return fakes.ScriptedEndpoint(*[refuse] * 9)
+
+    async def main():
+        endpoints = [make_engine() for _ in range(6)]
+        async with fakes.open_parts(*endpoints, service="pool") as parts:
+            exchange = fakes.make_exchange(
+                STREAM, fakes.ENGINES, prompt_tokens=60_000, answer_tokens=800
+            )
+            flow = flows.Flow(exchange, fakes.MemorySink())
+            for _ in range(3):
+                await parts.relay._try_once(flow)
+
+    asyncio.run(main())
+    assert len(asked) == len(set(asked)) == 3
+
+
+def test_engine_that_refused_is_asked_again_if_no_other_one_can_serve():
+    async def main():
+        endpoints = [
+            fakes.ScriptedEndpoint(*[fakes.events(1)] * 2) for _ in range(2)
+        ]
+        async with fakes.open_parts(*endpoints, service="pool") as parts:
+            exchange = fakes.make_exchange(
+                STREAM, fakes.ENGINES, prompt_tokens=2_000, answer_tokens=100
+            )
+            flow = flows.Flow(exchange, fakes.MemorySink())
+            flow.history.failed_endpoints.add("e2")
+            flow.refused_by.add("e1")
+            error = await parts.relay._try_once(flow)
+            return error, [len(e.heads) for e in endpoints]
+
+    assert asyncio.run(main()) == (None, [1, 0])
+
+
 def make_long_prefill(number, prefill_s):
     part = jobtracker.Part(f"e{number}", prefill_s)
     return jobtracker.Job(f"long{number}", (part,), 0.8)
