Bound the time for which a body is read

Cause: the time that a caller states for its request went to a timer unchecked; a number like nan has no order among timers.

Change: a body is read for 60 s at most, and a time that is no number counts as that.

Result: the test with nan, inf and 1e300 passes; with the time unchecked, or compared in the other order, it fails with nan.

--- a/rhubarblock/exchange/requesthandler.py
+++ b/rhubarblock/exchange/requesthandler.py
@@ -38,10 +38,11 @@
 # that got none. Most requests end within a second and release theirs.
 BODY_WAIT_S = 0.5
 BODY_RETRY_S = 1.0
-# Seconds within which a body must arrive if its caller states no deadline, so
-# that a caller that sends slowly does not hold memory for long: 4 MB take 3.4 s
-# over 10 Mbit/s.
+# Seconds within which a body must arrive if its caller states no deadline, and
+# whatever it states, so that a caller that sends slowly does not hold memory
+# for long: 4 MB take 3.4 s over 10 Mbit/s.
 BODY_READ_S = 15.0
+MAX_BODY_READ_S = 60.0
 # Bytes that the chunked encoding adds to a piece, and the head of an answer
 # that is written with the first piece, at most.
 CHUNK_OVERHEAD_BYTES = 16_384
@@ -188,12 +189,14 @@
         if share is None:
             return await _read_body(request, bounds)
         fields = self._dialect.read_caller(request.headers)
+        # In this order, a deadline that is no number counts as the maximum.
+        read_s = min(MAX_BODY_READ_S, fields.remaining_s or BODY_READ_S)
 
         async def hold(size: int) -> None:
             await self._hold_body(share, size, fields)
 
         try:
-            async with asyncio.timeout(fields.remaining_s or BODY_READ_S):
+            async with asyncio.timeout(read_s):
                 declared = request.content_length
                 if declared is None:
                     return await _read_body(request, bounds, hold)
--- a/rhubarblock/exchange/requesthandler_test.py
+++ b/rhubarblock/exchange/requesthandler_test.py
@@ -255,6 +255,33 @@
     assert asyncio.run(main()) == ((503, "1", "NOT_RUN"), 200, 0)
 
 
+@pytest.mark.parametrize("remaining", ["nan", "inf", "1e300"])
+def test_deadline_that_is_no_time_does_not_reach_the_timers(remaining):
+    # A timer without an order would delay all others.
+    async def main():
+        async with open_bounded(4_000_000, fakes.whole()) as (_, session, url):
+            headers = make_headers(**{names.REMAINING: remaining})
+            async with session.post(
+                url + "/a/x", headers=headers, data=b"b"
+            ) as answer:
+                return answer.status
+
+    seen = []
+    call_at = asyncio.BaseEventLoop.call_at
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(
+            asyncio.BaseEventLoop,
+            "call_at",
+            lambda loop, when, *args, **options: (
+                seen.append(when - loop.time())
+                or call_at(loop, when, *args, **options)
+            ),
+        )
+        assert asyncio.run(main()) == 200
+    # The longest of aiohttp's own timers ends an idle connection after an hour.
+    assert all(delay_s < 4000.0 for delay_s in seen)
+
+
 def test_body_that_arrives_too_late_releases_its_memory():
     # A caller that declares a body and never sends it would hold it for good.
     async def main():
