Decode what services, entries and answers say about cold endpoints

An endpoint handles only a few requests a second for some time after it starts. The service names that rate and time, the entry and answers the time that remains, and the settings the two bounds to keep. Missing or invalid values count as unknown: an invalid cold time does not make an entry unusable.

--- a/rhubarblock/core/listed.py
+++ b/rhubarblock/core/listed.py
@@ -16,6 +16,8 @@
       draining: whether it is about to leave and accepts no new requests.
       born_ms: start time in Unix milliseconds, 0 if unknown; distinguishes the
         starts that share one id and is compared with nothing else.
+      cold_remaining_s: seconds for which it stays cold after the entry was
+        written; 0 if it is warm, None if the entry does not say.
     """
 
     endpoint_id: str
@@ -25,3 +27,4 @@
     slots: int
     draining: bool
     born_ms: int = 0
+    cold_remaining_s: float | None = None
--- a/rhubarblock/core/route.py
+++ b/rhubarblock/core/route.py
@@ -142,12 +142,18 @@
       max_connections: maximum number of connections that one endpoint accepts
         from all callers.
       engine: cost model of its engines; None for a plain service.
+      cold_start_s: seconds for which an endpoint is cold after it starts; 0 if
+        unknown.
+      cold_per_s: requests a second that a cold endpoint handles; 0 if the
+        service has no such limit.
     """
 
     name: str
     health_path: str
     max_connections: int
     engine: EngineCostModel | None
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/rhubarblock/core/statement.py
+++ b/rhubarblock/core/statement.py
@@ -31,12 +31,15 @@
       cooldown: cool-down during which this instance must not send requests.
       is_leaving: whether it is about to stop and accepts no new requests.
       unknown: names of endpoint header fields unknown to the adapter.
+      cold_remaining_s: seconds for which it stays cold; 0 if it is warm, None
+        if the headers state no valid time.
     """
 
     limit: ratelimits.StatedLimit = ratelimits.NO_STATED_LIMIT
     cooldown: StatedCooldown = NO_COOLDOWN
     is_leaving: bool = False
     unknown: tuple[str, ...] = ()
+    cold_remaining_s: float | None = None
 
 
 NOTHING = Statement()
--- a/rhubarblock/platform/configuration.py
+++ b/rhubarblock/platform/configuration.py
@@ -71,11 +71,7 @@
 def _add_entries(
     pieces: dict[str, str], section: str, entries: Iterable[Mapping[str, Any]]
 ) -> None:
-    """Adds a piece for each entry of a section.
-
-    Raises:
-      ValueError: two entries have the same name, so one would hide the other.
-    """
+    """Adds a piece for each entry; raises ValueError for a repeated name."""
     for entry in entries:
         name = f"{section}/{entry['name']}"
         if name in pieces:
@@ -191,6 +187,7 @@
         raise ValueError(f"its state {state[:_SHOWN_TEXT_LENGTH]!r} is unknown")
     # Not used, but every entry that an endpoint wrote itself has this field.
     _read_count(fields, "sequence", _MAX_COUNT)
+    cold_ms = _read_lenient(fields, "coldRemainingMs")
     return listed.ListedEndpoint(
         endpoint_id=endpoint_id,
         address=_read_address(fields),
@@ -201,15 +198,20 @@
         born_ms=_read_count(fields, "born", _MAX_COUNT)
         if "born" in fields
         else 0,
+        cold_remaining_s=None if cold_ms is None else cold_ms / _MS_PER_S,
     )
 
 
-def _read_text(fields: Mapping[str, Any], name: str) -> str:
-    """Returns a text field, which must not be empty or too long.
+def _read_lenient(fields: Mapping[str, Any], name: str) -> float | None:
+    """Returns a number of at least 0, None if it is missing or invalid."""
+    value = fields.get(name)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    return float(value) if 0 <= value <= _MAX_COUNT else None
 
-    Raises:
-      ValueError: the field is invalid.
-    """
+
+def _read_text(fields: Mapping[str, Any], name: str) -> str:
+    """Returns a text; raises ValueError if it is empty or too long."""
     value = fields.get(name)
     if not isinstance(value, str) or not 0 < len(value) <= _MAX_TEXT_LENGTH:
         raise ValueError(f"{name} is no name")
@@ -217,11 +219,7 @@
 
 
 def _read_count(fields: Mapping[str, Any], name: str, maximum: int) -> int:
-    """Returns a field with a whole number from 0 to a maximum.
-
-    Raises:
-      ValueError: the field is invalid.
-    """
+    """Returns a whole number; raises ValueError unless it is in range."""
     value = fields.get(name)
     if type(value) is not int or not 0 <= value <= maximum:
         raise ValueError(f"{name} is no whole number up to {maximum}")
@@ -229,17 +227,12 @@
 
 
 def _read_address(fields: Mapping[str, Any]) -> str:
-    """Returns an IPv4 address with a port.
-
-    Raises:
-      ValueError: the field is invalid.
-    """
+    """Returns an IPv4 address with a port; raises ValueError if invalid."""
     address = _read_text(fields, "address")
     host, _, port = address.rpartition(":")
     ipaddress.IPv4Address(host)
-    if not port.isascii() or not port.isdigit() or len(port) > _PORT_DIGITS:
-        raise ValueError(f"{address!r} has no port")
-    if not 0 < int(port) <= _MAX_PORT:
+    digits = port if port.isascii() and port.isdigit() else ""
+    if len(digits) > _PORT_DIGITS or not 0 < int(digits or 0) <= _MAX_PORT:
         raise ValueError(f"{address!r} has no port")
     return address
 
@@ -285,6 +278,8 @@
         health_path=fields.get("healthPath") or "/",
         max_connections=int(fields.get("maxConnections") or 0),
         engine=_decode_engine(engine) if engine else None,
+        cold_start_s=_read_lenient(fields, "coldStartS") or 0.0,
+        cold_per_s=_read_lenient(fields, "coldPerS") or 0.0,
     )
 
 
@@ -321,15 +316,14 @@
 
 def _decode_bounds(fields: Mapping[str, Any]) -> routes.CallerBounds:
     defaults = routes.CallerBounds()
-    header_ms = fields.get("headerTimeoutMs")
-    idle_ms = fields.get("idleTimeoutMs")
+
+    def read_s(name: str, default_s: float) -> float:
+        milliseconds = fields.get(name)
+        return milliseconds / _MS_PER_S if milliseconds else default_s
+
     return routes.CallerBounds(
         header_bytes=int(fields.get("maxHeaderBytes") or defaults.header_bytes),
         body_bytes=int(fields.get("maxBodyBytes") or defaults.body_bytes),
-        header_timeout_s=header_ms / _MS_PER_S
-        if header_ms
-        else defaults.header_timeout_s,
-        idle_timeout_s=idle_ms / _MS_PER_S
-        if idle_ms
-        else defaults.idle_timeout_s,
+        header_timeout_s=read_s("headerTimeoutMs", defaults.header_timeout_s),
+        idle_timeout_s=read_s("idleTimeoutMs", defaults.idle_timeout_s),
     )
--- a/rhubarblock/platform/configuration_test.py
+++ b/rhubarblock/platform/configuration_test.py
@@ -358,3 +358,40 @@
     with pytest.raises(ValueError) as caught:
         configuration.split(json.dumps(duplicated).encode())
     assert str(caught.value) == "two routes have the name 'r-1'"
+
+
+@pytest.mark.parametrize(
+    ("value", "remaining_s"),
+    [
+        (2500, 2.5),
+        (0, 0.0),
+        (0.5, 0.0005),
+        (-1, None),
+        ("2500", None),
+        (None, None),
+        (True, None),
+        (1e400, None),
+        (10**30, None),
+        ([1], None),
+    ],
+)
+def test_invalid_cold_time_counts_as_unknown(value, remaining_s):
+    entry = decode_entry({**ENTRY, "coldRemainingMs": value})
+    assert entry.cold_remaining_s == remaining_s
+    assert entry.slots == 8
+
+
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [
+        ({}, (0.0, 0.0)),
+        ({"coldStartS": 15, "coldPerS": 26}, (15.0, 26.0)),
+        ({"coldStartS": 0, "coldPerS": None}, (0.0, 0.0)),
+        ({"coldStartS": "15", "coldPerS": -1}, (0.0, 0.0)),
+    ],
+)
+def test_cold_fields_of_a_service_may_be_missing(fields, expected):
+    desk, *others = CONFIG["services"]
+    changed = {**CONFIG, "services": [{**desk, **fields}, *others]}
+    service = decode(changed).services["desk"]
+    assert (service.cold_start_s, service.cold_per_s) == expected
--- a/rhubarblock/platform/headercodec.py
+++ b/rhubarblock/platform/headercodec.py
@@ -43,6 +43,7 @@
         names.NOT_EXECUTED,
         names.LIMIT,
         names.LEAVING,
+        names.COLD_REMAINING,
         *names.FORWARDED,
     )
 )
@@ -146,6 +147,7 @@
         cooldown=_read_cooldown(status, fields),
         is_leaving="1" in _read_texts(fields, names.LEAVING),
         unknown=tuple(name for name in fields if _is_unknown(name.lower())),
+        cold_remaining_s=_read_cold_remaining(fields),
     )
     return statements.NOTHING if statement == statements.NOTHING else statement
 
@@ -169,6 +171,14 @@
     )
 
 
+def _read_cold_remaining(fields: Mapping[str, str]) -> float | None:
+    """Decodes the cold time in seconds; None if a value is invalid."""
+    texts = _read_texts(fields, names.COLD_REMAINING)
+    if not texts or not all(_DECIMAL.fullmatch(text) for text in texts):
+        return None
+    return max(map(float, texts)) / _MS_PER_S
+
+
 def _read_texts(fields: Mapping[str, str], name: str) -> list[str]:
     """Returns the distinct values of a field, which may be repeated."""
     if name not in fields:
--- a/rhubarblock/platform/headercodec_test.py
+++ b/rhubarblock/platform/headercodec_test.py
@@ -201,3 +201,25 @@
     )
     statement = headercodec.read_statement(200, fields)
     assert statement.unknown == ("Server-Mood", "x-rhubarblock-colour")
+
+
+@pytest.mark.parametrize(
+    ("texts", "remaining_s"),
+    [
+        (["1500"], 1.5),
+        (["0"], 0.0),
+        (["0", "1500"], 1.5),
+        ([], None),
+        (["soon"], None),
+        (["-1"], None),
+        (["0", "x"], None),
+    ],
+)
+def test_remaining_cold_time_is_read_from_any_response(texts, remaining_s):
+    fields = CIMultiDict([(names.COLD_REMAINING, t) for t in texts])
+    for status in (200, 503):
+        statement = headercodec.read_statement(status, fields)
+        assert statement.cold_remaining_s == remaining_s
+        assert not statement.unknown
+    # The address belongs to another endpoint, which the response describes.
+    assert headercodec.read_statement(421, fields) is statements.NOTHING
--- a/rhubarblock/platform/names.py
+++ b/rhubarblock/platform/names.py
@@ -28,9 +28,10 @@
 LEAVING = "Server-Leaving"
 # Cool-down of an endpoint that rejected a request, in seconds.
 RETRY_AFTER = "Retry-After"
+# Milliseconds for which an endpoint stays cold.
+COLD_REMAINING = "X-Rhubarblock-Cold-Remaining"
 # Endpoint fields that are forwarded to the caller and not interpreted.
 FORWARDED = (
-    "X-Rhubarblock-Cold-Remaining",
     "X-Rhubarblock-Instance-Id",
     "X-Rhubarblock-Weight-Versions",
 )
--- a/rhubarblock/platform/objectstore.py
+++ b/rhubarblock/platform/objectstore.py
@@ -118,11 +118,7 @@
         await self._call("DELETE", name, query)
 
     def _check_era(self, expected: positions.Position) -> None:
-        """Rejects a version of an ended era, as another state may now have it.
-
-        Raises:
-          store.StoreError: CONFLICT.
-        """
+        """Raises CONFLICT for a version of an ended era; it may be reused."""
         if expected and expected.era != self._eras.current:
             raise stores.StoreError(
                 _Kind.CONFLICT, "the expected version is of an ended era"
@@ -158,11 +154,7 @@
         timeout_s: float = CALL_TIMEOUT_S,
         body: Mapping[str, Any] | None = None,
     ) -> "_Answer":
-        """Makes one call and returns its response.
-
-        Raises:
-          store.StoreError: the call did not succeed.
-        """
+        """Makes one call; raises store.StoreError unless it succeeds."""
         unknown = _Kind.UNAVAILABLE if method == "GET" else _Kind.UNSURE
         self._count_call(_name_call(method, path, query or {}))
         timeout = aiohttp.ClientTimeout(
@@ -196,8 +188,7 @@
     def _take_era(self, response: aiohttp.ClientResponse) -> int:
         """Returns the era of a response; an error response may name none.
 
-        Raises:
-          store.StoreError: the content of the response must not be used.
+        Raises store.StoreError if the content must not be used.
         """
         text = response.headers.get(names.STORE_ERA, "").strip()
         era = int(text) if _ERA.fullmatch(text) else None
--- a/rhubarblock/platform/settings.py
+++ b/rhubarblock/platform/settings.py
@@ -133,6 +133,8 @@
         retry_window_s=read("budgetWindowS", 1.0, defaults.retry_window_s),
         lease_max_s=read("maxHoldMs", _MS_PER_S, defaults.lease_max_s),
         lease_free_s=read("freeMs", _MS_PER_S, defaults.lease_free_s),
+        cold_excess=reader.read_optional("bounds.coldExcess", _read_positive),
+        cold_slack=reader.read_optional("bounds.coldSlack", _read_not_negative),
     )
 
 
@@ -156,6 +158,10 @@
     return float(value)
 
 
+def _read_not_negative(value: Any) -> float:
+    return 0.0 if value == 0 and value is not False else _read_positive(value)
+
+
 def _read_address(value: Any) -> settings_lib.SocketAddress:
     host, _, port = str(value).rpartition(":")
     if not host or not port.isdigit():
--- a/rhubarblock/platform/settings_test.py
+++ b/rhubarblock/platform/settings_test.py
@@ -74,3 +74,24 @@
     missing = settings.load_settings(tmp_path / "none.toml")
     assert isinstance(missing, result.Failure)
     assert isinstance(load(tmp_path, "a = "), result.Failure)
+
+
+def test_cold_bounds_are_off_unless_they_are_set(tmp_path):
+    bounds = load(tmp_path, TEXT).unwrap().bounds
+    assert (bounds.cold_excess, bounds.cold_slack) == (None, None)
+    changed = TEXT.replace(
+        "[bounds]", "[bounds]\ncoldExcess = 1.5\ncoldSlack = 0"
+    )
+    bounds = load(tmp_path, changed).unwrap().bounds
+    assert (bounds.cold_excess, bounds.cold_slack) == (1.5, 0.0)
+
+
+def test_invalid_cold_bounds_are_errors(tmp_path):
+    changed = TEXT.replace(
+        "[bounds]", "[bounds]\ncoldExcess = 0\ncoldSlack = -1"
+    )
+    errors = load(tmp_path, changed).failure()
+    assert [str(error) for error in errors] == [
+        "bounds.coldExcess: a number over 0 is expected, not 0",
+        "bounds.coldSlack: a number over 0 is expected, not -1",
+    ]
--- a/rhubarblock/settings/exchange.py
+++ b/rhubarblock/settings/exchange.py
@@ -43,6 +43,10 @@
       lease_max_s: maximum duration of a memory lease at an engine, in seconds.
       lease_free_s: seconds after the end of a request within which the memory
         that it leased must be free.
+      cold_excess: factor on a service's cold rate; None if cold endpoints are
+        not protected.
+      cold_slack: requests in any second, in addition to the cold rate times
+        ``cold_excess``; None if cold endpoints are not protected.
     """
 
     grace_s: float = 8.0
@@ -54,6 +58,8 @@
     retry_window_s: float = 10.0
     lease_max_s: float = 20.0
     lease_free_s: float = 4.0
+    cold_excess: float | None = None
+    cold_slack: float | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
