Let a cold limit apply beside the limit that an endpoint states

A cold endpoint is to be limited by the permits that exist, but its limit comes from another source than its answers. The table of limits holds both: the lower one applies, and neither ends the other, so that an answer without a limit does not end a cold one.

Reports between instances carry the cold period in fields after those that an earlier version reads; such a report replaces no stated limit. A coordinator that the list has not told yet grants a cold limit on the word of the request, since a refusal would make its peers take it for silent. Pledges outlast a restart of the endpoint, as they count for any limit.

--- a/rhubarblock/exchange/endpointlimits.py
+++ b/rhubarblock/exchange/endpointlimits.py
@@ -6,6 +6,7 @@
 candidates are listed and used where one is chosen.
 """
 
+from collections.abc import Callable
 import random
 import zlib
 
@@ -52,7 +53,13 @@
 
 
 class EndpointLimits:
-    """One instance's view of the rate limits of endpoints."""
+    """One instance's view of the rate limits of endpoints.
+
+    Attributes:
+      on_cold_report: called with the id of an endpoint and a peer's report of
+        its cold period; returns the rate in requests a second that the report
+        asks for, None if there is none.
+    """
 
     __slots__ = (
         "_table",
@@ -63,6 +70,7 @@
         "_requester",
         "_rng",
         "_timers",
+        "on_cold_report",
     )
 
     def __init__(
@@ -85,6 +93,9 @@
         self._timers = timers
         self._metrics = metrics
         self._table = limittables.LimitTable(metrics)
+        self.on_cold_report: Callable[
+            [str, messages.ColdReport], float | None
+        ] = lambda endpoint_id, report: None
         self._held = holding.HeldPermits()
         self._coordinator = coordinators.PermitCoordinator(
             self._table, peers, rng, metrics
@@ -107,10 +118,7 @@
         if not self._table.note_answer(endpoint_id, stated, sent_s, now_s):
             return
         self._apply_change(endpoint_id)
-        self._send_report(endpoint_id)
-        self._timers.call_later(
-            RESEND_S, lambda: self._send_report(endpoint_id)
-        )
+        self._report_twice(endpoint_id)
 
     def note_if_stated(
         self, endpoint_id: str, stated: ratelimits.StatedLimit, sent_s: float
@@ -129,8 +137,30 @@
 
     def find_rate(self, endpoint_id: str) -> float | None:
         """Returns the rate limit in requests per second, or None."""
-        limit = self._table.find(endpoint_id)
-        return limit.per_s if limit else None
+        return self._table.find_rate(endpoint_id)
+
+    def count_users(self, endpoint_id: str) -> int:
+        """Returns the number of instances that use an endpoint."""
+        return self._peers.count_users(endpoint_id)
+
+    def set_cold(
+        self,
+        endpoint_id: str,
+        cold: limittables.ColdLimit,
+        is_reported: bool = False,
+    ) -> None:
+        """Sets the limit of an endpoint that is or was cold.
+
+        Args:
+          endpoint_id: the endpoint.
+          cold: its limit, which applies beside one that the endpoint states.
+          is_reported: whether to report it to peers, which can't know it from
+            the list.
+        """
+        if self._table.set_cold(endpoint_id, cold):
+            self._apply_change(endpoint_id)
+        if is_reported:
+            self._report_twice(endpoint_id)
 
     def select_available(
         self, endpoints: list[lists.ListedEndpoint]
@@ -235,22 +265,29 @@
 
     def take(self, endpoint_id: str) -> None:
         """Uses a permit for the chosen endpoint."""
-        if self._table.find(endpoint_id) is not None:
+        if self._table.find_rate(endpoint_id) is not None:
             self._held.take(endpoint_id, self._timers.read_monotonic())
 
     def receive_report(self, report: messages.LimitReport) -> None:
         """Handles a peer's report about an endpoint."""
+        self._apply_report(report)
+
+    def _apply_report(self, report: messages.LimitReport) -> float | None:
+        """Applies a report; returns the rate if the endpoint is cold."""
         now_s = self._timers.read_monotonic()
         if self._table.receive(report, now_s):
             self._apply_change(report.endpoint_id)
+        if report.cold is None:
+            return None
+        return self.on_cold_report(report.endpoint_id, report.cold)
 
     def receive_request(
         self, peer: str, request: messages.PermitRequest
     ) -> None:
         """Handles a peer's request for permits."""
-        self.receive_report(request.report)
+        cold_per_s = self._apply_report(request.report)
         now_s = self._timers.read_monotonic()
-        grant = self._coordinator.grant(peer, request, now_s)
+        grant = self._coordinator.grant(peer, request, now_s, cold_per_s)
         if grant is not None:
             self._peers.send_grant(peer, grant)
             return
@@ -272,24 +309,37 @@
                 self._peers.send_report(peer, report)
 
     def forget(self, endpoint_id: str) -> None:
-        """Drops the limit that an earlier start of an endpoint stated."""
+        """Drops the limit that an earlier start of an endpoint stated.
+
+        The shares that are pledged stay so, as they count for any limit: the
+        next one can be used at once.
+        """
         self._table.forget(endpoint_id)
-        self._drop(endpoint_id)
+        self._held.forget(endpoint_id)
 
     def keep_only(self, endpoint_ids: set[str]) -> None:
         """Drops endpoints that are no longer listed."""
         for endpoint_id in set(self._table.list_ids()) - endpoint_ids:
             self._drop(endpoint_id)
         self._table.keep_only(endpoint_ids)
+        self._requester.keep_only(endpoint_ids)
+        self._coordinator.keep_only(endpoint_ids)
 
     def _is_available(self, endpoint_id: str, now_s: float) -> bool:
-        if self._table.find(endpoint_id) is None:
+        if self._table.find_rate(endpoint_id) is None:
             return True
         return self._held.has(endpoint_id, now_s)
 
     def _is_older(self, endpoint_id: str, min_received_s: float) -> bool:
-        limit = self._table.find(endpoint_id)
-        return limit is not None and limit.statement.received_s < min_received_s
+        statement = self._table.find_statement(endpoint_id)
+        return statement is not None and statement.received_s < min_received_s
+
+    def _report_twice(self, endpoint_id: str) -> None:
+        """Reports to peers; a datagram may be lost."""
+        self._send_report(endpoint_id)
+        self._timers.call_later(
+            RESEND_S, lambda: self._send_report(endpoint_id)
+        )
 
     def _send_report(self, endpoint_id: str) -> None:
         now_s = self._timers.read_monotonic()
@@ -299,7 +349,7 @@
 
     def _apply_change(self, endpoint_id: str) -> None:
         """Starts to share a new limit, or drops one that ended."""
-        if self._table.find(endpoint_id) is None:
+        if self._table.find_rate(endpoint_id) is None:
             self._drop(endpoint_id)
         self._requester.begin()
 
--- a/rhubarblock/exchange/peering/limitupdates.py
+++ b/rhubarblock/exchange/peering/limitupdates.py
@@ -63,6 +63,18 @@
     def count_users(self, endpoint_id: str) -> int:
         return 1 + len(self._list_users(endpoint_id))
 
+    def find_reached(self, endpoint_id: str) -> float:
+        """Returns the part of an endpoint's users that this instance hears.
+
+        It counts itself. The others may be in another part of a partition.
+        """
+        now_s = self._timers.read_monotonic()
+        users = self._list_users(endpoint_id)
+        reached = sum(
+            peer.is_alive(now_s, peer_table.FAR_HEARTBEATS) for _, peer in users
+        )
+        return (1 + reached) / (1 + len(users))
+
     def choose_coordinator(self, endpoint_id: str, silent: set[str]) -> str:
         now_s = self._timers.read_monotonic()
         best = rendezvous.compute_score(endpoint_id, self._own_id), ""
@@ -82,6 +94,7 @@
             request.wanted,
             _to_ms(request.free_in_s),
             _to_ms(request.within_s),
+            *_encode_cold(request.report),
         ]
         self._updates.send_to(_parse_address(peer), fields)
 
@@ -97,11 +110,11 @@
         self._updates.send_to(_parse_address(peer), fields)
 
     def send_report(self, peer: str, report: messages.LimitReport) -> None:
-        fields = [peer_updates.LIMIT_REPORT, *_encode_report(report)]
+        fields = _make_report_fields(report)
         self._updates.send_to(_parse_address(peer), fields)
 
     def broadcast_report(self, report: messages.LimitReport) -> None:
-        fields = [peer_updates.LIMIT_REPORT, *_encode_report(report)]
+        fields = _make_report_fields(report)
         for address, _ in self._list_users(report.endpoint_id):
             self._updates.send_to(address, fields)
 
@@ -123,7 +136,7 @@
     """Connects limits to the messages of peers."""
     handlers: dict[str, Callable[[list[Any], str], None]] = {
         peer_updates.LIMIT_REPORT: lambda fields, peer: limits.receive_report(
-            _read_report(fields)
+            _read_report(fields, fields[4:])
         ),
         peer_updates.PERMIT_REQUEST: lambda fields, peer: (
             limits.receive_request(peer, _read_request(fields))
@@ -154,20 +167,50 @@
     ]
 
 
-def _read_report(fields: list[Any]) -> messages.LimitReport:
+def _make_report_fields(report: messages.LimitReport) -> list[Any]:
+    return [
+        peer_updates.LIMIT_REPORT,
+        *_encode_report(report),
+        *_encode_cold(report),
+    ]
+
+
+def _encode_cold(report: messages.LimitReport) -> list[Any]:
+    """Returns the last fields, which an earlier version ignores."""
+    cold = report.cold
+    if cold is None:
+        return []
+    return [
+        _to_ms(cold.begun_age_s),
+        _to_ms(cold.left_s),
+        int(cold.is_observed),
+    ]
+
+
+def _read_report(fields: list[Any], cold: list[Any]) -> messages.LimitReport:
     endpoint_id, per_s, sent_ms, received_ms = fields[:4]
     return messages.LimitReport(
         str(endpoint_id),
         None if per_s is None else float(per_s),
         sent_ms / _MS_PER_S,
         received_ms / _MS_PER_S,
+        _read_cold(cold),
+    )
+
+
+def _read_cold(fields: list[Any]) -> messages.ColdReport | None:
+    if not fields:
+        return None
+    begun_ms, left_ms, is_observed = fields[:3]
+    return messages.ColdReport(
+        begun_ms / _MS_PER_S, left_ms / _MS_PER_S, bool(is_observed)
     )
 
 
 def _read_request(fields: list[Any]) -> messages.PermitRequest:
     wanted, free_ms, within_ms = fields[4:7]
     return messages.PermitRequest(
-        _read_report(fields),
+        _read_report(fields, fields[7:]),
         int(wanted),
         free_ms / _MS_PER_S,
         within_ms / _MS_PER_S,
--- a/rhubarblock/exchange/peering/limitupdates_test.py
+++ b/rhubarblock/exchange/peering/limitupdates_test.py
@@ -10,6 +10,7 @@
 from rhubarblock.exchange.peering import updates_test
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
+from rhubarblock.routing.endpointlimits import limittable as limittables
 from rhubarblock.routing.endpointlimits import messages
 
 STATED = ratelimits.StatedLimit(50.0)
@@ -113,3 +114,37 @@
         await updates_test.wait_for(lambda: find_rate(second) == 50.0)
 
     run(step)
+
+
+def test_cold_period_is_sent_in_fields_that_earlier_versions_ignore():
+    async def step(first, second):
+        reports = []
+        second.limits.on_cold_report = lambda endpoint_id, report: (
+            reports.append((endpoint_id, report))
+        )
+        now_s = asyncio.get_running_loop().time()
+        cold = limittables.ColdLimit(4.0, now_s - 2.0, now_s + 9.0, False, True)
+        first.limits.set_cold("e1", cold, is_reported=True)
+        await updates_test.wait_for(lambda: reports)
+        first.limits.note_answer("e1", STATED, 0.0)
+        # The first four fields are those of an earlier version.
+        first.updates.send_to(second.address, ["l", "e2", 3.0, 10.0, 5.0])
+        await updates_test.wait_for(lambda: second.limits.find_rate("e2"))
+        return reports, find_rate(second)
+
+    reports, rate = run(step)
+    endpoint_id, report = reports[0]
+    assert endpoint_id == "e1"
+    assert report.is_observed
+    assert 2.0 <= report.begun_age_s <= 3.0
+    assert 8.0 <= report.left_s <= 9.0
+    assert rate == 50.0
+
+
+def test_part_of_the_instances_that_is_heard_shrinks_in_a_partition():
+    async def step(first, second):
+        before = first.limit_peers.find_reached("e1")
+        first.peers.find(second.address).last_seen_s = -1e3
+        return before, first.limit_peers.find_reached("e1")
+
+    assert run(step) == (1.0, 0.5)
--- a/rhubarblock/exchange/state/configlease.py
+++ b/rhubarblock/exchange/state/configlease.py
@@ -66,6 +66,10 @@
         """Seconds since the read that confirmed the table was sent."""
         return self._read_clock() - self._confirmed_s
 
+    def find_service(self, name: str) -> routes.ServiceSpec | None:
+        """Returns a service of the latest table, even if its lease ended."""
+        return self._table.services.get(name) if self._table else None
+
     def read_clock(self) -> float:
         """Returns the lease's clock; call it before a read is sent."""
         return self._read_clock()
--- a/rhubarblock/routing/endpointlimits/coordinator.py
+++ b/rhubarblock/routing/endpointlimits/coordinator.py
@@ -98,7 +98,11 @@
         self._states: dict[str, _LimitState] = {}
 
     def grant(
-        self, peer: str, request: messages.PermitRequest, now_s: float
+        self,
+        peer: str,
+        request: messages.PermitRequest,
+        now_s: float,
+        cold_per_s: float | None = None,
     ) -> messages.PermitGrant | None:
         """Answers a request; returns None if the endpoint has no limit now.
 
@@ -106,16 +110,20 @@
           peer: the peer that asks.
           request: its request.
           now_s: current time in monotonic seconds.
+          cold_per_s: limit if none is known here, as the list may tell peers
+            earlier that the endpoint is cold; None if there is none.
         """
         endpoint_id = request.report.endpoint_id
-        limit = self._table.find(endpoint_id)
-        if limit is None:
+        per_s = self._table.find_rate(endpoint_id)
+        if per_s is None:
+            per_s = cold_per_s
+        if per_s is None:
             return None
         state = self._states.get(endpoint_id)
         if state is None:
             state = self._states[endpoint_id] = _LimitState(now_s)
         state.pledge(peer, request.free_in_s, now_s)
-        rate = self._find_rate(endpoint_id, state, limit.per_s, now_s)
+        rate = self._find_rate(endpoint_id, state, per_s, now_s)
         if rate <= 0.0:
             return messages.PermitGrant(
                 endpoint_id, 0, 0.0, 0.0, request.free_in_s
@@ -142,6 +150,11 @@
         """Forgets the pledges for an endpoint's limit."""
         self._states.pop(endpoint_id, None)
 
+    def keep_only(self, endpoint_ids: set[str]) -> None:
+        """Forgets the pledges for endpoints that are no longer listed."""
+        for endpoint_id in set(self._states) - endpoint_ids:
+            del self._states[endpoint_id]
+
     def _find_rate(
         self, endpoint_id: str, state: _LimitState, per_s: float, now_s: float
     ) -> float:
--- a/rhubarblock/routing/endpointlimits/coordinator_test.py
+++ b/rhubarblock/routing/endpointlimits/coordinator_test.py
@@ -88,3 +88,21 @@
     table, coordinator = make_coordinator()
     table.note_answer("e1", ratelimits.NO_STATED_LIMIT, 1.0, 2.0)
     assert ask(coordinator, "p1", 3.0, 1) is None
+
+
+def test_pledges_count_before_the_coordinator_knows_the_cold_limit():
+    """The list may tell some instances later than others."""
+    metrics = metric_store.Metrics()
+    table = limittables.LimitTable(metrics)
+    coordinator = coordinators.PermitCoordinator(
+        table, Peers(), random.Random(1), metrics
+    )
+    cold = messages.ColdReport(1.0, 10.0)
+    report = messages.LimitReport("e1", None, 1e9, 1e9, cold)
+    request = messages.PermitRequest(report, 1, 0.0, 1.0)
+    assert coordinator.grant("p1", request, 0.0) is None
+    assert coordinator.grant("p1", request, 0.0, RATE) is not None
+    # Its share of the rate: one permit in half a second.
+    assert coordinator.grant("p1", request, 0.5, RATE).count == 1
+    coordinator.keep_only(set())
+    assert coordinator.grant("p1", request, 0.5) is None
--- a/rhubarblock/routing/endpointlimits/limittable.py
+++ b/rhubarblock/routing/endpointlimits/limittable.py
@@ -1,10 +1,14 @@
-"""The rate limits that endpoints announced.
+"""The rate limits that endpoints announced, and those of cold endpoints.
 
 Answers may overtake each other, and so may reports from peers. An answer that
 was received before the request of the present one was sent is older; one whose
 request was sent after the present one was received is newer; between the two,
 the lower limit applies. The end of a limit is remembered too, so that an older
 report can't restore it.
+
+A cold endpoint has a limit from another source, which decides on its begin and
+end. While an endpoint has both, the lower one applies, and neither ends the
+other.
 """
 
 import dataclasses
@@ -17,6 +21,10 @@
 # Highest limit that is kept, in requests a second; more than any endpoint
 # handles.
 MAX_PER_S = 1e6
+# Shortest remaining cold time in seconds that is reported. A shorter one may be
+# over on arrival, and a period that is over is reported only if an answer ended
+# it.
+MIN_LEFT_S = 0.01
 # Characters of an unreadable header that a log line contains.
 SHOWN_CHARACTERS = 40
 
@@ -40,7 +48,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Limit:
-    """A limit in force.
+    """A limit that an endpoint announced.
 
     Attributes:
       per_s: requests a second from all instances together.
@@ -53,10 +61,30 @@
     statement: Statement
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ColdLimit:
+    """The limit of an endpoint that is or was cold.
+
+    Attributes:
+      per_s: requests a second from all instances together.
+      begun_s: since when it has been cold, in monotonic seconds.
+      until_s: when it ends or ended, in monotonic seconds.
+      is_over: whether it is not in force any more.
+      is_observed: whether an instance observed it at the endpoint: that it is
+        cold or, if it is over, that it is warm.
+    """
+
+    per_s: float
+    begun_s: float
+    until_s: float
+    is_over: bool
+    is_observed: bool = False
+
+
 class LimitTable:
     """The limits that one instance knows, by endpoint."""
 
-    __slots__ = ("_ended", "_limits", "_metrics")
+    __slots__ = ("_cold", "_ended", "_limits", "_metrics", "_over")
 
     def __init__(self, metrics: metric_store.Metrics):
         """Starts without limits.
@@ -66,18 +94,47 @@
         """
         self._limits: dict[str, Limit] = {}
         self._ended: dict[str, Statement] = {}
+        # Limits of cold endpoints, and those that an answer ended.
+        self._cold: dict[str, ColdLimit] = {}
+        self._over: dict[str, ColdLimit] = {}
         self._metrics = metrics
 
     def __bool__(self) -> bool:
-        return bool(self._limits)
+        return bool(self._limits or self._cold)
+
+    def find_rate(self, endpoint_id: str) -> float | None:
+        """Returns the limit in requests a second, None if it has none."""
+        limit = self._limits.get(endpoint_id)
+        cold = self._cold.get(endpoint_id)
+        if cold is None:
+            return limit.per_s if limit else None
+        return min(cold.per_s, limit.per_s) if limit else cold.per_s
 
-    def find(self, endpoint_id: str) -> Limit | None:
-        """Returns the limit of an endpoint, None if it has none."""
-        return self._limits.get(endpoint_id)
+    def find_statement(self, endpoint_id: str) -> Statement | None:
+        """Returns the newest statement of a limit in force, or None."""
+        limit = self._limits.get(endpoint_id)
+        return limit.statement if limit else None
 
     def list_ids(self) -> list[str]:
         """Returns the ids of the endpoints that have a limit."""
-        return list(self._limits)
+        return list({**self._limits, **self._cold})
+
+    def set_cold(self, endpoint_id: str, cold: ColdLimit) -> bool:
+        """Sets the limit of an endpoint that is or was cold.
+
+        Returns:
+          Whether the limit changed.
+        """
+        before = self.find_rate(endpoint_id)
+        self._cold.pop(endpoint_id, None)
+        self._over.pop(endpoint_id, None)
+        if not cold.is_over:
+            self._cold[endpoint_id] = cold
+        elif cold.is_observed:
+            # The end of a period's time is no news to peers, which count it
+            # from a slightly different begin.
+            self._over[endpoint_id] = cold
+        return self.find_rate(endpoint_id) != before
 
     def note_answer(
         self,
@@ -160,17 +217,35 @@
         """
         limit = self._limits.get(endpoint_id)
         last = limit.statement if limit else self._ended.get(endpoint_id)
+        cold = self._describe_cold(endpoint_id, now_s)
         if last is None:
-            return None
+            if cold is None:
+                return None
+            age_s = messages.UNSTATED_AGE_S
+            return messages.LimitReport(endpoint_id, None, age_s, age_s, cold)
         return messages.LimitReport(
             endpoint_id,
             last.per_s,
             now_s - last.sent_s,
             now_s - last.received_s,
+            cold,
+        )
+
+    def _describe_cold(
+        self, endpoint_id: str, now_s: float
+    ) -> messages.ColdReport | None:
+        cold = self._cold.get(endpoint_id) or self._over.get(endpoint_id)
+        if cold is None:
+            return None
+        left_s = cold.until_s - now_s
+        if not cold.is_over and left_s < MIN_LEFT_S:
+            return None
+        return messages.ColdReport(
+            now_s - cold.begun_s, left_s, cold.is_observed
         )
 
     def receive(self, report: messages.LimitReport, now_s: float) -> bool:
-        """Applies a report from a peer.
+        """Applies the statement in a report from a peer.
 
         Returns:
           Whether the limit changed.
@@ -195,6 +270,8 @@
     def forget(self, endpoint_id: str) -> None:
         """Forgets the limit of an endpoint that ended or restarted."""
         self._ended.pop(endpoint_id, None)
+        self._cold.pop(endpoint_id, None)
+        self._over.pop(endpoint_id, None)
         if self._limits.pop(endpoint_id, None) is not None:
             _logger.info(
                 "endpoint limit forgotten", extra={"endpoint": endpoint_id}
@@ -202,7 +279,8 @@
 
     def keep_only(self, endpoint_ids: set[str]) -> None:
         """Forgets endpoints that are no longer listed."""
-        for endpoint_id in {*self._limits, *self._ended} - endpoint_ids:
+        known = {*self._limits, *self._ended, *self._cold, *self._over}
+        for endpoint_id in known - endpoint_ids:
             self.forget(endpoint_id)
 
 
--- a/rhubarblock/routing/endpointlimits/messages.py
+++ b/rhubarblock/routing/endpointlimits/messages.py
@@ -5,6 +5,27 @@
 
 import dataclasses
 
+# Age in seconds of the statement in a report about an endpoint that stated no
+# limit. It is older than any statement, so it replaces none. An earlier version
+# expects a statement in each report.
+UNSTATED_AGE_S = 1e9
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ColdReport:
+    """A period in which an endpoint is or was cold.
+
+    Attributes:
+      begun_age_s: seconds since it began.
+      left_s: seconds until its end; 0 or less if it is over.
+      is_observed: whether an instance observed it at the endpoint, so that the
+        others can't know it from the list.
+    """
+
+    begun_age_s: float
+    left_s: float
+    is_observed: bool = False
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class LimitReport:
@@ -15,12 +36,14 @@
       per_s: requests a second from all instances together; None for no limit.
       sent_age_s: seconds since the request was sent that the endpoint answered.
       received_age_s: seconds since the answer arrived.
+      cold: its latest cold period; None if none is known.
     """
 
     endpoint_id: str
     per_s: float | None
     sent_age_s: float
     received_age_s: float
+    cold: ColdReport | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/rhubarblock/routing/endpointlimits/requester.py
+++ b/rhubarblock/routing/endpointlimits/requester.py
@@ -142,7 +142,7 @@
     def receive(self, peer: str, grant: messages.PermitGrant) -> None:
         """Applies the answer of a peer, or of this instance itself."""
         state = self._states.get(grant.endpoint_id)
-        if state is None or self._table.find(grant.endpoint_id) is None:
+        if state is None or self._table.find_rate(grant.endpoint_id) is None:
             return
         now_s = self._timers.read_monotonic()
         self._silent.pop(peer, None)
@@ -164,6 +164,11 @@
         """Forgets an endpoint that has no limit any more."""
         self._states.pop(endpoint_id, None)
 
+    def keep_only(self, endpoint_ids: set[str]) -> None:
+        """Forgets endpoints that are no longer listed."""
+        for endpoint_id in set(self._states) - endpoint_ids:
+            del self._states[endpoint_id]
+
     def _find(self, endpoint_id: str) -> _RequestState:
         state = self._states.get(endpoint_id)
         if state is None:
