Limit endpoints that are cold, and bound those that may be

An endpoint that has just started crashes if it gets its usual load. ColdTable decides from the list, evacuations that ended, answers and reports of peers which endpoints count as cold and until when; ColdStarts limits them at the cold rate of their service. What the list tells everybody is not reported, and hearing of a period again does not prolong it.

The news of a start are up to seconds old, so ColdRoom leaves out an endpoint that got what a cold one survives in the last second, as far as this instance knows, and spreads the return of the instances to it. A new exchange waits for room as it waits for a permit. Without both bounds in the settings, nothing of this is done.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -18,6 +18,8 @@
 from rhubarblock.daemon import statuspages
 from rhubarblock.exchange import attempts
 from rhubarblock.exchange import candidates
+from rhubarblock.exchange import coldroom
+from rhubarblock.exchange import coldstarts
 from rhubarblock.exchange import crashes
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import endpointlimits
@@ -43,6 +45,7 @@
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import cooldowns
 from rhubarblock.routing import health as healths
+from rhubarblock.routing.coldstart import coldbound
 from rhubarblock.routing.placement import jobtracker
 from rhubarblock.settings import exchange as settings_lib
 from rhubarblock.store import era as era_lib
@@ -167,14 +170,18 @@
             self.metrics,
             settings.capacity,
         )
-        limits = self._make_limits(updates)
+        limit_peers = self._make_limit_peers(updates)
+        limits = self._make_limits(updates, limit_peers)
+        cold_starts = self._make_cold_starts(limits)
         self.directory.on_restart = lambda endpoint_id: self._reset_endpoint(
             endpoint_id, limits
         )
         await stack.enter_async_context(
             updates.open(settings.peers.host, settings.peers.port)
         )
-        relay = await self._open_relay(stack, session, updates, limits)
+        relay = await self._open_relay(
+            stack, session, updates, limits, limit_peers, cold_starts
+        )
         await self._listen(stack, relay, updates)
         follower = self._make_follower(session, store)
         following = asyncio.create_task(self._follow(store, updates, follower))
@@ -189,26 +196,79 @@
         limits.forget(endpoint_id)
         self.cooldowns.forget(endpoint_id)
 
-    def _make_limits(
+    async def _remove_unlisted(
+        self, cold_starts: coldstarts.ColdStarts
+    ) -> None:
+        cold_starts.keep_only(self.directory.list_ids())
+
+    def _make_limit_peers(
         self, updates: peer_updates.PeerUpdates
+    ) -> limitupdates.DatagramLimitPeers:
+        return limitupdates.DatagramLimitPeers(
+            updates,
+            self.peers,
+            self.subsets,
+            self.settings.instance_id,
+            self.settings.data_centre,
+            self.timers,
+        )
+
+    def _make_limits(
+        self,
+        updates: peer_updates.PeerUpdates,
+        limit_peers: limitupdates.DatagramLimitPeers,
     ) -> endpointlimits.EndpointLimits:
         """Returns the part that enforces the rate limits of endpoints."""
-        settings = self.settings
         limits = endpointlimits.EndpointLimits(
-            limitupdates.DatagramLimitPeers(
-                updates,
-                self.peers,
-                self.subsets,
-                settings.instance_id,
-                settings.data_centre,
-                self.timers,
+            limit_peers, self._rng, self.timers, self.metrics
+        )
+        limitupdates.connect(updates, limits)
+        return limits
+
+    def _find_cold_bound(self) -> coldbound.ColdBound | None:
+        """Returns the bound of cold endpoints; None unless both parts exist."""
+        bounds = self.settings.bounds
+        if bounds.cold_excess is None or bounds.cold_slack is None:
+            return None
+        return coldbound.ColdBound(bounds.cold_excess, bounds.cold_slack)
+
+    def _make_cold_starts(
+        self, limits: endpointlimits.EndpointLimits
+    ) -> coldstarts.ColdStarts | None:
+        """Returns the part that limits cold endpoints, if they have bounds."""
+        if self._find_cold_bound() is None:
+            return None
+        settings = self.settings
+        cold_starts = coldstarts.ColdStarts(
+            self.directory,
+            limits,
+            self.config_lease.find_service,
+            lambda endpoint_id: self.subsets.uses(
+                settings.instance_id, settings.data_centre, endpoint_id
             ),
-            self._rng,
             self.timers,
             self.metrics,
         )
-        limitupdates.connect(updates, limits)
-        return limits
+        limits.on_cold_report = cold_starts.receive
+        self.directory.on_listed = cold_starts.note_listed
+        self.directory.on_return = cold_starts.note_return
+        return cold_starts
+
+    def _make_cold_room(
+        self, limit_peers: limitupdates.DatagramLimitPeers
+    ) -> coldroom.ColdRoom | None:
+        """Returns the bound of possibly cold endpoints, if there is one."""
+        bound = self._find_cold_bound()
+        if bound is None:
+            return None
+        return coldroom.ColdRoom(
+            bound,
+            self.job_tracker.recent,
+            limit_peers.find_reached,
+            limit_peers.count_users,
+            self.timers,
+            self._rng,
+        )
 
     async def _open_relay(
         self,
@@ -216,6 +276,8 @@
         session: aiohttp.ClientSession,
         updates: peer_updates.PeerUpdates,
         limits: endpointlimits.EndpointLimits,
+        limit_peers: limitupdates.DatagramLimitPeers,
+        cold_starts: coldstarts.ColdStarts | None,
     ) -> relays.ExchangeRelay:
         """Assembles the parts that serve an exchange."""
         bounds = self.settings.bounds
@@ -234,6 +296,7 @@
                 self.settings.data_centre,
                 self.timers,
                 self._rng,
+                self._make_cold_room(limit_peers),
             ),
             limits,
             self.cooldowns,
@@ -244,7 +307,12 @@
             self.timers.subscribe(CLEANUP_INTERVAL_S, placer.remove_unlisted)
         )
         statement_handler = statements.StatementHandler(
-            self.directory, limits, self.cooldowns, self.timers, self.metrics
+            self.directory,
+            limits,
+            self.cooldowns,
+            self.timers,
+            self.metrics,
+            cold_starts,
         )
         lease_holder = await stack.enter_async_context(
             leases.open_holder(
@@ -273,6 +341,14 @@
             self.timers,
             self.metrics,
         )
+        if cold_starts is not None:
+            outcome.on_broken = cold_starts.note_broken
+            stack.enter_context(
+                self.timers.subscribe(
+                    CLEANUP_INTERVAL_S,
+                    lambda: self._remove_unlisted(cold_starts),
+                )
+            )
         crash_detector = crashes.CrashDetector(updates, self.timers)
         return relays.ExchangeRelay(
             placer, runner, outcome, crash_detector, self.timers
--- a/rhubarblock/exchange/candidates.py
+++ b/rhubarblock/exchange/candidates.py
@@ -1,8 +1,9 @@
 """Selects the endpoints that an exchange may be sent to.
 
 An instance uses a subset of the listed endpoints. It sends nothing to endpoints
-in a cool-down or to rate-limited ones without a permit, avoids those that
-failed lately, and probes a recovering endpoint with short requests only.
+in a cool-down, to rate-limited ones without a permit, or to those that got as
+much as a cold endpoint survives. It avoids those that failed lately, and probes
+a recovering endpoint with short requests only.
 """
 
 import dataclasses
@@ -10,12 +11,14 @@
 
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import listed as lists
+from rhubarblock.exchange import coldroom
 from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange.state import directory as directories
 from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import cooldowns
 from rhubarblock.routing import health as healths
+from rhubarblock.routing.coldstart import recentcounts
 
 # Jitter in seconds on the Retry-After of callers that were refused because of a
 # cool-down, so that only one of them probes the endpoint at first.
@@ -60,6 +63,7 @@
         "_limits",
         "_own_id",
         "_cooldowns",
+        "_room",
         "_rng",
         "_subsets",
         "_timers",
@@ -77,6 +81,7 @@
         data_centre: str,
         timers: timer_service.Timers,
         rng: random.Random,
+        room: coldroom.ColdRoom | None = None,
     ):
         """Creates a selector with an empty cache.
 
@@ -90,7 +95,10 @@
           data_centre: data centre of this instance.
           timers: the clock.
           rng: jitter of Retry-After.
+          room: bounds what possibly cold endpoints get; None if the deployment
+            has no bounds for them.
         """
+        self._room = room
         self._directory = directory
         self._health = health
         self._subsets = subsets_
@@ -147,10 +155,15 @@
           is no endpoint to wait for.
         """
         ready = self._list_not_cooling_down(exchange, avoid)
-        permit_s = self._limits.predict_permit(ready)
-        if ready and permit_s is None:
+        roomy = self._list_roomy(exchange, ready)
+        permit_s = self._limits.predict_permit(roomy)
+        if roomy and permit_s is None:
             return None
-        waits = [permit_s, self._find_cooldown_end(exchange, avoid)]
+        waits = [
+            permit_s,
+            self._predict_room(exchange, ready, roomy),
+            self._find_cooldown_end(exchange, avoid),
+        ]
         return min((s for s in waits if s is not None), default=None)
 
     def find_retry_after(
@@ -166,9 +179,15 @@
           None if neither rate limits nor cool-downs were the reason.
         """
         ready = self._list_not_cooling_down(exchange, avoid)
-        permit_s = self._limits.find_retry_after(ready)
-        if ready and permit_s is None:
+        roomy = self._list_roomy(exchange, ready)
+        permit_s = self._limits.find_retry_after(roomy)
+        if roomy and permit_s is None:
             return None
+        room_s = self._predict_room(exchange, ready, roomy)
+        if room_s is not None and (permit_s is None or room_s < permit_s):
+            spread_s = recentcounts.WINDOW_S * self._rng.random()
+            reason = "endpoints that may be cold have no room"
+            return RetryAdvice(room_s + spread_s, reason)
         cooldown_s = None
         if len(self._list_not_cooling_down(exchange, set())) == len(ready):
             # Otherwise an endpoint that failed this request has no cool-down
@@ -213,7 +232,8 @@
 
         Requests a permit if one could be used.
         """
-        used = self._list_not_cooling_down(exchange, avoid)
+        ready = self._list_not_cooling_down(exchange, avoid)
+        used = self._list_roomy(exchange, ready)
         usable = self._limits.select_available(used)
         if len(usable) == len(used):
             return used
@@ -226,6 +246,45 @@
             usable = self._limits.select_available(used)
         return usable
 
+    def note_called(self, endpoint_id: str) -> None:
+        """Counts a plain call that goes to an endpoint."""
+        if self._room is not None:
+            now_s = self._timers.read_monotonic()
+            self._room.calls.note(endpoint_id, now_s)
+
+    def keep_only(self, endpoint_ids: set[str]) -> None:
+        """Drops endpoints that are no longer listed."""
+        if self._room is not None:
+            self._room.keep_only(endpoint_ids)
+
+    def _list_roomy(
+        self,
+        exchange: exchanges.Exchange,
+        ready: list[lists.ListedEndpoint],
+    ) -> list[lists.ListedEndpoint]:
+        """Returns the endpoints below the bound for cold ones."""
+        if self._room is None:
+            return ready
+        return self._room.select(exchange.service, ready)
+
+    def _predict_room(
+        self,
+        exchange: exchanges.Exchange,
+        ready: list[lists.ListedEndpoint],
+        roomy: list[lists.ListedEndpoint],
+    ) -> float | None:
+        """Returns the seconds until an endpoint at the bound is below it.
+
+        None if none is at the bound.
+        """
+        if self._room is None or len(roomy) == len(ready):
+            return None
+        full = [e for e in ready if e not in roomy]
+        # A permit is needed besides.
+        permit_s = self._limits.predict_permit(full) or 0.0
+        room_s = self._room.predict(exchange.service, full)
+        return None if room_s is None else max(room_s, permit_s)
+
     def _list_not_cooling_down(
         self, exchange: exchanges.Exchange, avoid: set[str]
     ) -> list[lists.ListedEndpoint]:
--- a/rhubarblock/exchange/candidates_test.py
+++ b/rhubarblock/exchange/candidates_test.py
@@ -6,6 +6,7 @@
 
 from rhubarblock.core import ratelimit as ratelimits
 from rhubarblock.exchange import candidates
+from rhubarblock.exchange import coldroom
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.exchange.state import directory as directories
 from rhubarblock.exchange.state import subset as subsets
@@ -14,15 +15,28 @@
 from rhubarblock.kernel import virtualloop
 from rhubarblock.routing import cooldowns
 from rhubarblock.routing import health as healths
+from rhubarblock.routing.coldstart import coldbound
+from rhubarblock.routing.coldstart import recentcounts
+
+COLD = dataclasses.replace(fakes.SERVICE, cold_start_s=15.0, cold_per_s=1.0)
 
 
 class Instance:
-    def __init__(self, count):
+    def __init__(self, count, has_bounds=False):
         timers = timer_service.LoopTimers()
         self.directory = directories.Directory(timers)
         self.health = healths.Health("osu-hall")
         self.limits = fakes.make_limits(timers)
         self.cooldowns = cooldowns.Cooldowns(metric_store.Metrics())
+        self.placed = recentcounts.RecentCounts()
+        self.room = coldroom.ColdRoom(
+            coldbound.ColdBound(1.5, 5.0),
+            self.placed,
+            lambda endpoint_id: 1.0,
+            lambda endpoint_id: 1,
+            timers,
+            random.Random(1),
+        )
         self.candidates = candidates.Candidates(
             self.directory,
             self.health,
@@ -33,6 +47,7 @@
             "osu-hall",
             timers,
             random.Random(1),
+            self.room if has_bounds else None,
         )
         for number in range(count):
             self.directory.update(fakes.make_endpoint(number))
@@ -175,3 +190,87 @@
         )
 
     assert run(step, 2) == (5.0, "endpoints ask for rest")
+
+
+def run_cold(step, count=2, has_bounds=True):
+    async def main():
+        return await step(Instance(count, has_bounds))
+
+    return virtualloop.run(main())
+
+
+def place(instance, endpoint_id, count):
+    now_s = asyncio.get_running_loop().time()
+    for _ in range(count):
+        instance.placed.note(endpoint_id, now_s)
+
+
+def list_cold(instance, service=COLD, tokens=0):
+    exchange = fakes.make_exchange(service=service, prompt_tokens=tokens)
+    found = instance.candidates.list_for(exchange, set())
+    return [endpoint.endpoint_id for endpoint in found]
+
+
+def test_endpoint_at_the_bound_for_cold_ones_is_left_out_for_a_second():
+    async def step(instance):
+        place(instance, "e0", 4)
+        seen = [list_cold(instance)]
+        # The instance's own plain calls count too.
+        instance.candidates.note_called("e0")
+        seen.append(list_cold(instance))
+        seen.append(list_cold(instance, tokens=200_000))
+        await asyncio.sleep(1.0)
+        seen.append(list_cold(instance))
+        return seen
+
+    assert run_cold(step) == [["e0", "e1"], ["e1"], ["e1"], ["e0", "e1"]]
+
+
+def test_endpoint_with_room_is_used_although_it_failed():
+    async def step(instance):
+        place(instance, "e0", 5)
+        now_s = asyncio.get_running_loop().time()
+        instance.health.note_unreachable("e1", "osu-hall", now_s)
+        return list_cold(instance)
+
+    assert run_cold(step) == ["e1"]
+
+
+def test_exchange_waits_until_an_endpoint_is_below_the_bound():
+    async def step(instance):
+        for name in ("e0", "e1"):
+            place(instance, name, 5)
+            await asyncio.sleep(0.2)
+        exchange = fakes.make_exchange(service=COLD)
+        wait_s = instance.candidates.predict_availability(exchange, set())
+        advice = instance.candidates.find_retry_after(exchange, set())
+        listed = list_cold(instance)
+        await asyncio.sleep(wait_s)
+        later = instance.candidates.predict_availability(exchange, set())
+        return listed, wait_s, advice, list_cold(instance), later
+
+    listed, wait_s, advice, later, later_s = run_cold(step)
+    assert listed == []
+    assert round(wait_s, 3) == 0.6
+    assert 0.6 <= advice.after_s <= 1.6
+    assert advice.reason == "endpoints that may be cold have no room"
+    assert (later, later_s) == (["e0"], None)
+
+
+def test_bound_applies_only_with_bounds_and_a_cold_rate():
+    async def step(instance):
+        place(instance, "e0", 500)
+        place(instance, "e1", 500)
+        exchange = fakes.make_exchange(service=COLD)
+        return (
+            list_cold(instance),
+            list_cold(instance, fakes.SERVICE),
+            instance.candidates.predict_availability(exchange, set()),
+        )
+
+    assert run_cold(step, has_bounds=False) == (
+        ["e0", "e1"],
+        ["e0", "e1"],
+        None,
+    )
+    assert run_cold(step)[:2] == ([], ["e0", "e1"])
--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -29,7 +29,12 @@
 
 
 class OutcomeRecorder:
-    """Records the outcomes of attempts of one instance."""
+    """Records the outcomes of attempts of one instance.
+
+    Attributes:
+      on_broken: called with the id of an endpoint that could not be reached or
+        broke a connection.
+    """
 
     __slots__ = (
         "_bounds",
@@ -39,6 +44,7 @@
         "_metrics",
         "_updates",
         "_timers",
+        "on_broken",
     )
 
     def __init__(
@@ -67,6 +73,7 @@
         self._bounds = bounds
         self._timers = timers
         self._metrics = metrics
+        self.on_broken: Callable[[str], None] = lambda endpoint_id: None
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
 
     def grant(self, exchange: exchanges.Exchange) -> bool:
@@ -187,6 +194,9 @@
             self._metrics.count("exchange.broken")
             self._log(flow, placement, failure, "broken")
             self.suspect(endpoint)
+            if not isinstance(error, attempts.AbandonedError):
+                # One that is slow did not restart.
+                self.on_broken(endpoint.endpoint_id)
 
     def suspect(self, endpoint: lists.ListedEndpoint) -> None:
         """Marks an endpoint as suspect and announces that to near peers."""
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -157,6 +157,7 @@
         self._health.keep_only(ids)
         self._limits.keep_only(ids)
         self._calls.keep_only(ids)
+        self._candidates.keep_only(ids)
         # The cool-down of an endpoint outlasts a short gap in the list.
         self._cooldowns.expire(self._timers.read_monotonic())
 
@@ -327,6 +328,7 @@
     ) -> Iterator[placements.Placement]:
         chosen = self._calls.choose(endpoints)
         self._note_chosen(chosen, self._timers.read_monotonic())
+        self._candidates.note_called(chosen.endpoint_id)
         with self._calls.hold(chosen.endpoint_id):
             rate = self._limits.find_rate(chosen.endpoint_id)
             yield placements.Placement(chosen, limit_per_s=rate)
--- a/rhubarblock/exchange/state/directory.py
+++ b/rhubarblock/exchange/state/directory.py
@@ -16,6 +16,7 @@
 from rhubarblock.core import listed as lists
 from rhubarblock.kernel import logs
 from rhubarblock.kernel import timers as timer_service
+from rhubarblock.routing.coldstart import coldtable
 
 # Seconds for which an endpoint that a new list lacks is still kept: entries
 # that expired while the store was down are written again within two seconds of
@@ -74,6 +75,9 @@
       number: change number, for caches of derived data.
       on_restart: called with the id of an endpoint that restarted under the
         same id, so that state of the earlier start is dropped.
+      on_return: called with the name of a data centre whose evacuation ended.
+      on_listed: called with each entry that differs from the one before, and
+        how it relates to what was known.
     """
 
     __slots__ = (
@@ -86,8 +90,11 @@
         "_services",
         "_sizes",
         "_timers",
+        "_has_list",
         "number",
+        "on_listed",
         "on_restart",
+        "on_return",
     )
 
     def __init__(self, timers: timer_service.Timers, drain_s: float = 0.0):
@@ -105,7 +112,13 @@
         # may still be written again.
         self._restores = 0
         self._restored_s = -math.inf
+        # Whether a list was received; later unknown entries are new.
+        self._has_list = False
         self.on_restart: Callable[[str], None] = lambda endpoint_id: None
+        self.on_return: Callable[[str], None] = lambda data_centre: None
+        self.on_listed: Callable[
+            [lists.ListedEndpoint, coldtable.Arrival], None
+        ] = lambda entry, arrival: None
         self._endpoints: dict[str, Endpoint] = {}
         # The same endpoints by service, as each request needs one service.
         self._services: dict[str, dict[str, Endpoint]] = {}
@@ -127,6 +140,7 @@
                 endpoint.missing_since_s = now_s
         for entry in listing:
             self.update(entry)
+        self._has_list = True
         self.expire()
 
     def note_store_restore(self) -> None:
@@ -169,6 +183,7 @@
         if known is None:
             self._add(entry)
             return
+        differs = known.listed != entry
         known.listed = entry
         known.missing_since_s = None
         if entry.draining:
@@ -176,15 +191,25 @@
         if entry.draining and not known.draining:
             known.draining = True
             self._log(entry, "ready", True)
+        if differs:
+            self.on_listed(entry, coldtable.Arrival.KNOWN)
 
     def _add(self, entry: lists.ListedEndpoint) -> None:
         """Adds an unknown endpoint unless a later start was known."""
         ended = self._ended.get(entry.endpoint_id)
         if ended is not None and entry.born_ms < ended.born_ms:
             return
+        arrival = coldtable.Arrival.KNOWN
         if ended is not None and 0 < ended.born_ms < entry.born_ms:
             self.on_restart(entry.endpoint_id)
             ended = None
+            arrival = coldtable.Arrival.RESTARTED
+        elif ended is None:
+            arrival = (
+                coldtable.Arrival.NEW
+                if self._has_list
+                else coldtable.Arrival.FIRST
+            )
         self._ended.pop(entry.endpoint_id, None)
         has_left = ended is not None and ended.has_left
         endpoint = Endpoint(entry, entry.draining or has_left)
@@ -192,6 +217,7 @@
         pool = self._services.setdefault(entry.service, {})
         pool[entry.endpoint_id] = endpoint
         self._log(entry, "unknown", endpoint.draining)
+        self.on_listed(entry, arrival)
 
     def note_leaving(self, entry: lists.ListedEndpoint) -> bool:
         """Handles an endpoint's own announcement that it leaves.
--- a/rhubarblock/exchange/state/directory_test.py
+++ b/rhubarblock/exchange/state/directory_test.py
@@ -231,3 +231,27 @@
     timers.now_s = 3.9
     directory.expire()
     assert usable(directory) == ["b"]
+
+
+def test_entries_are_reported_with_how_they_relate_to_what_was_known():
+    directory = directories.Directory(Timers())
+    seen = []
+    directory.on_listed = lambda entry, arrival: seen.append(
+        (entry.endpoint_id, arrival.value)
+    )
+    first = dataclasses.replace(A, born_ms=1_000)
+    directory.replace([first])
+    directory.replace([first, B])
+    directory.update(dataclasses.replace(first, cold_remaining_s=1.0))
+    directory.update(dataclasses.replace(first, born_ms=2_000))
+    directory.update(first)
+    # An entry that was gone for a while is no new start.
+    directory.remove("a")
+    directory.update(dataclasses.replace(first, born_ms=2_000))
+    assert seen == [
+        ("a", "first list"),
+        ("b", "new entry"),
+        ("a", "known"),
+        ("a", "later start"),
+        ("a", "known"),
+    ]
--- a/rhubarblock/exchange/statements.py
+++ b/rhubarblock/exchange/statements.py
@@ -8,6 +8,7 @@
 
 from rhubarblock.core import listed as lists
 from rhubarblock.core import statement as statements
+from rhubarblock.exchange import coldstarts
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange.state import directory as directories
@@ -27,6 +28,7 @@
     """Passes statements of endpoints to the components that act on them."""
 
     __slots__ = (
+        "_cold_starts",
         "_directory",
         "_limits",
         "_metrics",
@@ -42,6 +44,7 @@
         cooldowns_: cooldowns.Cooldowns,
         timers: timer_service.Timers,
         metrics: metric_store.Metrics,
+        cold_starts: coldstarts.ColdStarts | None = None,
     ):
         """Creates a handler.
 
@@ -51,7 +54,10 @@
           cooldowns_: records cool-downs.
           timers: the clock.
           metrics: counters of statements and of unreadable ones.
+          cold_starts: records which endpoints are cold; None if the deployment
+            has no bounds for them.
         """
+        self._cold_starts = cold_starts
         self._directory = directory
         self._limits = limits
         self._cooldowns = cooldowns_
@@ -83,6 +89,7 @@
         """
         if fields.misdirected:
             return
+        self._note_cold(endpoint, fields.statement, sent_s, fields.sealed)
         if (
             not fields.refused
             and fields.statement.cooldown == statements.NO_COOLDOWN
@@ -109,11 +116,27 @@
           statement: what the answer states.
           sent_s: when the request was sent, in monotonic seconds.
         """
+        self._note_cold(endpoint, statement, sent_s, False)
         self._limits.note_if_stated(
             endpoint.endpoint_id, statement.limit, sent_s
         )
         self._note_cooldown_and_leaving(endpoint, statement)
 
+    def _note_cold(
+        self,
+        endpoint: lists.ListedEndpoint,
+        statement: statements.Statement,
+        sent_s: float,
+        is_sealed: bool,
+    ) -> None:
+        """Records a cold time; only a sealed answer shows that it is over."""
+        if self._cold_starts is None:
+            return
+        left_s = statement.cold_remaining_s
+        if left_s == 0.0 and not is_sealed:
+            left_s = None
+        self._cold_starts.note_answer(endpoint.endpoint_id, left_s, sent_s)
+
     def _note_cooldown_and_leaving(
         self, endpoint: lists.ListedEndpoint, statement: statements.Statement
     ) -> None:
--- a/rhubarblock/routing/placement/jobtracker.py
+++ b/rhubarblock/routing/placement/jobtracker.py
@@ -14,6 +14,7 @@
 import dataclasses
 
 from rhubarblock.core import route as routes
+from rhubarblock.routing.coldstart import recentcounts
 
 # Seconds after which a job is dropped if its end was not announced: twice the
 # longest time that callers wait in known deployments.
@@ -186,11 +187,17 @@
 
 
 class JobTracker:
-    """The jobs placed on all engines, and the loads that follow from them."""
+    """The jobs placed on all engines, and the loads that follow from them.
 
-    __slots__ = ("_expiries", "_jobs", "_loads", "_watchers")
+    Attributes:
+      recent: the parts that each engine got lately, also those of jobs that
+        have ended.
+    """
+
+    __slots__ = ("_expiries", "_jobs", "_loads", "_watchers", "recent")
 
     def __init__(self) -> None:
+        self.recent = recentcounts.RecentCounts()
         self._loads: dict[str, EngineLoad] = {}
         self._jobs: dict[str, PlacedJob] = {}
         self._expiries: dict[str, float] = {}
@@ -214,6 +221,7 @@
         for part, prefill in zip(job.parts, placed.prefills, strict=True):
             load = self.find(part.endpoint_id)
             load.settle(now_s)
+            self.recent.note(part.endpoint_id, now_s)
             load.tokens += part.tokens
             load.prefills.append(prefill)
             if part.endpoint_id != job.endpoint_id:
@@ -326,6 +334,7 @@
         The jobs that it was decoding are over. What it prefilled or held for
         other engines is lost, although those may not have noticed yet.
         """
+        self.recent.forget(endpoint_id)
         load = self._loads.get(endpoint_id)
         if load is None:
             return
@@ -348,6 +357,7 @@
     def keep_only(self, endpoint_ids: Iterable[str]) -> None:
         """Forgets unlisted engines without jobs and without memory in use."""
         kept = set(endpoint_ids)
+        self.recent.keep_only(kept)
         for endpoint_id in [e for e in self._loads if e not in kept]:
             load = self._loads[endpoint_id]
             if not load.jobs and not load.tokens:
--- a/rhubarblock/routing/placement/jobtracker_test.py
+++ b/rhubarblock/routing/placement/jobtracker_test.py
@@ -172,3 +172,15 @@
             assert later.find(name).predict_wait(now_s + 0.5) <= now_wait_s
             for placed in tracker.find(name).jobs.values():
                 assert tracker.predict_finish(placed, now_s) >= 0.0
+
+
+def test_each_part_counts_for_a_second_although_its_job_ended():
+    tracker = jobtracker.JobTracker()
+    tracker.add(JOB, 10.0)
+    tracker.add(JOB, 10.1)
+    tracker.remove("j1")
+    for name in ("a", "b"):
+        assert tracker.recent.count(name, 10.5) == 1
+    tracker.remove_engine("a")
+    assert tracker.recent.count("a", 10.5) == 0
+    assert tracker.recent.count("b", 11.0) == 0
