--- a/rhubarblock/experiments/endpointlimits/fleet.py
+++ b/rhubarblock/experiments/endpointlimits/fleet.py
@@ -123,17 +123,17 @@
         names = [f"i{n}" for n in range(count)]
         self.served = dict.fromkeys(names, 0)
         self.peers = {name: FleetPeers(self, name) for name in names}
-        self.limits = {
-            name: endpointlimits.EndpointLimits(
-                self.peers[name],
-                random.Random(f"{seed} {name}"),
-                self.timers,
-                metric_store.Metrics(),
-            )
-            for name in names
-        }
+        self.limits = {name: self._make_limits(name) for name in names}
         self._gates = {name: self._make_gate(name, policy) for name in names}
 
+    def _make_limits(self, name: str) -> endpointlimits.EndpointLimits:
+        return endpointlimits.EndpointLimits(
+            self.peers[name],
+            random.Random(f"{self._seed} {name}"),
+            self.timers,
+            metric_store.Metrics(),
+        )
+
     def _make_gate(self, name: str, policy: str) -> gates.Gate:
         if policy == PERMITS:
             return gates.PermitGate(self.limits[name], ENDPOINT)
@@ -209,13 +209,15 @@
                 if name not in self.dead:
                     group.create_task(self.call(name, waits))
 
-    def count_worst_window(self, from_s: float) -> int:
+    def count_worst_window(
+        self, from_s: float, window_s: float = WINDOW_S
+    ) -> int:
         """Returns the most arrivals in any window from a given time on."""
         later = [at_s for at_s in self.arrived_s if at_s >= from_s]
         last = 0
         most = 0
         for first, at_s in enumerate(later):
-            while last < len(later) and later[last] < at_s + WINDOW_S:
+            while last < len(later) and later[last] < at_s + window_s:
                 last += 1
             most = max(most, last - first)
         return most
