--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -1,5 +1,6 @@
 """Records how attempts end: health, retry budgets, metrics and logs."""
 
+from collections.abc import Callable
 import logging
 
 from rhubarblock.core import exchange as exchanges
@@ -26,7 +27,12 @@
 
 
 class OutcomeRecorder:
-    """Records the outcomes of attempts of one instance."""
+    """Records the outcomes of attempts of one instance.
+
+    Attributes:
+      on_broken: called with the id of an endpoint that could not be reached or
+        broke a connection.
+    """
 
     __slots__ = (
         "_budgets",
@@ -34,6 +40,7 @@
         "_metrics",
         "_updates",
         "_timers",
+        "on_broken",
     )
 
     def __init__(
@@ -58,6 +65,7 @@
         self._budgets = budgets
         self._timers = timers
         self._metrics = metrics
+        self.on_broken: Callable[[str], None] = lambda endpoint_id: None
 
     def note_arrival(self, exchange: exchanges.Exchange) -> None:
         """Records a request of a caller."""
@@ -242,6 +250,9 @@
             self._metrics.count("exchange.broken")
             self._log(flow, placement, failure, "broken")
             self.suspect(endpoint)
+            if not isinstance(error, attempts.AbandonedError):
+                # One that is slow did not restart.
+                self.on_broken(endpoint.endpoint_id)
 
     def suspect(self, endpoint: lists.ListedEndpoint) -> None:
         """Marks an endpoint as suspect and announces that to near peers."""
--- a/rhubarblock/exchange/state/directory_test.py
+++ b/rhubarblock/exchange/state/directory_test.py
@@ -325,3 +325,27 @@
     assert directory.count("pool") == directory.count("pool", "mill") == 1
     assert directory.count("pool", "osu") == 0
     assert directory.count_services() == {"pool": {"osu": 2, "mill": 1}}
+
+
+def test_entries_are_reported_with_how_they_relate_to_what_was_known():
+    directory = directories.Directory(Timers())
+    seen = []
+    directory.on_listed = lambda entry, arrival: seen.append(
+        (entry.endpoint_id, arrival.value)
+    )
+    first = dataclasses.replace(A, born_ms=1_000)
+    directory.replace([first])
+    directory.replace([first, B])
+    directory.update(dataclasses.replace(first, cold_remaining_s=1.0))
+    directory.update(dataclasses.replace(first, born_ms=2_000))
+    directory.update(first)
+    # An entry that was gone for a while is no new start.
+    directory.remove("a")
+    directory.update(dataclasses.replace(first, born_ms=2_000))
+    assert seen == [
+        ("a", "first list"),
+        ("b", "new entry"),
+        ("a", "known"),
+        ("a", "later start"),
+        ("a", "known"),
+    ]
--- a/rhubarblock/loganalysis/causes.py
+++ b/rhubarblock/loganalysis/causes.py
@@ -50,6 +50,7 @@
     SLOW_CALLER: the caller read its answer too slowly.
     RATE_LIMITED: the endpoints' rate limits were exhausted.
     EVACUATED: the operator evacuated the data centre of the endpoint.
+    MAYBE_COLD: endpoints had got as much as a cold one survives.
     RESTING: the endpoints were in a cool-down that they had asked for.
     OVERTAKEN: the prefill of a later prompt on the same engines delayed the
       first event.
@@ -70,6 +71,7 @@
     SLOW_CALLER = "the caller read too slowly"
     RATE_LIMITED = "endpoints' rate limits left no room"
     EVACUATED = "its data centre was evacuated"
+    MAYBE_COLD = "endpoints that may be cold had no room"
     RESTING = "endpoints wanted no more requests"
     OVERTAKEN = "overtaken by later reading"
     PAUSED = "paused by other reading"
@@ -98,6 +100,7 @@
     ("no endpoint has room", Cause.ENGINE_REFUSED),
     ("rate limits of endpoints", Cause.RATE_LIMITED),
     ("evacuated", Cause.EVACUATED),
+    ("endpoints that may be cold", Cause.MAYBE_COLD),
     ("ask for rest", Cause.RESTING),
     ("wanted no more requests", Cause.RESTING),
     ("reads for others", Cause.PAUSED),
--- a/rhubarblock/settings/exchange.py
+++ b/rhubarblock/settings/exchange.py
@@ -47,6 +47,10 @@
       evacuate_s: seconds until nothing more is sent to endpoints of a data
         centre that the operator evacuates; None if the deployment has no
         evacuations.
+      cold_excess: factor on a service's cold rate; None if cold endpoints are
+        not protected.
+      cold_slack: requests in any second, in addition to the cold rate times
+        ``cold_excess``; None if cold endpoints are not protected.
     """
 
     grace_s: float = 8.0
@@ -59,6 +63,8 @@
     lease_max_s: float = 20.0
     lease_free_s: float = 4.0
     evacuate_s: float | None = None
+    cold_excess: float | None = None
+    cold_slack: float | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
