Let modelled engines differ in speed and slow down when nearly full

Cause: endpoints of a service differ in speed, and the model had only equal ones. Change: PassEngine takes a speed relative to its cost model, and a factor for when over 0.9 of its slots or memory is used. Checked: tests of standins/engine/passes pass, two new ones among them.

--- a/rhubarblock/standins/engine/passes.py
+++ b/rhubarblock/standins/engine/passes.py
@@ -25,6 +25,9 @@
 
 from rhubarblock.core import route as routes
 
+# Share of the memory or of the slots above which an engine is nearly full.
+NEARLY_FULL = 0.9
+
 
 @dataclasses.dataclass(slots=True)
 class PrefillPart:
@@ -66,22 +69,35 @@
 
     __slots__ = (
         "_admitted",
+        "_full_slowdown",
         "_model",
         "_prefilling",
         "_queue",
+        "_speed",
         "_used_tokens",
         "_wake",
         "decoding",
         "slowdown",
     )
 
-    def __init__(self, model: routes.EngineCostModel):
+    def __init__(
+        self,
+        model: routes.EngineCostModel,
+        speed: float = 1.0,
+        full_slowdown: float = 1.0,
+    ):
         """Creates an idle engine.
 
         Args:
           model: cost of its steps and of its prefill.
+          speed: its speed relative to the model; at 0.5 all passes take twice
+            as long.
+          full_slowdown: factor by which passes take longer while it is nearly
+            full.
         """
         self._model = model
+        self._speed = speed
+        self._full_slowdown = full_slowdown
         # Admitted parts in order of arrival; the last one is prefilled first.
         self._prefilling: list[PrefillPart] = []
         self._queue: list[tuple[DecodeRequest, PrefillPart]] = []
@@ -163,12 +179,21 @@
         finished, prefill_s = self._plan_prefill(
             steps * self._model.chunk_tokens
         )
-        await asyncio.sleep(self.slowdown * (decode_s + prefill_s))
+        await asyncio.sleep(self._find_factor() * (decode_s + prefill_s))
         for part in finished:
             part.on_finished()
         for request in decoding_now:
             self._emit_event(request)
 
+    def _find_factor(self) -> float:
+        """Returns how much longer the next pass takes than in the model."""
+        factor = self.slowdown / self._speed
+        used = max(
+            self._admitted / self._model.slots,
+            self._used_tokens / self._model.kv_capacity_tokens,
+        )
+        return factor * (self._full_slowdown if used > NEARLY_FULL else 1.0)
+
     def _plan_prefill(self, budget: float) -> tuple[list[PrefillPart], float]:
         """Takes up to ``budget`` tokens of prefill, last part first.
 
--- a/rhubarblock/standins/engine/passes_test.py
+++ b/rhubarblock/standins/engine/passes_test.py
@@ -172,3 +172,26 @@
         assert bench.engine.prefill_left_s == 0.005
 
     assert run_scenario(scenario).events == [("a", 1, 15)]
+
+
+def test_slow_engine_takes_longer_for_prefill_and_passes():
+    async def scenario(bench):
+        bench.engine = passengine.PassEngine(MODEL, speed=0.5)
+        bench.submit("a", 500, 2)
+        bench.working = asyncio.create_task(bench.engine.run())
+
+    events = run_scenario(scenario).events
+    assert events == [("a", 1, 10), ("a", 2, 90)]
+
+
+def test_nearly_full_engine_is_slower():
+    async def scenario(bench):
+        bench.engine = passengine.PassEngine(MODEL, full_slowdown=3.0)
+        bench.submit("a", 500, 3)
+        bench.working = asyncio.create_task(bench.engine.run())
+        await asyncio.sleep(0.02)
+        bench.submit("b", 500, 1)
+
+    # The second request takes the last slot for one pass.
+    events = [e for e in run_scenario(scenario).events if e[0] == "a"]
+    assert events == [("a", 1, 5), ("a", 2, 45), ("a", 3, 180)]
