Learn how fast engines are, and place prompts by it

Change: speeds.py keeps a factor for prefills and one for passes of each engine, with age, confidence and a noise threshold; speedsamples.py takes them from the pauses and first events that the tracked jobs explain. Tracker, views and plans scale by them. In an uneven pool known fast engines go first, and equal ones are spread by hash for long prompts too. The scenario has the two sites, speeds, a warm-up, and variants that know, ignore or share the speeds.

--- a/rhubarblock/experiments/platform/deployments.py
+++ b/rhubarblock/experiments/platform/deployments.py
@@ -214,6 +214,122 @@
 )
 
 
+# The deployments under high load: 82 instances before 54 engines, and 33 before
+# 45. Rates are halved and links are the slowest ones, as in the large fleet.
+HIGH_LOAD_SHARE = 0.5
+HIGH_LOAD_LINK_BPS = 10e6
+_SITE_ONE_STRIDE = 57
+_SITE_TWO_STRIDE = 52
+SITE_ONE = Plan(
+    "platform-site-one",
+    (
+        Kind(
+            "price-note",
+            HIGH_LOAD_SHARE * 65.2,
+            Lengths(4_960, 0.9, 23_800),
+            Lengths(31.7, 0.7, 79.3),
+            0.25,
+            0.25,
+            1.8,
+            0.18,
+            _SITE_ONE_STRIDE,
+        ),
+        Kind(
+            "fund-recon",
+            HIGH_LOAD_SHARE * 7.18,
+            Lengths(45_000, 0.5, 110_000),
+            Lengths(19.0, 0.6, 47.6),
+            1.5,
+            0.6,
+            2.5,
+            0.64,
+            _SITE_ONE_STRIDE,
+        ),
+        Kind(
+            "pds-review",
+            HIGH_LOAD_SHARE * 1.77,
+            Lengths(220_000, 0.55, 700_000),
+            Lengths(15.9, 0.5, 39.6),
+            8.0,
+            1.0,
+            11.0,
+            4.0,
+            _SITE_ONE_STRIDE,
+        ),
+    ),
+    (18, 18, 18),
+    (28, 27, 27),
+    routes.EngineCostModel(
+        slots=12,
+        kv_capacity_tokens=267_750,
+        stride=_SITE_ONE_STRIDE,
+        step_ms=0.85,
+        sequence_ms=0.00425,
+        context_ms=0.00285,
+        prefill_tokens_per_ms=177.0,
+        pair_ms=0.184,
+        chunk_tokens=2048,
+        hop_ms=0.05,
+    ),
+    0.0005,
+    link_bps=HIGH_LOAD_LINK_BPS,
+)
+SITE_TWO = Plan(
+    "platform-site-two",
+    (
+        Kind(
+            "fitment-query",
+            HIGH_LOAD_SHARE * 67.6,
+            Lengths(4_960, 0.9, 23_800),
+            Lengths(33.0, 0.7, 80.0),
+            0.3,
+            0.2,
+            1.4,
+            0.34,
+            _SITE_TWO_STRIDE,
+        ),
+        Kind(
+            "pricelist-xref",
+            HIGH_LOAD_SHARE * 6.18,
+            Lengths(45_000, 0.5, 110_000),
+            Lengths(20.0, 0.6, 48.0),
+            1.5,
+            0.5,
+            2.6,
+            0.66,
+            _SITE_TWO_STRIDE,
+        ),
+        Kind(
+            "manual-ingest",
+            HIGH_LOAD_SHARE * 1.83,
+            Lengths(300_000, 0.55, 900_000),
+            Lengths(16.0, 0.5, 40.0),
+            4.0,
+            0.8,
+            30.0,
+            7.5,
+            _SITE_TWO_STRIDE,
+        ),
+    ),
+    (15, 15, 15),
+    (11, 11, 11),
+    routes.EngineCostModel(
+        slots=12,
+        kv_capacity_tokens=382_500,
+        stride=_SITE_TWO_STRIDE,
+        step_ms=0.925,
+        sequence_ms=0.005,
+        context_ms=0.0033,
+        prefill_tokens_per_ms=256.0,
+        pair_ms=0.184,
+        chunk_tokens=2048,
+        hop_ms=0.05,
+    ),
+    0.0014,
+    link_bps=HIGH_LOAD_LINK_BPS,
+)
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Arrival:
     """One request.
@@ -261,3 +377,20 @@
             drawn.append((at_s, kind, tokens, events, instance))
     drawn.sort(key=lambda fields: fields[0])
     return [Arrival(n, *fields) for n, fields in enumerate(drawn)]
+
+
+def draw_speeds(
+    plan: Plan, seed: int, speeds: tuple[float, float]
+) -> list[float]:
+    """Draws the speed of each engine relative to the model, log-uniform.
+
+    Args:
+      plan: the deployment.
+      seed: seed of the draws, which are independent of those of arrivals.
+      speeds: lowest and highest speed.
+    """
+    rng = random.Random(f"speeds {seed}")
+    lowest, highest = (math.log(speed) for speed in speeds)
+    return [
+        math.exp(rng.uniform(lowest, highest)) for _ in range(sum(plan.engines))
+    ]
--- a/rhubarblock/experiments/platform/scenario.py
+++ b/rhubarblock/experiments/platform/scenario.py
@@ -4,6 +4,11 @@
 its peers after the network latency. The policy is the product's own code or a
 baseline. ``oracle`` is the product's policy with one job tracker for all
 instances, so its gain is the most that faster peer updates could bring.
+Engines may differ in speed. ``known_speeds`` is the product's policy that is
+given the speed of each engine, and ``model_speeds`` the one that takes all
+engines for as fast as the cost model and learns nothing. ``first_events`` and
+``pauses`` learn from these alone, and with ``shared_speeds`` all instances
+learn together.
 
 Failures and streams that move to another engine are not modelled.
 """
@@ -24,12 +29,31 @@
 from rhubarblock.routing.placement import jobtracker
 from rhubarblock.routing.placement import prompt as prompts
 from rhubarblock.routing.placement import promptpolicy
+from rhubarblock.routing.placement import speeds as speedlib
+from rhubarblock.routing.placement import speedsamples
 from rhubarblock.routing.placement import splitpolicy
 from rhubarblock.standins.engine import passes as passengine
 
 TrackerUpdate = Callable[[jobtracker.JobTracker], None]
 
 ORACLE = "oracle"
+KNOWN_SPEEDS = "known_speeds"
+MODEL_SPEEDS = "model_speeds"
+# Learn from the first events, or from the pauses, of answers alone.
+FIRST_EVENTS = "first_events"
+PAUSES = "pauses"
+# One estimate for all instances.
+SHARED_SPEEDS = "shared_speeds"
+_VARIANTS = (
+    ORACLE,
+    KNOWN_SPEEDS,
+    MODEL_SPEEDS,
+    FIRST_EVENTS,
+    PAUSES,
+    SHARED_SPEEDS,
+)
+# Lowest and highest speed of engines that all work as the cost model says.
+EQUAL_SPEEDS = (1.0, 1.0)
 # Seconds over which requests arrive.
 LENGTH_S = 38.0
 # One-way latency between instances of a data centre in seconds.
@@ -140,21 +164,30 @@
     seed: int = 1,
     load: float = 1.0,
     length_s: float = LENGTH_S,
+    speeds: tuple[float, float] = EQUAL_SPEEDS,
+    warmup_s: float = 0.0,
 ) -> PlatformResult:
     """Simulates one run on the fake clock.
 
     Args:
       plan: the deployment.
-      policy: a prompt policy, or ``oracle``.
-      seed: seed of arrivals and lengths.
+      policy: a prompt policy, ``oracle``, ``known_speeds`` or
+        ``model_speeds``.
+      seed: seed of arrivals, lengths and speeds.
       load: factor on the specified rates.
       length_s: seconds over which requests arrive.
+      speeds: lowest and highest speed of an engine relative to the cost model.
+      warmup_s: seconds at the begin whose requests are not counted.
 
     Raises:
       registries.RegistryError: there is no such policy.
     """
-    arrivals = platformdeployments.draw_arrivals(plan, seed, load, length_s)
-    outcomes = virtualloop.run(_simulate(plan, policy, arrivals))
+    arrivals = platformdeployments.draw_arrivals(
+        plan, seed, load, warmup_s + length_s
+    )
+    drawn = platformdeployments.draw_speeds(plan, seed, speeds)
+    simulated = virtualloop.run(_simulate(plan, policy, arrivals, drawn))
+    outcomes = [o for o in simulated if o.arrival.at_s >= warmup_s]
     by_kind = {
         kind.name: _summarise([o for o in outcomes if o.arrival.kind is kind])
         for kind in plan.kinds
@@ -174,8 +207,9 @@
     plan: platformdeployments.Plan,
     policy: str,
     arrivals: list[platformdeployments.Arrival],
+    speeds: list[float],
 ) -> list[Outcome]:
-    fleet = Fleet(plan, policy)
+    fleet = Fleet(plan, policy, speeds)
     async with asyncio.TaskGroup() as engine_group:
         engines = [
             engine_group.create_task(engine.run())
@@ -198,12 +232,18 @@
       engines: the engines by endpoint id.
     """
 
-    def __init__(self, plan: platformdeployments.Plan, policy: str):
+    def __init__(
+        self,
+        plan: platformdeployments.Plan,
+        policy: str,
+        speeds: list[float],
+    ):
         """Creates an idle fleet.
 
         Args:
           plan: the deployment.
-          policy: a prompt policy, or ``oracle``.
+          policy: a prompt policy, or a variant of the product's policy.
+          speeds: speed of each engine relative to the cost model.
         """
         self._plan = plan
         self._is_oracle = policy == ORACLE
@@ -220,8 +260,8 @@
             for number in range(count)
         ]
         self.engines = {
-            listed.endpoint_id: passengine.PassEngine(plan.model)
-            for listed in self._listed
+            listed.endpoint_id: passengine.PassEngine(plan.model, speed)
+            for listed, speed in zip(self._listed, speeds, strict=True)
         }
         self._centres = [
             str(centre)
@@ -233,6 +273,14 @@
             shared if self._is_oracle else jobtracker.JobTracker()
             for _ in self._centres
         ]
+        self._samples = _find_samples(policy)
+        if policy == SHARED_SPEEDS:
+            common = speedlib.EngineSpeeds()
+            self._trackers = [
+                jobtracker.JobTracker(common) for _ in self._centres
+            ]
+        if policy == KNOWN_SPEEDS:
+            self._tell_speeds(speeds)
         chosen = _find_policy(policy)
         self._names = [f"i{n}" for n in range(len(self._centres))]
         self._subsets = self._make_subsets()
@@ -247,6 +295,14 @@
             )
         ]
 
+    def _tell_speeds(self, speeds: list[float]) -> None:
+        """Tells all instances the speeds of the engines."""
+        for listed, speed in zip(self._listed, speeds, strict=True):
+            for tracker in self._trackers:
+                factors = tracker.speeds.find(listed.endpoint_id)
+                factors.prefill = factors.passes = 1.0 / speed
+                factors.is_known = True
+
     def _make_subsets(self) -> subsets.Subsets:
         """Returns the subsets of engines that the instances use."""
         directory = directories.Directory(timer_service.LoopTimers())
@@ -293,6 +349,7 @@
         self, arrival: platformdeployments.Arrival
     ) -> prompts.Choice | None:
         now_s = _read_clock()
+        self._trackers[arrival.instance].speeds.refresh(now_s)
         prompt = _describe(arrival)
         choice = self._policies[arrival.instance].choose(
             prompt, self._usable[arrival.instance], self._plan.model, now_s
@@ -349,9 +406,16 @@
         count = len(choice.job.parts)
         ended = asyncio.Event()
         times: list[float] = []
+        samples = self._samples(
+            self._trackers[arrival.instance],
+            choice.job,
+            self._plan.model,
+            _read_clock(),
+        )
 
         def record_event(is_last: bool) -> None:
             times.append(_read_clock())
+            samples.note_event(times[-1])
             if is_last:
                 ended.set()
 
@@ -379,8 +443,40 @@
         outcome.longest_pause_s = max(pauses, default=0.0)
 
 
+class _NoSamples(speedsamples.AnswerSamples):
+    """Observes nothing."""
+
+    def note_event(self, now_s: float, events: int = 1) -> None:
+        del now_s, events
+
+
+class _FirstSamples(speedsamples.AnswerSamples):
+    """Observes first events alone."""
+
+    def note_event(self, now_s: float, events: int = 1) -> None:
+        if not self._seen_first:
+            super().note_event(now_s, events)
+
+
+class _PauseSamples(speedsamples.AnswerSamples):
+    """Observes pauses alone."""
+
+    def _note_first(self, ratio: float, now_s: float) -> None:
+        del ratio, now_s
+
+
+def _find_samples(policy: str) -> type[speedsamples.AnswerSamples]:
+    if policy == FIRST_EVENTS:
+        return _FirstSamples
+    if policy == PAUSES:
+        return _PauseSamples
+    if policy in (KNOWN_SPEEDS, MODEL_SPEEDS):
+        return _NoSamples
+    return speedsamples.AnswerSamples
+
+
 def _find_policy(name: str) -> type[promptpolicy.PromptPolicy]:
-    if name == ORACLE:
+    if name in _VARIANTS:
         return splitpolicy.SplitPromptPolicy
     registry = registries.Registry()
     registry.load(registries.default_modules())
--- a/rhubarblock/experiments/platform/scenario_test.py
+++ b/rhubarblock/experiments/platform/scenario_test.py
@@ -114,3 +114,40 @@
         make_single_centre_plan(68.0), seed=1, length_s=8.0
     )
     assert result.kinds["short"].in_time > 0.99
+
+
+UNEVEN = (0.5, 2.0)
+
+
+def simulate_site_one(policy, speeds, seconds=19.0):
+    return platformscenario.measure(
+        platformdeployments.SITE_ONE, policy, 2, 1.0, seconds, speeds
+    )
+
+
+def test_learned_speeds_earn_more_than_the_cost_model_on_uneven_engines():
+    model, learned, known = (
+        simulate_site_one(policy, UNEVEN).worth
+        for policy in ("model_speeds", "parted", "known_speeds")
+    )
+    assert learned > model + 0.02
+    assert known >= learned
+
+
+def test_learning_changes_nothing_on_engines_of_equal_speed():
+    """Noise in the observations must not pass for a difference in speed."""
+    figures = [
+        dataclasses.replace(simulate_site_one(policy, (1.0, 1.0)), policy="")
+        for policy in ("model_speeds", "parted", "known_speeds")
+    ]
+    assert figures[0] == figures[1] == figures[2]
+
+
+def test_speeds_are_drawn_within_their_bounds_and_by_seed():
+    plan = platformdeployments.SITE_ONE
+    drawn = platformdeployments.draw_speeds(plan, 1, UNEVEN)
+    assert len(drawn) == 54
+    assert 0.5 <= min(drawn) < 0.6
+    assert 1.7 < max(drawn) <= 2.0
+    assert drawn == platformdeployments.draw_speeds(plan, 1, UNEVEN)
+    assert drawn != platformdeployments.draw_speeds(plan, 2, UNEVEN)
--- a/rhubarblock/routing/placement/engineview.py
+++ b/rhubarblock/routing/placement/engineview.py
@@ -89,6 +89,9 @@
       free_helper_slots: further jobs of other engines that it may prefill or
         hold memory for; negative if it has too many.
       free_tokens: tokens of free memory.
+      prefill_factor: how much longer its prefills take than the cost model
+        predicts. All methods take the seconds of the cost model.
+      doubt: rank among engines of different speeds, 0 for the best ones.
     """
 
     endpoint: lists.ListedEndpoint
@@ -102,9 +105,12 @@
     free_slots: int
     free_helper_slots: int
     free_tokens: int
+    prefill_factor: float = 1.0
+    doubt: int = 0
 
     def predict_end(self, prefill_s: float) -> float:
         """Returns the seconds until a part that is placed now is prefilled."""
+        prefill_s *= self.prefill_factor
         if self.is_decoding:
             return (
                 max(self.wait_s, self.decode_pass_s / 2)
@@ -122,7 +128,7 @@
         """
         if self.is_decoding:
             return self.decode_pass_s
-        idle_s = max(0.0, finish_s - prefill_s)
+        idle_s = max(0.0, finish_s - self.prefill_factor * prefill_s)
         return self.decode_pass_s + max(0.0, self.wait_s - idle_s)
 
     def compute_pause_cost(self, prefill_s: float) -> float:
@@ -133,6 +139,7 @@
         answers.
         """
         cost = 0.0
+        prefill_s *= self.prefill_factor
         pass_s = self.decode_pass_s + self.same_pass_s
         for placed in self.load.jobs.values():
             if placed.is_decoding:
@@ -154,7 +161,7 @@
         if self.is_decoding:
             return []
         ends = []
-        end_s = prefill_s
+        end_s = self.prefill_factor * prefill_s
         for prefill in reversed(self.load.prefills):
             end_s += prefill.left_s
             ends.append((prefill.placed, end_s))
@@ -214,4 +221,5 @@
         model.slots - len(load.jobs),
         model.slots - load.count_helped(),
         int(memory_part * model.kv_capacity_tokens) - load.tokens,
+        load.factors.prefill,
     )
--- a/rhubarblock/routing/placement/jobtracker.py
+++ b/rhubarblock/routing/placement/jobtracker.py
@@ -14,6 +14,7 @@
 import dataclasses
 
 from rhubarblock.core import route as routes
+from rhubarblock.routing.placement import speeds
 
 # Seconds after which a job is dropped if its end was not announced: twice the
 # longest time that callers wait in known deployments.
@@ -119,12 +120,29 @@
       jobs: jobs that it decodes, or will decode, by job id.
       helper_prefills: its parts of jobs that other engines decode, by job id.
       tokens: tokens of memory in use.
+      changes: how many times a job was added to it or removed.
+      factors: how much longer it takes than the cost model predicts.
     """
 
-    __slots__ = ("_settled_s", "helper_prefills", "jobs", "prefills", "tokens")
+    __slots__ = (
+        "_settled_s",
+        "changes",
+        "factors",
+        "helper_prefills",
+        "jobs",
+        "prefills",
+        "tokens",
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, factors: speeds.Factors | None = None) -> None:
+        """Starts without work.
+
+        Args:
+          factors: its learned factors, which change; None for the cost model.
+        """
         self._settled_s = 0.0
+        self.changes = 0
+        self.factors = factors or speeds.Factors()
         self.helper_prefills: dict[str, Prefill] = {}
         self.prefills: list[Prefill] = []
         self.jobs: dict[str, PlacedJob] = {}
@@ -167,6 +185,10 @@
 
     def predict_stride(self, model: routes.EngineCostModel) -> float:
         """Returns the seconds of a pass without any prefill."""
+        return self.factors.passes * self.predict_model_stride(model)
+
+    def predict_model_stride(self, model: routes.EngineCostModel) -> float:
+        """Returns the same for an engine that is as fast as the cost model."""
         return model.predict_stride(len(self.jobs), self.tokens)
 
     def sum_prefills_from(self, prefill: Prefill) -> float:
@@ -186,11 +208,22 @@
 
 
 class JobTracker:
-    """The jobs placed on all engines, and the loads that follow from them."""
+    """The jobs placed on all engines, and the loads that follow from them.
+
+    Attributes:
+      speeds: how fast the engines work.
+    """
+
+    __slots__ = ("_expiries", "_jobs", "_loads", "_watchers", "speeds")
 
-    __slots__ = ("_expiries", "_jobs", "_loads", "_watchers")
+    def __init__(self, engine_speeds: speeds.EngineSpeeds | None = None):
+        """Starts without jobs.
 
-    def __init__(self) -> None:
+        Args:
+          engine_speeds: how fast the engines work; None for all as in the cost
+            model until something is learned.
+        """
+        self.speeds = engine_speeds or speeds.EngineSpeeds()
         self._loads: dict[str, EngineLoad] = {}
         self._jobs: dict[str, PlacedJob] = {}
         self._expiries: dict[str, float] = {}
@@ -200,7 +233,8 @@
         """Returns the load of an engine; an unknown engine has an empty one."""
         load = self._loads.get(endpoint_id)
         if load is None:
-            load = self._loads[endpoint_id] = EngineLoad()
+            factors = self.speeds.find(endpoint_id)
+            load = self._loads[endpoint_id] = EngineLoad(factors)
         return load
 
     def add(self, job: Job, now_s: float) -> None:
@@ -215,6 +249,8 @@
             load = self.find(part.endpoint_id)
             load.settle(now_s)
             load.tokens += part.tokens
+            load.changes += 1
+            prefill.left_s *= load.factors.prefill
             load.prefills.append(prefill)
             if part.endpoint_id != job.endpoint_id:
                 load.helper_prefills[job.job_id] = prefill
@@ -228,7 +264,7 @@
         Args:
           at_s: the later time, in monotonic seconds.
         """
-        later = JobTracker()
+        later = JobTracker(self.speeds)
         for placed in self._jobs.values():
             later.copy_job(placed)
         for endpoint_id, load in self._loads.items():
@@ -308,6 +344,7 @@
         for prefill in placed.prefills:
             load = self.find(prefill.endpoint_id)
             load.tokens -= prefill.tokens
+            load.changes += 1
             load.helper_prefills.pop(job_id, None)
             load.drop(placed)
 
@@ -352,3 +389,4 @@
             load = self._loads[endpoint_id]
             if not load.jobs and not load.tokens:
                 del self._loads[endpoint_id]
+        self.speeds.keep_only(self._loads)
--- a/rhubarblock/routing/placement/partplan.py
+++ b/rhubarblock/routing/placement/partplan.py
@@ -17,6 +17,7 @@
 from rhubarblock.routing.placement import jobtracker
 from rhubarblock.routing.placement import latencycost
 from rhubarblock.routing.placement import prompt as prompts
+from rhubarblock.routing.placement import speeds
 
 # Most engines that prefill one prompt: the engine that is asked and 16 helpers.
 MAX_PARTS = 17
@@ -33,6 +34,13 @@
 # Costs within the same step, in short prompts, rank as equal, as predictions
 # are no more precise than that.
 COST_STEP = 0.25
+# Times until a part is prefilled within the same step, in seconds, are equal
+# among engines of different speed, so that concurrent choices differ: about two
+# passes.
+END_STEP_S = 0.1
+# Factor by which the prefill of an engine of unknown speed is taken to last
+# longer, in a pool of different speeds, when the slowest engine decides.
+UNKNOWN_FACTOR = 1.5
 # Free slots of an engine, to decode or to help, that are reserved for what
 # other instances place there at the same moment.
 RESERVED_SLOTS = 1
@@ -91,7 +99,7 @@
     counts = _list_counts(prompt, model, len(engines))
     if counts == [1] and not prompt.is_mid_stream:
         return planner.plan_short()
-    views = [planner.view(engine) for engine in engines]
+    views = [planner.view(engine, is_split=True) for engine in engines]
     plans = [_PlanBuilder(prompt, views, model, n).plan() for n in counts]
     possible = [plan for plan in plans if plan is not None]
     # Among plans of equal cost the first one has the fewest parts.
@@ -105,6 +113,7 @@
         "_data_centre",
         "_engines",
         "_forecast",
+        "_is_uneven",
         "_loads",
         "_model",
         "_prompt",
@@ -128,13 +137,24 @@
         self._loads = {
             e.endpoint_id: tracker.find(e.endpoint_id) for e in engines
         }
+        self._is_uneven = any(
+            load.factors.deviates for load in self._loads.values()
+        )
         # All are settled first, as a view reads jobs that span several engines.
         for load in self._loads.values():
             load.settle(now_s)
 
-    def view(self, engine: lists.ListedEndpoint) -> engineview.EngineView:
-        """Returns the view of one engine."""
-        return engineview.view_engine(
+    def view(
+        self, engine: lists.ListedEndpoint, is_split: bool = False
+    ) -> engineview.EngineView:
+        """Returns the view of one engine.
+
+        Args:
+          engine: the engine.
+          is_split: whether several engines may prefill the prompt. The slowest
+            one decides then, so an engine of unknown speed is a risk.
+        """
+        view = engineview.view_engine(
             engine,
             self._loads[engine.endpoint_id],
             self._forecast,
@@ -142,6 +162,12 @@
             self._data_centre,
             MEMORY_PART,
         )
+        if self._is_uneven:
+            factors = view.load.factors
+            view.doubt = _compute_doubt(factors)
+            if is_split and not factors.is_known:
+                view.prefill_factor *= UNKNOWN_FACTOR
+        return view
 
     def plan_short(self) -> Plan | None:
         """Returns the best plan of a prompt that one engine prefills.
@@ -173,6 +199,7 @@
             engine.data_centre != self._data_centre,
             self._model.slots - len(load.jobs),
             self._prompt.job_id,
+            _compute_doubt(load.factors) if self._is_uneven else 0,
         )
 
 
@@ -182,6 +209,7 @@
     __slots__ = (
         "_costs",
         "_count",
+        "_is_uneven",
         "_max_held",
         "_needed",
         "_prefill_s",
@@ -199,6 +227,8 @@
         self._prompt = prompt
         self._views = views
         self._count = count
+        # Without any deviation the ranks are those of equal engines.
+        self._is_uneven = any(view.prefill_factor != 1.0 for view in views)
         self._needed = prompt.prompt_tokens + prompt.answer_tokens
         self._max_held = limit_lease(model)
         self._prefill_s = model.predict_prefill(prompt.prompt_tokens, count)
@@ -253,7 +283,7 @@
             for view in self._views
             if view is not first and view.free_helper_slots > RESERVED_SLOTS
         ]
-        others.sort(key=lambda view: _rank_long(view, self._find_cost(view)))
+        others.sort(key=self._rank_helper)
         return others[: self._count - 1]
 
     def _rank_first(self, view: engineview.EngineView) -> tuple[object, ...]:
@@ -266,8 +296,23 @@
         cost = others_cost + self._compute_own_cost(end_s, pause_s)
         if self._count == 1:
             return _rank_short(view, cost, self._prompt.job_id)
+        if self._is_uneven:
+            return _rank_uneven(view, cost, end_s, self._prompt.job_id)
         return _rank_long(view, cost)
 
+    def _rank_helper(self, view: engineview.EngineView) -> tuple[object, ...]:
+        """Prefers helpers that cost others least and, if uneven, end soonest.
+
+        All parts are of one size, so the slowest engine decides when the prompt
+        begins. Its delay is thus a cost of each slow engine.
+        """
+        cost = self._find_cost(view)
+        if not self._is_uneven:
+            return _rank_long(view, cost)
+        end_s = view.predict_end(self._prefill_s)
+        cost += self._compute_own_cost(end_s, 0.0)
+        return _rank_uneven(view, cost, end_s, self._prompt.job_id)
+
     def _find_cost(self, view: engineview.EngineView) -> float:
         return self._costs[view.endpoint.endpoint_id]
 
@@ -341,7 +386,11 @@
     return (
         *_rank_cost(view, cost),
         *_rank_equal_cost(
-            view.endpoint, view.is_remote, view.free_slots, job_id
+            view.endpoint,
+            view.is_remote,
+            view.free_slots,
+            job_id,
+            view.doubt,
         ),
     )
 
@@ -355,6 +404,7 @@
     is_remote: bool,
     free_slots: int,
     job_id: str,
+    doubt: int,
 ) -> tuple[object, ...]:
     """Prefers local engines that already decode, but for the last free slots.
 
@@ -364,15 +414,25 @@
     the meantime has to wait for one, and announcements of placements take some
     milliseconds to reach all instances. So the last slot is used only if there
     is no other engine, and engines with few free slots rank as equal.
+
+    Where engines differ in speed, those that are known to be fast go first.
     """
     return (
         is_remote,
+        doubt,
         free_slots <= RESERVED_SLOTS,
         max(free_slots, FEW_SLOTS),
         _hash_rank(endpoint.endpoint_id, job_id),
     )
 
 
+def _compute_doubt(factors: speeds.Factors) -> int:
+    """Returns a rank among engines of different speeds, 0 for the best ones."""
+    if not factors.is_known:
+        return 1
+    return 2 if max(factors.prefill, factors.passes) > 1.0 else 0
+
+
 def _hash_rank(endpoint_id: str, job_id: str) -> int:
     """Returns a rank among equal engines that differs from prompt to prompt."""
     return zlib.crc32(f"{job_id} {endpoint_id}".encode())
@@ -404,3 +464,19 @@
         view.wait_s,
         view.endpoint.endpoint_id,
     )
+
+
+def _rank_uneven(
+    view: engineview.EngineView, cost: float, end_s: float, job_id: str
+) -> tuple[object, ...]:
+    """Prefers idle engines that end soon, and spreads equal ones by hash.
+
+    All instances would otherwise take the same fastest engines for prompts that
+    arrive at the same moment.
+    """
+    return (
+        int(cost / COST_STEP),
+        len(view.load.jobs) > 0,
+        int(end_s / END_STEP_S),
+        _hash_rank(view.endpoint.endpoint_id, job_id),
+    )
--- a/rhubarblock/scripts/measure.py
+++ b/rhubarblock/scripts/measure.py
@@ -98,10 +98,32 @@
         show_default=True,
         help="Factor of the rates of the sheet.",
     )
+    @click.option(
+        "--speeds",
+        type=(click.FloatRange(min=0.0, min_open=True),) * 2,
+        default=platformscenario.EQUAL_SPEEDS,
+        show_default=True,
+        help="Lowest and highest speed of an engine, 1 as the sheet says.",
+    )
+    @click.option(
+        "--warmup-s",
+        default=0.0,
+        show_default=True,
+        help="Seconds at the begin whose requests are not counted.",
+    )
     @json_option
-    def run(policy: str, seed: int, load: float, as_json: bool) -> None:
+    def run(
+        policy: str,
+        seed: int,
+        load: float,
+        speeds: tuple[float, float],
+        warmup_s: float,
+        as_json: bool,
+    ) -> None:
         try:
-            figures = platformscenario.measure(plan, policy, seed, load)
+            figures = platformscenario.measure(
+                plan, policy, seed, load, speeds=speeds, warmup_s=warmup_s
+            )
         except registries.RegistryError as error:
             raise click.UsageError(str(error)) from error
         print_result(figures, as_json)
@@ -113,6 +135,8 @@
 add_platform(platformdeployments.HOFBAUER)
 add_platform(platformdeployments.CARONI)
 add_platform(platformdeployments.LARGE)
+add_platform(platformdeployments.SITE_ONE)
+add_platform(platformdeployments.SITE_TWO)
 
 
 @measure_group.command("endpoint-limits")
