Observe endpoint speeds on the path of an exchange

Cause: the learned speeds need observations, and plain calls were balanced by the number in flight alone. Change: attempts give the time of each event to the samples of their placement; slow writes to the caller discard a pause. The call balancer learns how long calls take at each endpoint of a service and weighs calls in flight by it, above a noise threshold only. A restart of an endpoint forgets both. An engine that begins or ceases to deviate is logged and counted (exchange.speed_deviates, exchange.speed_returned, gauge exchange.deviating_engines). Checked: tests of exchange, daemon and routing/placement pass; the call path has not been measured under load.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -17,6 +17,7 @@
 from rhubarblock.daemon import plannedstop
 from rhubarblock.daemon import statuspages
 from rhubarblock.exchange import attempts
+from rhubarblock.exchange import calltimes
 from rhubarblock.exchange import candidates
 from rhubarblock.exchange import crashes
 from rhubarblock.exchange import dialect as dialects
@@ -112,6 +113,7 @@
             settings.capacity,
         )
         self.job_tracker = jobtracker.JobTracker()
+        self.call_times = calltimes.CallTimes()
         self.health = healths.Health(settings.data_centre)
         self.cooldowns = cooldowns.Cooldowns(self.metrics)
         self.eras = era_lib.EraTracker(self.metrics)
@@ -185,6 +187,8 @@
     ) -> None:
         """Discards the state recorded for earlier runs of an endpoint."""
         self.job_tracker.remove_engine(endpoint_id)
+        self.job_tracker.speeds.forget(endpoint_id)
+        self.call_times.forget(endpoint_id)
         self.health.forget(endpoint_id)
         limits.forget(endpoint_id)
         self.cooldowns.forget(endpoint_id)
@@ -239,6 +243,7 @@
             self.cooldowns,
             self.settings.data_centre,
             self.timers,
+            self.call_times,
         )
         stack.enter_context(
             self.timers.subscribe(CLEANUP_INTERVAL_S, placer.remove_unlisted)
@@ -273,6 +278,7 @@
             self.timers,
             self.metrics,
         )
+        self.job_tracker.speeds.on_change = outcome.note_speed
         crash_detector = crashes.CrashDetector(updates, self.timers)
         return relays.ExchangeRelay(
             placer, runner, outcome, crash_detector, self.timers
--- a/rhubarblock/exchange/attempts.py
+++ b/rhubarblock/exchange/attempts.py
@@ -27,6 +27,9 @@
 # pauses, and at least these seconds. Then another endpoint resumes the stream.
 PAUSE_RATIO = 4.0
 MIN_PAUSE_S = 0.8
+# A write to the caller that takes longer, in seconds, delays the reading of the
+# next event, so that the next pause says nothing about the engine.
+SLOW_WRITE_S = 0.005
 # Longest answer body in bytes that is buffered until it is complete.
 MAX_BUFFERED_BYTES = 1 << 18
 # Statuses from which a caller concludes that the request has not run.
@@ -203,6 +206,8 @@
         )
         flow.history.sent = True
         sent_s = self._timers.read_monotonic()
+        if placement.samples is not None:
+            placement.samples.start(sent_s)
         if not flow.is_last_attempt:
             detector.expect_data(
                 _predict_first_byte_limit(exchange.route, placement)
@@ -221,7 +226,7 @@
                     placement.endpoint, answer.fields, sent_s
                 )
                 _check_refusal(answer)
-                await self._forward_answer(flow, answer, detector)
+                await self._forward_answer(flow, placement, answer, detector)
 
     def _note_health(
         self, endpoint: lists.ListedEndpoint, answer: transports.Answer
@@ -235,6 +240,7 @@
     async def _forward_answer(
         self,
         flow: flows.Flow,
+        placement: placements.Placement,
         answer: transports.Answer,
         detector: stalls.StallDetector,
     ) -> None:
@@ -242,13 +248,14 @@
         if answer.status < 300 and not answer.fields.sealed:
             raise transports.make_error("the answer bears no signature")
         if streamed and answer.status == 200:
-            await self._forward_events(flow, answer, detector)
+            await self._forward_events(flow, placement, answer, detector)
         else:
-            await self._forward_buffered(flow, answer)
+            await self._forward_buffered(flow, placement, answer)
 
     async def _forward_events(
         self,
         flow: flows.Flow,
+        placement: placements.Placement,
         answer: transports.Answer,
         detector: stalls.StallDetector,
     ) -> None:
@@ -261,10 +268,16 @@
                 detector.expect_data(pause_s)
             if not events:
                 continue
+            read_s = self._timers.read_monotonic()
+            if placement.samples is not None:
+                placement.samples.note_event(read_s, events.count(b"\n\n"))
             if not flow.sink.begun:
                 await flow.sink.begin(answer.status, answer.headers, None)
             await flow.sink.write(events)
-            flow.progress.note_piece(self._timers.read_monotonic())
+            written_s = self._timers.read_monotonic()
+            flow.progress.note_piece(written_s)
+            if placement.samples and written_s - read_s > SLOW_WRITE_S:
+                placement.samples.disturb()
         detector.stop()
         if flow.cursor.has_partial_event:
             raise transports.make_error("the stream ended within an event")
@@ -273,7 +286,10 @@
         await flow.sink.finish()
 
     async def _forward_buffered(
-        self, flow: flows.Flow, answer: transports.Answer
+        self,
+        flow: flows.Flow,
+        placement: placements.Placement,
+        answer: transports.Answer,
     ) -> None:
         """Buffers a short answer until it is complete, then forwards it."""
         body = await _read_buffered(answer)
@@ -286,6 +302,8 @@
             raise FailedAnswerError(answer, body)
         if answer.status in _NOT_RUN_STATUSES and not repeatable:
             raise transports.make_error(f"it answered {answer.status}")
+        if placement.call is not None and answer.status < 500:
+            placement.call.note_answered()
         flow.progress.note_piece(self._timers.read_monotonic())
         await send_buffered(flow.sink, answer, body)
 
--- a/rhubarblock/exchange/callbalancer.py
+++ b/rhubarblock/exchange/callbalancer.py
@@ -1,12 +1,14 @@
 """Balances plain calls by the calls in flight at each endpoint.
 
-A plain call is a request that carries no prompt for an engine.
+A plain call is a request that carries no prompt for an engine. A call counts as
+much as calls at its endpoint take longer than elsewhere.
 """
 
 from collections.abc import Iterator
 import contextlib
 
 from rhubarblock.core import listed as lists
+from rhubarblock.exchange import calltimes
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import health as healths
 
@@ -19,6 +21,33 @@
 FULL_S = 0.2
 
 
+class Call:
+    """A call in flight."""
+
+    __slots__ = ("_balancer", "_endpoint", "_started_s")
+
+    def __init__(
+        self,
+        balancer: "CallBalancer",
+        endpoint: lists.ListedEndpoint,
+        started_s: float,
+    ):
+        """Starts a call.
+
+        Args:
+          balancer: learns how long it takes.
+          endpoint: where it is sent.
+          started_s: when it was placed, in monotonic seconds.
+        """
+        self._balancer = balancer
+        self._endpoint = endpoint
+        self._started_s = started_s
+
+    def note_answered(self) -> None:
+        """Records that the whole answer arrived and is no error."""
+        self._balancer.note_answered(self._endpoint, self._started_s)
+
+
 class CallBalancer:
     """Counts the calls in flight of one instance by endpoint."""
 
@@ -27,6 +56,7 @@
         "_data_centre",
         "_full_until_s",
         "_health",
+        "_times",
         "_timers",
     )
 
@@ -35,6 +65,7 @@
         health: healths.Health,
         data_centre: str,
         timers: timer_service.Timers,
+        times: calltimes.CallTimes | None = None,
     ):
         """Creates a balancer without calls.
 
@@ -42,10 +73,12 @@
           health: error rates of endpoints.
           data_centre: data centre of this instance.
           timers: the clock.
+          times: durations of calls; None to start without any.
         """
         self._health = health
         self._data_centre = data_centre
         self._timers = timers
+        self._times = times or calltimes.CallTimes()
         self._calls: dict[str, int] = {}
         self._full_until_s: dict[str, float] = {}
 
@@ -64,6 +97,29 @@
         finally:
             self._calls[endpoint_id] -= 1
 
+    def measure(self, endpoint: lists.ListedEndpoint) -> Call:
+        """Returns the measurement of a call that is placed now."""
+        return Call(self, endpoint, self._timers.read_monotonic())
+
+    def note_answered(
+        self, endpoint: lists.ListedEndpoint, started_s: float
+    ) -> None:
+        """Records how long a call took.
+
+        It says nothing about the endpoint if calls of this instance alone fill
+        its slots, so that it had to wait there.
+
+        Args:
+          endpoint: where it was sent.
+          started_s: when it was placed, in monotonic seconds.
+        """
+        if self._calls.get(endpoint.endpoint_id, 0) > endpoint.slots:
+            return
+        now_s = self._timers.read_monotonic()
+        self._times.note(
+            endpoint.service, endpoint.endpoint_id, now_s - started_s, now_s
+        )
+
     def note_refused(self, endpoint_id: str) -> None:
         """Records that an endpoint refused a call.
 
@@ -80,16 +136,25 @@
                 del self._calls[endpoint_id]
         for endpoint_id in set(self._full_until_s) - endpoint_ids:
             del self._full_until_s[endpoint_id]
+        self._times.keep_only(endpoint_ids)
 
     def _compute_cost(self, endpoint: lists.ListedEndpoint) -> float:
         """Returns the cost of an endpoint, in calls in flight."""
-        calls = self._calls.get(endpoint.endpoint_id, 0)
+        calls = float(self._calls.get(endpoint.endpoint_id, 0))
         if self._is_full(endpoint.endpoint_id):
             calls = max(calls, endpoint.slots)
         errors = endpoint.slots * self._health.find_error_rate(
             endpoint.endpoint_id
         )
         is_far = endpoint.data_centre != self._data_centre
+        factor = self._times.find_factor(
+            endpoint.service,
+            endpoint.endpoint_id,
+            self._timers.read_monotonic(),
+        )
+        if factor != 1.0:
+            # The next call takes the factor times as long, as do those before.
+            calls = factor * (calls + 1.0) - 1.0
         return calls + errors + FAR_PENALTY_CALLS * is_far
 
     def _is_full(self, endpoint_id: str) -> bool:
--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -17,6 +17,7 @@
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.relay import retrybudget
 from rhubarblock.routing import health as healths
+from rhubarblock.routing.placement import speeds
 from rhubarblock.settings import exchange as settings_lib
 
 # Fraction of the retries allowed to all instances that they divide among them.
@@ -188,6 +189,25 @@
             self._log(flow, placement, failure, "broken")
             self.suspect(endpoint)
 
+    def note_speed(self, change: speeds.Change) -> None:
+        """Records that an engine began or ceased to deviate in speed."""
+        name = "deviates" if change.deviates else "returned"
+        self._metrics.count(f"exchange.speed_{name}")
+        _logger.info(
+            "engine speed deviates"
+            if change.deviates
+            else "engine speed is as predicted",
+            extra={
+                "endpoint": change.endpoint_id,
+                "prefill_factor": round(change.prefill, 2),
+                "pass_factor": round(change.passes, 2),
+                "weight": round(change.weight, 2),
+                "age_s": round(change.age_s, 3),
+                "deviating": change.deviating,
+            },
+        )
+        self._metrics.gauge("exchange.deviating_engines", change.deviating)
+
     def suspect(self, endpoint: lists.ListedEndpoint) -> None:
         """Marks an endpoint as suspect and announces that to near peers."""
         now_s = self._timers.read_monotonic()
--- a/rhubarblock/exchange/placements.py
+++ b/rhubarblock/exchange/placements.py
@@ -3,9 +3,11 @@
 import dataclasses
 
 from rhubarblock.core import listed as lists
+from rhubarblock.exchange import callbalancer
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import leases
 from rhubarblock.routing.placement import prompt as prompts
+from rhubarblock.routing.placement import speedsamples
 
 # Expected time in seconds to the first byte of a service without engines.
 SERVICE_S = 0.1
@@ -24,6 +26,8 @@
       urgency: rank at an engine; None keeps the default.
       limit_per_s: known rate limit of the endpoint in requests per second; None
         without one.
+      samples: observes the speed of its engines; None for a plain call.
+      call: measures how long a plain call takes; None for a prompt.
     """
 
     endpoint: lists.ListedEndpoint
@@ -33,6 +37,8 @@
     expected_s: float = SERVICE_S
     urgency: int | None = None
     limit_per_s: float | None = None
+    samples: speedsamples.AnswerSamples | None = None
+    call: callbalancer.Call | None = None
 
     def find_helper(self, address: str) -> lists.ListedEndpoint | None:
         """Returns the helper at an address, or None."""
@@ -41,13 +47,16 @@
 
 
 def make_placement(
-    choice: prompts.Choice, limit_per_s: float | None
+    choice: prompts.Choice,
+    limit_per_s: float | None,
+    samples: speedsamples.AnswerSamples | None = None,
 ) -> Placement:
     """Returns the placement of a choice, with leases for its helpers.
 
     Args:
       choice: engines that were chosen for a prompt.
       limit_per_s: rate limit of the first engine, None without one.
+      samples: observes the speed of its engines.
     """
     helpers = []
     held_leases = []
@@ -67,4 +76,5 @@
         tuple(held_leases),
         choice.expected_s,
         limit_per_s=limit_per_s,
+        samples=samples,
     )
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -8,6 +8,7 @@
 from rhubarblock.core import listed as lists
 from rhubarblock.core import route as routes
 from rhubarblock.exchange import callbalancer
+from rhubarblock.exchange import calltimes
 from rhubarblock.exchange import candidates
 from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange import flow as flows
@@ -19,6 +20,7 @@
 from rhubarblock.routing import health as healths
 from rhubarblock.routing.placement import jobtracker
 from rhubarblock.routing.placement import prompt as prompts
+from rhubarblock.routing.placement import speedsamples
 from rhubarblock.routing.placement import splitpolicy
 
 # Longest prompt in tokens that is prefilled again elsewhere to spare its caller
@@ -62,6 +64,7 @@
         cooldowns_: cooldowns.Cooldowns,
         data_centre: str,
         timers: timer_service.Timers,
+        call_times: calltimes.CallTimes | None = None,
     ):
         """Creates a placer.
 
@@ -75,6 +78,7 @@
           cooldowns_: cool-downs that endpoints asked for.
           data_centre: where this instance runs.
           timers: the clock.
+          call_times: how long plain calls took; None to start without any.
         """
         self._directory = directory
         self._job_tracker = job_tracker
@@ -88,7 +92,9 @@
         self._prompt_policy = splitpolicy.SplitPromptPolicy(
             job_tracker, data_centre
         )
-        self._calls = callbalancer.CallBalancer(health, data_centre, timers)
+        self._calls = callbalancer.CallBalancer(
+            health, data_centre, timers, call_times
+        )
         self._numbers = 0
 
     @contextlib.contextmanager
@@ -328,8 +334,9 @@
         chosen = self._calls.choose(endpoints)
         self._note_chosen(chosen, self._timers.read_monotonic())
         with self._calls.hold(chosen.endpoint_id):
+            call = self._calls.measure(chosen)
             rate = self._limits.find_rate(chosen.endpoint_id)
-            yield placements.Placement(chosen, limit_per_s=rate)
+            yield placements.Placement(chosen, limit_per_s=rate, call=call)
 
     @contextlib.contextmanager
     def _hold_prompt(
@@ -340,6 +347,7 @@
         now_s: float,
     ) -> Iterator[placements.Placement | None]:
         self._job_tracker.expire(now_s)
+        self._job_tracker.speeds.refresh(now_s)
         choice = self._prompt_policy.choose(prompt, endpoints, model, now_s)
         if choice is None:
             yield None
@@ -350,7 +358,10 @@
         self._updates.announce_placed(choice.job)
         try:
             rate = self._limits.find_rate(choice.engines[0].endpoint_id)
-            yield placements.make_placement(choice, rate)
+            samples = speedsamples.AnswerSamples(
+                self._job_tracker, choice.job, model, now_s
+            )
+            yield placements.make_placement(choice, rate, samples)
         finally:
             self._job_tracker.remove(choice.job.job_id)
             self._updates.announce_ended(choice.job)
