Learn the speed of engines also from how long peers' jobs ran

Cause: an instance sees the answers of few engines (6 to 16 of 45 after 95 s on site two), but a long prompt takes up to 17, so that unknown ones decide. Change: begin and end of peers' jobs are announced already; their durations are compared within bands of prompt lengths, with a small weight, and count only in a pool in which some engine was observed to deviate. Nothing new is sent.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -113,6 +113,7 @@
             settings.capacity,
         )
         self.job_tracker = jobtracker.JobTracker()
+        self.job_tracker.speeds.find_pool = self._find_service
         self.call_times = calltimes.CallTimes()
         self.health = healths.Health(settings.data_centre)
         self.cooldowns = cooldowns.Cooldowns(self.metrics)
@@ -182,6 +183,11 @@
         following = asyncio.create_task(self._follow(store, updates, follower))
         stack.callback(following.cancel)
 
+    def _find_service(self, endpoint_id: str) -> str:
+        """Returns the service of an endpoint; empty if it is unknown."""
+        listed = self.directory.find(endpoint_id)
+        return listed.service if listed else ""
+
     def _reset_endpoint(
         self, endpoint_id: str, limits: endpointlimits.EndpointLimits
     ) -> None:
--- a/rhubarblock/daemon/exchangeinstance_test.py
+++ b/rhubarblock/daemon/exchangeinstance_test.py
@@ -257,3 +257,31 @@
             return instance.eras.current
 
     assert asyncio.run(main()) == 2
+
+
+def test_restart_of_an_endpoint_forgets_its_speed():
+    """A restarted endpoint may run on other hardware under the same id."""
+    instance = exchangeinstance.ExchangeInstance(
+        make_settings(),
+        FakeDialect(),
+        lambda session, metrics, eras: FakeStore(None),
+        lambda session: fakes.NoLeases(),
+        names.ATTEMPT_ID,
+        random.Random(1),
+    )
+    learned = instance.job_tracker.speeds
+    for _ in range(3):
+        learned.note_pass("e1", 2.0, 0.0)
+    for endpoint_id, taken_s in {"e1": 2.0, "e2": 0.1, "e3": 0.1}.items():
+        for _ in range(20):
+            instance.call_times.note("desk", endpoint_id, taken_s, 0.0)
+    assert learned.find("e1").deviates
+    assert instance.call_times.find_factor("desk", "e1", 0.0) > 2.0
+
+    class NoLimits:
+        def forget(self, endpoint_id):
+            pass
+
+    instance._reset_endpoint("e1", NoLimits())
+    assert not learned.find("e1").deviates
+    assert instance.call_times.find_factor("desk", "e1", 0.0) == 1.0
--- a/rhubarblock/exchange/peering/updates.py
+++ b/rhubarblock/exchange/peering/updates.py
@@ -246,7 +246,7 @@
             )
             self._job_tracker.add(job, now_s)
         elif fields[0] == _ENDED:
-            self._job_tracker.remove(fields[1])
+            self._job_tracker.end(fields[1], now_s)
         elif fields[0] == _CRASH:
             self.on_crash(fields[1], fields[2])
         elif fields[0] == _BROKEN and fields[1] == self._data_centre:
--- a/rhubarblock/experiments/platform/scenario.py
+++ b/rhubarblock/experiments/platform/scenario.py
@@ -274,6 +274,7 @@
             for _ in self._centres
         ]
         self._samples = _find_samples(policy)
+        self._learns_durations = self._samples is speedsamples.AnswerSamples
         if policy == SHARED_SPEEDS:
             common = speedlib.EngineSpeeds()
             self._trackers = [
@@ -326,7 +327,7 @@
         self._broadcast(
             arrival.instance,
             choice.job,
-            lambda tracker: tracker.remove(choice.job.job_id),
+            lambda tracker: self._end(tracker, arrival.instance, choice.job),
         )
         return outcome
 
@@ -390,6 +391,15 @@
                 latency_s + sending_s, update, self._trackers[index]
             )
 
+    def _end(
+        self, tracker: jobtracker.JobTracker, sender: int, job: jobtracker.Job
+    ) -> None:
+        """Removes a job that ended from a job tracker."""
+        if self._learns_durations and tracker is not self._trackers[sender]:
+            tracker.end(job.job_id, _read_clock())
+        else:
+            tracker.remove(job.job_id)
+
     def _list_peers(self, sender: int) -> list[int]:
         """Returns the other instances in the order in which they get updates.
 
--- a/rhubarblock/experiments/platform/scenario_test.py
+++ b/rhubarblock/experiments/platform/scenario_test.py
@@ -127,10 +127,10 @@
 
 def test_learned_speeds_earn_more_than_the_cost_model_on_uneven_engines():
     model, learned, known = (
-        simulate_site_one(policy, UNEVEN).worth
+        simulate_site_one(policy, UNEVEN, 38.0).worth
         for policy in ("model_speeds", "parted", "known_speeds")
     )
-    assert learned > model + 0.02
+    assert learned > model + 0.1
     assert known >= learned
 
 
--- a/rhubarblock/routing/placement/jobtracker.py
+++ b/rhubarblock/routing/placement/jobtracker.py
@@ -348,6 +348,18 @@
             load.helper_prefills.pop(job_id, None)
             load.drop(placed)
 
+    def end(self, job_id: str, now_s: float) -> None:
+        """Removes a peer's job that ended, and learns from its duration."""
+        placed = self._jobs.get(job_id)
+        if placed is None:
+            return
+        job = placed.job
+        taken_s = now_s - placed.placed_s
+        self.speeds.note_duration(
+            job.endpoint_id, job.prompt_tokens, taken_s, now_s
+        )
+        self.remove(job_id)
+
     def remove_source(self, source: str) -> None:
         """Removes all jobs of a source that is gone, such as an instance.
 
--- a/rhubarblock/routing/placement/jobtracker_test.py
+++ b/rhubarblock/routing/placement/jobtracker_test.py
@@ -2,6 +2,7 @@
 from hypothesis import strategies
 
 from rhubarblock.routing.placement import jobtracker
+from rhubarblock.routing.placement import speeds
 
 JOB = jobtracker.Job(
     "j1",
@@ -172,3 +173,19 @@
             assert later.find(name).predict_wait(now_s + 0.5) <= now_wait_s
             for placed in tracker.find(name).jobs.values():
                 assert tracker.predict_finish(placed, now_s) >= 0.0
+
+
+def test_end_of_a_peers_job_is_learned_from_and_frees_its_engine():
+    noted = []
+
+    class Recorder(speeds.EngineSpeeds):
+        def note_duration(self, *fields):
+            noted.append(fields)
+
+    tracker = jobtracker.JobTracker(Recorder())
+    part = jobtracker.Part("e1", 0.1, 500)
+    tracker.add(jobtracker.Job("p.1", (part,), 0.2, 5_000, 0.3), 1.0)
+    tracker.end("p.1", 3.5)
+    tracker.end("p.1", 4.0)
+    assert noted == [("e1", 5_000, 2.5, 3.5)]
+    assert tracker.find("e1").tokens == 0
--- a/rhubarblock/routing/placement/speeds.py
+++ b/rhubarblock/routing/placement/speeds.py
@@ -6,8 +6,15 @@
 and an engine that is no longer observed returns to the cost model. Estimates
 below the noise threshold have no effect at all, so that placement on engines
 of equal speed is exactly that of the cost model.
+
+An instance sees the answers of few engines. Of the others it knows how long the
+jobs of its peers ran, as their begin and end are announced anyway. The lengths
+of their answers are unknown, so that one such duration says little, and it is
+compared with the mean of jobs of like prompts. Durations count only in a pool
+in which some engine was observed to deviate.
 """
 
+import bisect
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
@@ -39,6 +46,16 @@
 MAX_FACTOR = 6.0
 # Weight of the observations of an engine from which its speed is known.
 KNOWN_WEIGHT = 0.4
+# Weight of the duration of a peer's job. Lengths of answers vary by a factor of
+# two, which is more than speeds do, so about twenty durations weigh as much
+# as one observation.
+DURATION_WEIGHT = 0.05
+# Jobs of like prompts from which their mean duration is known, and the largest
+# number that counts in it, so that it follows the load.
+MIN_BAND_JOBS = 5
+MAX_BAND_JOBS = 200
+# Upper bounds of the bands of like prompts, in tokens.
+BANDS = (16_000, 120_000)
 # Seconds between two updates of the estimates for their age.
 REFRESH_S = 1.0
 
@@ -124,31 +141,54 @@
     """What is known of one engine.
 
     Attributes:
+      pool: the pool that it belongs to.
+      durations: ratios of the durations of peers' jobs to the mean.
       prefill: ratios of its prefills.
       passes: ratios of its passes.
       factors: what placement uses.
       deviates: whether it deviates from the cost model.
     """
 
-    __slots__ = ("deviates", "factors", "passes", "prefill")
-
-    def __init__(self, factors: Factors) -> None:
+    __slots__ = (
+        "deviates",
+        "durations",
+        "factors",
+        "passes",
+        "pool",
+        "prefill",
+    )
+
+    def __init__(self, pool: str, factors: Factors) -> None:
+        self.pool = pool
+        self.durations = _Mean()
         self.prefill = _Mean()
         self.passes = _Mean()
         self.factors = factors
         self.deviates = False
 
-    def compute_logs(self, now_s: float) -> tuple[float, float]:
+    def compute_logs(
+        self, now_s: float, middle_log: float | None = None
+    ) -> tuple[float, float]:
         """Returns the logarithms of the factors of prefills and of passes.
 
         An engine is taken to be as slow in one as in the other until
         observations of both differ.
+
+        Args:
+          now_s: current time in monotonic seconds.
+          middle_log: logarithm of the factor of an average engine of the pool;
+            None if the durations of peers' jobs do not count.
         """
         prefill_weight = self.prefill.find_weight(now_s)
         pass_weight = self.passes.find_weight(now_s)
         common = prefill_weight * self.prefill.log
         common += pass_weight * self.passes.log
-        common /= prefill_weight + pass_weight + MODEL_WEIGHT
+        weight = prefill_weight + pass_weight + MODEL_WEIGHT
+        if middle_log is not None:
+            duration_weight = self.durations.find_weight(now_s)
+            common += duration_weight * (self.durations.log + middle_log)
+            weight += duration_weight
+        common /= weight
         return (
             _combine(self.prefill.log, prefill_weight, common),
             _combine(self.passes.log, pass_weight, common),
@@ -159,17 +199,28 @@
         weight = self.prefill.find_weight(now_s)
         return weight + self.passes.find_weight(now_s)
 
-    def apply(self, now_s: float) -> bool:
+    def is_seen_to_deviate(self, now_s: float) -> bool:
+        """Says whether its own answers show that it deviates."""
+        if self.find_weight(now_s) < KNOWN_WEIGHT:
+            return False
+        logs = self.compute_logs(now_s)
+        return max(map(abs, logs)) >= math.log(DEVIATION)
+
+    def apply(self, now_s: float, middle_log: float | None) -> bool:
         """Updates the factors; returns whether it began or ceased to deviate.
 
-        Below the threshold the factors are exactly 1.
+        Below the threshold the factors are exactly 1. For the arguments see
+        ``compute_logs``.
         """
-        logs = self.compute_logs(now_s)
+        logs = self.compute_logs(now_s, middle_log)
         limit = NO_DEVIATION if self.deviates else DEVIATION
         before = self.deviates
         self.deviates = max(map(abs, logs)) >= math.log(limit)
         used = logs if self.deviates else (0.0, 0.0)
-        self.factors.is_known = self.find_weight(now_s) >= KNOWN_WEIGHT
+        weight = self.find_weight(now_s)
+        if middle_log is not None:
+            weight += self.durations.find_weight(now_s)
+        self.factors.is_known = weight >= KNOWN_WEIGHT
         self.factors.prefill, self.factors.passes = map(math.exp, used)
         return self.deviates is not before
 
@@ -179,14 +230,29 @@
 
     Attributes:
       on_change: called when an engine begins or ceases to deviate.
+      find_pool: returns the pool of an engine; engines of different pools are
+        not compared.
     """
 
-    __slots__ = ("_estimates", "_factors", "_refreshed_s", "on_change")
+    __slots__ = (
+        "_bands",
+        "_estimates",
+        "_factors",
+        "_middle_logs",
+        "_refreshed_s",
+        "find_pool",
+        "on_change",
+    )
 
     def __init__(self) -> None:
         self._factors: dict[str, Factors] = {}
         self._estimates: dict[str, _Estimate] = {}
+        # Number of jobs and mean logarithm of their durations by pool and band.
+        self._bands: dict[tuple[str, int], tuple[int, float]] = {}
+        # Of the pools in which some engine deviates.
+        self._middle_logs: dict[str, float] = {}
         self._refreshed_s = 0.0
+        self.find_pool: Callable[[str], str] = _find_only_pool
         self.on_change: Callable[[Change], None] = _ignore
 
     def find(self, endpoint_id: str) -> Factors:
@@ -219,11 +285,36 @@
         estimate.passes.add(ratio, 1.0, now_s)
         self._apply(endpoint_id, estimate, now_s)
 
+    def note_duration(
+        self, endpoint_id: str, tokens: int, taken_s: float, now_s: float
+    ) -> None:
+        """Records how long a peer's job ran; it counts at the next refresh.
+
+        Args:
+          endpoint_id: the engine that decoded it.
+          tokens: length of its prompt.
+          taken_s: seconds from its placement to its end.
+          now_s: current time in monotonic seconds.
+        """
+        if taken_s <= 0.0:
+            return
+        estimate = self._find_estimate(endpoint_id)
+        band = (estimate.pool, bisect.bisect_left(BANDS, tokens))
+        jobs, mean = self._bands.get(band, (0, 0.0))
+        jobs = min(MAX_BAND_JOBS, jobs + 1)
+        log = math.log(taken_s)
+        mean += (log - mean) / jobs
+        self._bands[band] = (jobs, mean)
+        if jobs >= MIN_BAND_JOBS:
+            ratio = math.exp(log - mean)
+            estimate.durations.add(ratio, DURATION_WEIGHT, now_s)
+
     def refresh(self, now_s: float) -> None:
         """Lets the estimates age; does nothing if that was done recently."""
         if now_s - self._refreshed_s < REFRESH_S:
             return
         self._refreshed_s = now_s
+        self._compute_middles(now_s)
         for endpoint_id, estimate in self._estimates.items():
             self._apply(endpoint_id, estimate, now_s)
 
@@ -245,17 +336,45 @@
     def _find_estimate(self, endpoint_id: str) -> _Estimate:
         found = self._estimates.get(endpoint_id)
         if found is None:
-            found = _Estimate(self.find(endpoint_id))
+            pool = self.find_pool(endpoint_id)
+            found = _Estimate(pool, self.find(endpoint_id))
             self._estimates[endpoint_id] = found
         return found
 
+    def _compute_middles(self, now_s: float) -> None:
+        """Computes the factor of an average engine of each uneven pool.
+
+        Durations show only how engines compare with each other. Those that were
+        observed themselves show how they compare with the cost model.
+        """
+        uneven = {
+            estimate.pool
+            for estimate in self._estimates.values()
+            if estimate.is_seen_to_deviate(now_s)
+        }
+        self._middle_logs = {}
+        for pool in uneven:
+            differences = [
+                estimate.compute_logs(now_s)[1] - estimate.durations.log
+                for estimate in self._estimates.values()
+                if estimate.pool == pool
+                and estimate.passes.find_weight(now_s) >= KNOWN_WEIGHT
+                and estimate.durations.find_weight(now_s) > 0.0
+            ]
+            # The cost model counts as one more engine.
+            middle_log = sum(differences) / (len(differences) + 1)
+            self._middle_logs[pool] = middle_log
+
     def _apply(
         self, endpoint_id: str, estimate: _Estimate, now_s: float
     ) -> None:
-        if not estimate.apply(now_s):
+        middle_log = self._middle_logs.get(estimate.pool)
+        if not estimate.apply(now_s, middle_log):
             return
-        prefill, passes = map(math.exp, estimate.compute_logs(now_s))
-        noted_s = max(estimate.prefill.noted_s, estimate.passes.noted_s)
+        logs = estimate.compute_logs(now_s, middle_log)
+        prefill, passes = map(math.exp, logs)
+        means = (estimate.prefill, estimate.passes, estimate.durations)
+        noted_s = max(mean.noted_s for mean in means)
         weight = estimate.find_weight(now_s)
         self.on_change(
             Change(
@@ -275,5 +394,10 @@
     return (weight * log + COMMON_WEIGHT * common) / (weight + COMMON_WEIGHT)
 
 
+def _find_only_pool(endpoint_id: str) -> str:
+    del endpoint_id
+    return ""
+
+
 def _ignore(change: Change) -> None:
     del change
--- a/rhubarblock/routing/placement/speeds_test.py
+++ b/rhubarblock/routing/placement/speeds_test.py
@@ -1,5 +1,7 @@
 """Estimates of engine speeds: confidence, age, threshold, restart."""
 
+import random
+
 import pytest
 
 from rhubarblock.routing.placement import speeds
@@ -100,3 +102,57 @@
     assert changes[0].deviating == 1
     assert changes[0].age_s == 0.0
     assert changes[0].passes > 1.5
+
+
+def run_peer_jobs(learned, factors, count=60):
+    """Lets peers' jobs run that take 1 s at an engine like the model."""
+    rng = random.Random(5)
+    now_s = 0.0
+    for _ in range(count):
+        for endpoint_id, factor in factors.items():
+            now_s += 0.05
+            taken_s = factor * rng.lognormvariate(0.0, 0.6)
+            learned.note_duration(endpoint_id, 5_000, taken_s, now_s)
+            learned.refresh(now_s)
+    learned.refresh(now_s + speeds.REFRESH_S)
+    return now_s
+
+
+UNEVEN = {"e1": 0.5, "e2": 1.0, "e3": 1.0, "e4": 2.0}
+
+
+def test_peers_jobs_alone_show_no_deviation():
+    """Lengths of answers are unknown, so chance must not change placement."""
+    learned = speeds.EngineSpeeds()
+    run_peer_jobs(learned, UNEVEN)
+    assert not any(learned.find(e).deviates for e in UNEVEN)
+
+
+def test_peers_jobs_show_other_engines_once_one_was_seen_to_deviate():
+    learned = speeds.EngineSpeeds()
+    for _ in range(4):
+        learned.note_pass("e4", 2.0, 0.0)
+    run_peer_jobs(learned, UNEVEN)
+    assert learned.find("e1").passes == pytest.approx(0.5, rel=0.35)
+    assert learned.find("e1").is_known
+    assert not learned.find("e2").deviates
+
+
+def test_peers_jobs_are_measured_by_engines_that_were_seen():
+    """In a pool that is slow as a whole, an average engine is a slow one."""
+    learned = speeds.EngineSpeeds()
+    for _ in range(4):
+        for endpoint_id in ("e1", "e2", "e3"):
+            learned.note_pass(endpoint_id, 3.0, 0.0)
+    run_peer_jobs(learned, dict.fromkeys(UNEVEN, 3.0))
+    assert learned.find("e4").passes > 1.8
+
+
+def test_pools_are_not_compared_with_each_other():
+    learned = speeds.EngineSpeeds()
+    learned.find_pool = lambda endpoint_id: endpoint_id[0]
+    for _ in range(4):
+        learned.note_pass("f1", 2.0, 0.0)
+    run_peer_jobs(learned, UNEVEN)
+    assert learned.find("f1").deviates
+    assert not any(learned.find(e).deviates for e in UNEVEN)
