--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -18,6 +18,7 @@
 from rhubarblock.daemon import statuspages
 from rhubarblock.exchange import admission
 from rhubarblock.exchange import attempts
+from rhubarblock.exchange import calltimes
 from rhubarblock.exchange import candidates
 from rhubarblock.exchange import coldroom
 from rhubarblock.exchange import coldstarts
@@ -127,6 +128,8 @@
             settings.capacity,
         )
         self.job_tracker = jobtracker.JobTracker()
+        self.job_tracker.speeds.find_pool = self._find_service
+        self.call_times = calltimes.CallTimes()
         self.health = healths.Health(settings.data_centre)
         self.cooldowns = cooldowns.Cooldowns(self.metrics)
         self.eras = era_lib.EraTracker(self.metrics)
@@ -209,11 +212,18 @@
         following = asyncio.create_task(self._follow(store, updates, follower))
         stack.callback(following.cancel)
 
+    def _find_service(self, endpoint_id: str) -> str:
+        """Returns the service of an endpoint; empty if it is unknown."""
+        listed = self.directory.find(endpoint_id)
+        return listed.service if listed else ""
+
     def _reset_endpoint(
         self, endpoint_id: str, limits: endpointlimits.EndpointLimits
     ) -> None:
         """Discards the state recorded for earlier runs of an endpoint."""
         self.job_tracker.remove_engine(endpoint_id)
+        self.job_tracker.speeds.forget(endpoint_id)
+        self.call_times.forget(endpoint_id)
         self.health.forget(endpoint_id)
         limits.forget(endpoint_id)
         self.cooldowns.forget(endpoint_id)
@@ -341,6 +351,7 @@
             self.cooldowns,
             self.settings.data_centre,
             self.timers,
+            self.call_times,
         )
         stack.enter_context(
             self.timers.subscribe(CLEANUP_INTERVAL_S, placer.remove_unlisted)
@@ -406,6 +417,7 @@
         crash_detector = crashes.CrashDetector(
             updates, self.timers, is_evacuated=self.directory.is_evacuated
         )
+        self.job_tracker.speeds.on_change = outcome.note_speed
         return relays.ExchangeRelay(
             placer,
             runner,
--- a/rhubarblock/daemon/exchangeinstance_test.py
+++ b/rhubarblock/daemon/exchangeinstance_test.py
@@ -292,3 +292,31 @@
     console = rich.console.Console(file=io.StringIO())
     status_command.print_status(status, console)
     assert "osu-hall" in console.file.getvalue().partition("Evacuations")[2]
+
+
+def test_restart_of_an_endpoint_forgets_its_speed():
+    """A restarted endpoint may run on other hardware under the same id."""
+    instance = exchangeinstance.ExchangeInstance(
+        make_settings(),
+        FakeDialect(),
+        lambda session, metrics, eras: FakeStore(None),
+        lambda session: fakes.NoLeases(),
+        names.ATTEMPT_ID,
+        random.Random(1),
+    )
+    learned = instance.job_tracker.speeds
+    for _ in range(3):
+        learned.note_pass("e1", 2.0, 0.0)
+    for endpoint_id, taken_s in {"e1": 2.0, "e2": 0.1, "e3": 0.1}.items():
+        for _ in range(20):
+            instance.call_times.note("desk", endpoint_id, taken_s, 0.0)
+    assert learned.find("e1").deviates
+    assert instance.call_times.find_factor("desk", "e1", 0.0) > 2.0
+
+    class NoLimits:
+        def forget(self, endpoint_id):
+            pass
+
+    instance._reset_endpoint("e1", NoLimits())
+    assert not learned.find("e1").deviates
+    assert instance.call_times.find_factor("desk", "e1", 0.0) == 1.0
--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -18,6 +18,7 @@
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import health as healths
+from rhubarblock.routing.placement import speeds
 from rhubarblock.routing.retrylending import reserve as reserves
 
 # Upper bounds of the bands of prompt lengths, in tokens.
@@ -254,6 +255,25 @@
                 # One that is slow did not restart.
                 self.on_broken(endpoint.endpoint_id)
 
+    def note_speed(self, change: speeds.Change) -> None:
+        """Records that an engine began or ceased to deviate in speed."""
+        name = "deviates" if change.deviates else "returned"
+        self._metrics.count(f"exchange.speed_{name}")
+        _logger.info(
+            "engine speed deviates"
+            if change.deviates
+            else "engine speed is as predicted",
+            extra={
+                "endpoint": change.endpoint_id,
+                "prefill_factor": round(change.prefill, 2),
+                "pass_factor": round(change.passes, 2),
+                "weight": round(change.weight, 2),
+                "age_s": round(change.age_s, 3),
+                "deviating": change.deviating,
+            },
+        )
+        self._metrics.gauge("exchange.deviating_engines", change.deviating)
+
     def suspect(self, endpoint: lists.ListedEndpoint) -> None:
         """Marks an endpoint as suspect and announces that to near peers."""
         now_s = self._timers.read_monotonic()
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -10,6 +10,7 @@
 from rhubarblock.core import listed as lists
 from rhubarblock.core import route as routes
 from rhubarblock.exchange import callbalancer
+from rhubarblock.exchange import calltimes
 from rhubarblock.exchange import candidates
 from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange import flow as flows
@@ -23,6 +24,7 @@
 from rhubarblock.routing.admission import controller as controllers
 from rhubarblock.routing.placement import jobtracker
 from rhubarblock.routing.placement import prompt as prompts
+from rhubarblock.routing.placement import speedsamples
 from rhubarblock.routing.placement import splitpolicy
 from rhubarblock.routing.retrylending import reserve as reserves
 
@@ -78,6 +80,7 @@
         cooldowns_: cooldowns.Cooldowns,
         data_centre: str,
         timers: timer_service.Timers,
+        call_times: calltimes.CallTimes | None = None,
     ):
         """Creates a placer.
 
@@ -91,6 +94,7 @@
           cooldowns_: cool-downs that endpoints asked for.
           data_centre: where this instance runs.
           timers: the clock.
+          call_times: how long plain calls took; None to start without any.
         """
         self._directory = directory
         self._job_tracker = job_tracker
@@ -104,7 +108,9 @@
         self._prompt_policy = splitpolicy.SplitPromptPolicy(
             job_tracker, data_centre
         )
-        self._calls = callbalancer.CallBalancer(health, data_centre, timers)
+        self._calls = callbalancer.CallBalancer(
+            health, data_centre, timers, call_times
+        )
         self._numbers = 0
 
     @contextlib.contextmanager
@@ -146,6 +152,7 @@
         job_id = self._make_job_id()
         prompt = _make_prompt(exchange, job_id, is_mid_stream, now_s, refusals)
         self._job_tracker.expire(now_s)
+        self._job_tracker.speeds.refresh(now_s)
         choice = None
         if last_choice:
             others = self._candidates.list_for(exchange, avoid | last_choice)
@@ -157,7 +164,7 @@
         outlook = self._describe_outlook(choice, endpoints, model, now_s)
         if not admits(outlook):
             choice = None
-        with self._hold_choice(choice, now_s) as placement:
+        with self._hold_choice(choice, model, now_s) as placement:
             yield placement
 
     def _make_job_id(self) -> str:
@@ -429,12 +436,16 @@
         self._note_chosen(chosen, self._timers.read_monotonic())
         self._candidates.note_called(chosen.endpoint_id)
         with self._calls.hold(chosen.endpoint_id):
+            call = self._calls.measure(chosen)
             rate = self._limits.find_rate(chosen.endpoint_id)
-            yield placements.Placement(chosen, limit_per_s=rate)
+            yield placements.Placement(chosen, limit_per_s=rate, call=call)
 
     @contextlib.contextmanager
     def _hold_choice(
-        self, choice: prompts.Choice | None, now_s: float
+        self,
+        choice: prompts.Choice | None,
+        model: routes.EngineCostModel,
+        now_s: float,
     ) -> Iterator[placements.Placement | None]:
         if choice is None:
             yield None
@@ -445,7 +456,10 @@
         self._updates.announce_placed(choice.job)
         try:
             rate = self._limits.find_rate(choice.engines[0].endpoint_id)
-            yield placements.make_placement(choice, rate)
+            samples = speedsamples.AnswerSamples(
+                self._job_tracker, choice.job, model, now_s
+            )
+            yield placements.make_placement(choice, rate, samples)
         finally:
             self._job_tracker.remove(choice.job.job_id)
             self._updates.announce_ended(choice.job)
--- a/rhubarblock/experiments/platform/overload.py
+++ b/rhubarblock/experiments/platform/overload.py
@@ -234,7 +234,10 @@
     """Modelled engines and instances with admission control."""
 
     def __init__(self, plan: deployments.Plan, policy: str, seed: int):
-        super().__init__(plan, splitpolicy.SplitPromptPolicy.plugin_name)
+        speeds = [1.0] * sum(plan.engines)
+        super().__init__(
+            plan, splitpolicy.SplitPromptPolicy.plugin_name, speeds
+        )
         self._admits = policy == ADMISSION
         self._ranks = {kind.name: n for n, kind in enumerate(plan.kinds)}
         self._controllers = [
