--- a/rhubarblock/exchange/coldroom.py
+++ b/rhubarblock/exchange/coldroom.py
@@ -14,8 +14,8 @@
 from rhubarblock.routing.coldstart import coldbound
 from rhubarblock.routing.coldstart import recentcounts
 
-# Seconds for which the users of an endpoint are cached. Counting them takes 0.6 ms
-# among 300 instances, and a lost one is noticed no sooner.
+# Seconds for which the users of an endpoint are cached. Counting them takes a
+# pass over all instances, and a lost one is noticed no sooner.
 USERS_TTL_S = 10.0
 # Seconds, for each of its users, over which instances spread their return to an
 # endpoint that was at the bound, a few times the latency of a datagram: those
