--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -858,3 +858,29 @@
     assert failure.verdict is verdicts.Verdict.NOT_RUN
     assert (failure.retry_after_s is not None) is has_time
     assert "home regions" in failure.message
+
+
+async def stay_silent(head, writer):
+    await asyncio.sleep(5.0)
+
+
+@pytest.mark.parametrize(
+    ("script", "broken"), [(cut, ["e1"]), (stay_silent, []), (FAILS, [])]
+)
+def test_only_a_broken_connection_may_show_a_restart(script, broken):
+    """A slow endpoint must not be taken for cold and be slowed further."""
+
+    async def main():
+        first = fakes.ScriptedEndpoint(script)
+        async with fakes.open_parts(first) as parts:
+            told = []
+            parts.relay._outcomes.on_broken = told.append
+            # The other endpoint refuses connections.
+            parts.directory.update(fakes.make_endpoint(2))
+            with contextlib.suppress(failures.FailureError):
+                await parts.relay.serve(
+                    fakes.make_exchange(), fakes.MemorySink()
+                )
+            return [name for name in told if name != "e2"]
+
+    assert asyncio.run(main()) == broken
