Evacuate data centres in the soak

Evacuations were tested with fakes and on a few sockets, never beside the other faults. The soak's operator now writes and removes evacuations that overlap and may name all data centres or an unknown one, and writes them again after a restore. A watch checks what arrives at endpoints later than evacuateMs after the acknowledged write. The time counts anew from a freeze, a broken proxy of the store or an outage, unless the process knew the evacuation before.

--- a/features/soak_test.py
+++ b/features/soak_test.py
@@ -1,16 +1,20 @@
 """The soak's checks find violations, and a short run of it has none."""
 
 import asyncio
+import math
 import random
 
 from rhubarblock.platform import names
 from tools.soak import cooldownwatch
+from tools.soak import evacuations
+from tools.soak import evacuationwatch
 from tools.soak import evidence as evidences
 from tools.soak import keepalivecallers
 from tools.soak import leavewatch
 from tools.soak import proxy as proxies
 from tools.soak import ratewatch
 from tools.soak import run
+from tools.soak import store as stores
 from tools.soak import wire
 
 # When the requests of the tests are sent, in seconds of the soak's clock.
@@ -338,6 +342,92 @@
         assert seen.violations == []
 
 
+class EvacuationCase:
+    """An evacuation of ``osu``, with a clock of its own."""
+
+    def __init__(self, monkeypatch):
+        self.now_s = SENT_S
+        monkeypatch.setattr(evidences, "read_clock", lambda: self.now_s)
+        self.seen = make_evidence("again", process_id=5)
+        self.store = stores.SoakStore()
+        self.proxy = proxies.SoakProxy()
+        self.watch = evacuationwatch.EvacuationWatch(self.store, self.seen)
+        self.operator = evacuations.Operator(
+            self.store, self.watch, ["osu"], random.Random(1)
+        )
+        self.store.put("evacuations/osu", {})
+        self.watch.note_written("osu")
+
+    def arrive(self, after_s, data_centre="osu", process_id=5):
+        """Lets a request arrive, and returns the number of violations."""
+        self.now_s = SENT_S + after_s
+        self.watch.observe(process_id, self.proxy)
+        self.seen.sent["q1"].process_id = process_id
+        endpoint_proxy = proxies.SoakProxy()
+        self.watch.check_arrival("q1", "e1", data_centre, endpoint_proxy)
+        return len(self.seen.violations)
+
+
+def test_request_to_an_evacuated_data_centre_is_a_violation(monkeypatch):
+    case = EvacuationCase(monkeypatch)
+    assert case.arrive(0.0) == 0
+    assert case.arrive(5.4) == 0
+    assert case.arrive(6.0, "tema") == 0
+    assert case.arrive(6.0) == 1
+    assert "q1 of process 5 reached e1 1.00 s after" in case.seen.violations[0]
+    # A process that starts now must know the evacuation before it serves.
+    assert case.arrive(6.0, process_id=6) == 2
+
+
+def test_time_to_obey_an_evacuation_counts_from_a_fault(monkeypatch):
+    for disturb in (
+        lambda case, is_on: setattr(case.store, "is_down", is_on),
+        lambda case, is_on: setattr(case.proxy, "mode", "mute" * is_on),
+        lambda case, is_on: case.seen.disturbed_s.update(
+            {5: math.inf if is_on else case.now_s}
+        ),
+    ):
+        case = EvacuationCase(monkeypatch)
+        disturb(case, True)
+        assert case.arrive(6.0) == 0
+        disturb(case, False)
+        assert case.arrive(11.4) == 0
+        # The process knew the evacuation before this fault.
+        disturb(case, True)
+        assert case.arrive(12.0) == 1
+
+
+def test_evacuation_that_a_restored_store_lacks_is_not_forgotten(monkeypatch):
+    case = EvacuationCase(monkeypatch)
+    case.arrive(5.0)
+    case.store.remove("evacuations/osu")
+    assert case.arrive(5.1, process_id=6) == 0
+    assert case.arrive(10.4, process_id=6) == 0
+    assert case.arrive(10.4) == 1
+
+
+def test_operator_writes_what_the_store_lost_or_regained(monkeypatch):
+    case = EvacuationCase(monkeypatch)
+
+    async def evacuate():
+        longer = asyncio.ensure_future(case.operator.evacuate())
+        await asyncio.sleep(0)
+        monkeypatch.setattr(evacuations, "LENGTHS_S", (0.0, 0.0))
+        await case.operator.evacuate()
+        assert "evacuations/osu" in case.store.list_names("evacuations/")
+        case.store.remove("evacuations/osu")
+        case.operator.write()
+        assert "evacuations/osu" in case.store.list_names("evacuations/")
+        case.operator.end_all()
+        case.store.put("evacuations/osu", {})
+        case.operator.write()
+        longer.cancel()
+
+    asyncio.run(evacuate())
+    assert case.store.list_names("evacuations/") == []
+    assert case.arrive(9.0) == 0
+
+
 def test_seeds_are_parsed_from_the_file_and_the_option(tmp_path):
     path = tmp_path / "seeds.txt"
     path.write_text("# Seeds.\n17 a stop that cut streams\n\n4 a lost lease\n")
--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -10,6 +10,7 @@
 
 from rhubarblock.platform import names
 from tools.soak import cooldownwatch
+from tools.soak import evacuationwatch
 from tools.soak import evidence as evidences
 from tools.soak import leavewatch
 from tools.soak import proxy as proxies
@@ -55,6 +56,7 @@
         data_centre: str,
         store: stores.SoakStore,
         evidence: evidences.Evidence,
+        evacuations: evacuationwatch.EvacuationWatch,
         revoke_s: float,
         rng: random.Random,
     ):
@@ -68,6 +70,7 @@
         self._data_centre = data_centre
         self._store = store
         self._evidence = evidence
+        self._evacuations = evacuations
         self._revoke_s = revoke_s
         self._rng = rng
         self._leases: dict[str, float] = {}
@@ -161,6 +164,9 @@
         self.rate.note_arrival(request_id, self.proxy.healed_s)
         self._cooldowns.note_arrival(request_id, self.proxy)
         leavewatch.check_arrival(self._evidence, request_id, self.id)
+        self._evacuations.check_arrival(
+            request_id, self.id, self._data_centre, self.proxy
+        )
         if self._announced_leaving:
             answer[names.LEAVING] = "1"
         if self.rate.per_s is not None:
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -15,6 +15,8 @@
 # a load balancer that probes once a second notices the stop only after two
 # failed probes.
 BALANCER_DELAY_S = 2.0
+# Milliseconds within which an evacuation must be in force.
+EVACUATE_MS = 5_000
 
 SETTINGS = """\
 nodeName = "{name}"
@@ -30,6 +32,7 @@
 drainMs = 2000
 graceS = 6
 revokeMs = {revoke_ms}
+evacuateMs = {evacuate_ms}
 retryBudgetRatio = 0.2
 retryBudgetSlack = 100
 budgetWindowS = 10
@@ -77,6 +80,7 @@
                 peers=peers,
                 last=peers + 1,
                 revoke_ms=round(revoke_s * 1e3),
+                evacuate_ms=EVACUATE_MS,
                 store=store_port,
             )
         )
--- a/tools/soak/restore.py
+++ b/tools/soak/restore.py
@@ -21,7 +21,7 @@
     store: stores.SoakStore,
     endpoints: list[engines.SoakEndpoint],
     evidence: evidences.Evidence,
-    write_configuration: Callable[[], None],
+    write_again: Callable[[], None],
     rng: random.Random,
 ) -> None:
     """Restores an older snapshot and waits until lost writes are repeated.
@@ -31,7 +31,7 @@
       endpoints: write their entries again if they had one.
       evidence: revocations that the snapshot lacks count only from when
         the configuration is written again.
-      write_configuration: writes the operator's newest configuration.
+      write_again: writes the newest objects of the operator.
       rng: chooses the times.
     """
     store.is_down = True
@@ -47,7 +47,7 @@
         for endpoint in endpoints:
             group.create_task(_rewrite_entry(endpoint, rng))
         await asyncio.sleep(rng.uniform(0.0, REWRITE_S))
-        write_configuration()
+        write_again()
         for key in lost_keys:
             evidence.key_revoked_s[key] = evidences.read_clock()
     await asyncio.sleep(EXPIRY_S - REWRITE_S)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -15,6 +15,8 @@
 from tools.soak import callers
 from tools.soak import configuration
 from tools.soak import engines
+from tools.soak import evacuations
+from tools.soak import evacuationwatch
 from tools.soak import evidence as evidences
 from tools.soak import fleet
 from tools.soak import keepalivecallers
@@ -63,6 +65,12 @@
         self.folder = folder
         self.store = stores.SoakStore()
         self.evidence = evidences.Evidence()
+        self.evacuations = evacuationwatch.EvacuationWatch(
+            self.store, self.evidence
+        )
+        self.operator = evacuations.Operator(
+            self.store, self.evacuations, DATA_CENTRES, self.rng
+        )
         self.keys = [f"key-{n}" for n in range(6)]
         self.version = 1
         self.stop = asyncio.Event()
@@ -79,7 +87,12 @@
             await self._start(stack, group, store_port)
             await self._wait_ready()
             self._start_callers()
-            watching = group.create_task(self.evidence.watch_stalls())
+            watching = [
+                group.create_task(self.evidence.watch_stalls()),
+                group.create_task(
+                    self.evacuations.run(self.instances, self.proxies)
+                ),
+            ]
             faulting = group.create_task(self._inject_faults())
             await asyncio.sleep(length_s)
             faulting.cancel()
@@ -93,7 +106,8 @@
                 task.cancel()
             await asyncio.sleep(RELEASE_S)
             self._check_memory()
-            watching.cancel()
+            for task in watching:
+                task.cancel()
             self.stop.set()
             for instance in self.instances:
                 instance.send(signal.SIGKILL)
@@ -110,6 +124,11 @@
             configuration.make_configuration(self.version, self.keys),
         )
 
+    def _write_again(self) -> None:
+        """Writes all objects of the operator again."""
+        self._put_configuration()
+        self.operator.write()
+
     async def _start(
         self,
         stack: contextlib.AsyncExitStack,
@@ -122,6 +141,7 @@
                 DATA_CENTRES[n % len(DATA_CENTRES)],
                 self.store,
                 self.evidence,
+                self.evacuations,
                 REVOKE_S,
                 random.Random(self.rng.random()),
             )
@@ -202,12 +222,14 @@
             self._announce_limits,
             self._drain_unlisted,
             self._refuse_with_cooldown,
+            self.operator.evacuate,
         )
         # Every run has these faults; the others are drawn.
         due = [
             self._drain_unlisted,
             self._refuse_with_cooldown,
             self._restore_store,
+            self.operator.evacuate,
         ]
         running: set[asyncio.Task[None]] = set()
         while True:
@@ -262,7 +284,7 @@
                 self.store,
                 self.endpoints,
                 self.evidence,
-                self._put_configuration,
+                self._write_again,
                 self.rng,
             )
         finally:
@@ -330,6 +352,7 @@
             self.evidence.key_revoked_s[key] = evidences.read_clock()
 
     def _heal(self) -> None:
+        self.operator.end_all()
         for proxy in self.proxies:
             proxy.heal()
         self.store.is_down = False
