Evacuate a data centre in the calm part of the soak, too

One data centre is now also evacuated from the last fault to the end of the first planned stops. Evacuations during faults last longer.

--- a/features/soak_test.py
+++ b/features/soak_test.py
@@ -410,10 +410,10 @@
     case = EvacuationCase(monkeypatch)
 
     async def evacuate():
-        longer = asyncio.ensure_future(case.operator.evacuate())
+        longer = asyncio.ensure_future(case.operator.evacuate_some())
         await asyncio.sleep(0)
         monkeypatch.setattr(evacuations, "LENGTHS_S", (0.0, 0.0))
-        await case.operator.evacuate()
+        await case.operator.evacuate_some()
         assert "evacuations/osu" in case.store.list_names("evacuations/")
         case.store.remove("evacuations/osu")
         case.operator.write()
--- a/tools/soak/evacuations.py
+++ b/tools/soak/evacuations.py
@@ -1,8 +1,9 @@
 """The operator, who evacuates data centres by objects in the store."""
 
 import asyncio
-import collections
+from collections.abc import AsyncIterator
 from collections.abc import Sequence
+import contextlib
 import random
 
 from rhubarblock.platform import names
@@ -11,7 +12,7 @@
 
 # Shortest and longest evacuation in seconds; most are longer than the time
 # within which an evacuation must be in force.
-LENGTHS_S = (4.0, 9.0)
+LENGTHS_S = (5.0, 11.0)
 # Share of the evacuations that also name a data centre that does not exist.
 UNKNOWN_SHARE = 0.2
 UNKNOWN = "elsewhere"
@@ -33,30 +34,34 @@
         self._watch = watch
         self._data_centres = data_centres
         self._rng = rng
-        # How many evacuations that overlap want each data centre.
-        self._wanted: collections.Counter[str] = collections.Counter()
-        self._has_ended = False
+        # The data centres of each evacuation; they may overlap.
+        self._wanted: list[set[str]] = []
 
-    async def evacuate(self) -> None:
-        """Evacuates some or all data centres for a time.
+    async def evacuate_some(self) -> None:
+        """Evacuates some or all data centres for a time."""
+        count = self._rng.randint(1, len(self._data_centres))
+        chosen = set(self._rng.sample(self._data_centres, count))
+        if self._rng.random() < UNKNOWN_SHARE:
+            chosen.add(UNKNOWN)
+        async with self.evacuate(chosen):
+            await asyncio.sleep(self._rng.uniform(*LENGTHS_S))
+
+    @contextlib.asynccontextmanager
+    async def evacuate(self, chosen: set[str]) -> AsyncIterator[None]:
+        """Evacuates data centres until the end of the context.
 
         Evacuations may overlap; a data centre is evacuated until all of them
         have ended.
         """
-        count = self._rng.randint(1, len(self._data_centres))
-        chosen = self._rng.sample(self._data_centres, count)
-        if self._rng.random() < UNKNOWN_SHARE:
-            chosen.append(UNKNOWN)
-        length_s = self._rng.uniform(*LENGTHS_S)
-        self._wanted.update(chosen)
+        self._wanted.append(chosen)
         await self._write_when_possible()
-        await asyncio.sleep(length_s)
-        self._wanted.subtract(chosen)
+        yield
+        self._wanted = [other for other in self._wanted if other is not chosen]
         await self._write_when_possible()
 
     def end_all(self) -> None:
         """Ends all evacuations, also those that are not yet written."""
-        self._has_ended = True
+        self._wanted.clear()
         self.write()
 
     async def _write_when_possible(self) -> None:
@@ -66,11 +71,7 @@
 
     def write(self) -> None:
         """Writes what is wanted; the store may have lost or regained some."""
-        wanted = {
-            data_centre
-            for data_centre, count in self._wanted.items()
-            if count > 0 and not self._has_ended
-        }
+        wanted = set[str]().union(*self._wanted)
         listed = {
             name.removeprefix(names.EVACUATION_KIND)
             for name in self._store.list_names(names.EVACUATION_KIND)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -98,9 +98,15 @@
             faulting.cancel()
             self._heal()
             await self._wait_ready()
-            await asyncio.sleep(SETTLE_S)
-            self.evidence.calm_since_s = evidences.read_clock()
-            await self._run_planned_work()
+            # One data centre is evacuated in a part of the calm time.
+            chosen = {self.rng.choice(DATA_CENTRES)}
+            async with self.operator.evacuate(chosen):
+                await asyncio.sleep(SETTLE_S)
+                self.evidence.calm_since_s = evidences.read_clock()
+                self._start_keep_alive_callers()
+                await self._run_planned_work(SERVICES[0])
+            await self._run_planned_work(SERVICES[1])
+            await asyncio.sleep(FINISH_S)
             self.evidence.calm_since_s = None
             for task in self.caller_tasks:
                 task.cancel()
@@ -222,14 +228,14 @@
             self._announce_limits,
             self._drain_unlisted,
             self._refuse_with_cooldown,
-            self.operator.evacuate,
+            self.operator.evacuate_some,
         )
         # Every run has these faults; the others are drawn.
         due = [
             self._drain_unlisted,
             self._refuse_with_cooldown,
             self._restore_store,
-            self.operator.evacuate,
+            self.operator.evacuate_some,
         ]
         running: set[asyncio.Task[None]] = set()
         while True:
@@ -366,27 +372,22 @@
         for instance in self.instances:
             instance.send(signal.SIGCONT)
 
-    async def _run_planned_work(self) -> None:
-        """Stops instances, drains endpoints and lets some refuse requests."""
-        self._start_keep_alive_callers()
-        for service in SERVICES:
-            await plannedstops.stop_some(
-                self.instances, self.evidence, self.rng
-            )
-            service_endpoints = self._list_endpoints(service)
-            draining, refusing = self.rng.sample(service_endpoints, 2)
-            draining.end("drain")
-            retry_after_s = self.rng.choice(COOLDOWNS_S)
-            refusal = asyncio.ensure_future(
-                refusing.refuse_all(retry_after_s, fleet.BALANCER_DELAY_S)
-            )
-            await asyncio.sleep(fleet.BALANCER_DELAY_S)
-            self._revoke_key()
-            await self._wait_ready()
-            await refusal
-            for instance in self.instances:
-                instance.stop_signalled_s = None
-        await asyncio.sleep(FINISH_S)
+    async def _run_planned_work(self, service: str) -> None:
+        """Stops instances, drains an endpoint and lets one refuse requests."""
+        await plannedstops.stop_some(self.instances, self.evidence, self.rng)
+        service_endpoints = self._list_endpoints(service)
+        draining, refusing = self.rng.sample(service_endpoints, 2)
+        draining.end("drain")
+        retry_after_s = self.rng.choice(COOLDOWNS_S)
+        refusal = asyncio.ensure_future(
+            refusing.refuse_all(retry_after_s, fleet.BALANCER_DELAY_S)
+        )
+        await asyncio.sleep(fleet.BALANCER_DELAY_S)
+        self._revoke_key()
+        await self._wait_ready()
+        await refusal
+        for instance in self.instances:
+            instance.stop_signalled_s = None
 
     def _check_memory(self) -> None:
         held = sum(endpoint.count_leases() for endpoint in self.endpoints)
