Let storms of callers hit the soak's instances

The load of the soak was even. For one to two seconds, 80 callers now send requests without a pause, during faults and once in the calm time: 0.4 of them return at once when they are refused, the others when Retry-After says.

--- a/features/soak_test.py
+++ b/features/soak_test.py
@@ -15,6 +15,7 @@
 from tools.soak import ratewatch
 from tools.soak import run
 from tools.soak import store as stores
+from tools.soak import storms
 from tools.soak import wire
 
 # When the requests of the tests are sent, in seconds of the soak's clock.
@@ -428,6 +429,32 @@
     assert case.arrive(9.0) == 0
 
 
+class RefusedCaller:
+    """A caller whose first request is refused, for half a second."""
+
+    def __init__(self):
+        self.sent_s = []
+
+    async def send_request(self, session):
+        del session
+        self.sent_s.append(evidences.read_clock())
+        sent = evidences.SentRequest("q1", "again", "k", SENT_S)
+        sent.retry_after_s = 0.5 if len(self.sent_s) == 1 else None
+        return sent
+
+
+def test_callers_of_a_storm_return_when_told_or_at_once():
+    for is_hasty in (False, True):
+        caller = RefusedCaller()
+        until_s = evidences.read_clock() + 0.25
+        asyncio.run(storms.send_until(caller, None, until_s, is_hasty))
+        if is_hasty:
+            assert caller.sent_s[1] < until_s
+        else:
+            first_s, second_s = caller.sent_s
+            assert second_s >= first_s + 0.5
+
+
 def test_seeds_are_parsed_from_the_file_and_the_option(tmp_path):
     path = tmp_path / "seeds.txt"
     path.write_text("# Seeds.\n17 a stop that cut streams\n\n4 a lost lease\n")
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -42,12 +42,15 @@
         """Sends requests until `stop` is set; connections are reused."""
         async with aiohttp.ClientSession() as session:
             while not stop.is_set():
-                await self._send_request(session)
+                await self.send_request(session)
                 await asyncio.sleep(
                     REQUEST_INTERVAL_S * (0.5 + self._rng.random())
                 )
 
-    async def _send_request(self, session: aiohttp.ClientSession) -> None:
+    async def send_request(
+        self, session: aiohttp.ClientSession
+    ) -> evidences.SentRequest:
+        """Sends one request, and returns it with its outcome."""
         self._count += 1
         kind = self._rng.choice(list(PATHS))
         sent = evidences.SentRequest(
@@ -71,6 +74,10 @@
                 )
                 body = await answer.read()
                 sent.status = answer.status
+                if names.RETRY_AFTER in answer.headers:
+                    sent.retry_after_s = float(
+                        answer.headers[names.RETRY_AFTER]
+                    )
                 sent.is_complete = is_valid_answer(sent, answer.headers, body)
         except TimeoutError:
             sent.status = 0
@@ -79,6 +86,7 @@
             # No answer, or one that was cut and recognizably incomplete.
             sent.status = 0
         self._evidence.note_answer(sent, instance.process_id)
+        return sent
 
     def _choose_instances(self) -> list[fleet.SoakInstance]:
         """Returns the instances that a load balancer would choose from."""
--- a/tools/soak/evidence.py
+++ b/tools/soak/evidence.py
@@ -27,6 +27,8 @@
       status: status of the answer; 0 without one.
       is_complete: whether the answer was complete and belonged to the request.
       has_timed_out: whether it had no answer within its timeout.
+      retry_after_s: the time that its caller was given to return, in seconds;
+        None without one.
       may_be_unread: whether it was sent while a stopping instance closed the
         idle connection, so that the instance may not have read it.
     """
@@ -39,6 +41,7 @@
     status: int = 0
     is_complete: bool = False
     has_timed_out: bool = False
+    retry_after_s: float | None = None
     may_be_unread: bool = False
 
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -24,6 +24,7 @@
 from tools.soak import proxy as proxies
 from tools.soak import restore
 from tools.soak import store as stores
+from tools.soak import storms
 
 # Seconds within which a revoked key must be refused everywhere.
 REVOKE_S = 3.0
@@ -75,6 +76,7 @@
         self.version = 1
         self.stop = asyncio.Event()
         self._is_restoring = False
+        self._storms = 0
 
     async def run(self, length_s: float) -> evidences.Evidence:
         """Injects faults for some seconds and returns what was observed."""
@@ -105,7 +107,9 @@
                 self.evidence.calm_since_s = evidences.read_clock()
                 self._start_keep_alive_callers()
                 await self._run_planned_work(SERVICES[0])
+            storm = group.create_task(self._storm())
             await self._run_planned_work(SERVICES[1])
+            await storm
             await asyncio.sleep(FINISH_S)
             self.evidence.calm_since_s = None
             for task in self.caller_tasks:
@@ -229,6 +233,7 @@
             self._drain_unlisted,
             self._refuse_with_cooldown,
             self.operator.evacuate_some,
+            self._storm,
         )
         # Every run has these faults; the others are drawn.
         due = [
@@ -333,6 +338,16 @@
         length_s = self.rng.uniform(*REFUSAL_LENGTHS_S)
         await endpoint.refuse_all(self.rng.choice(COOLDOWNS_S), length_s)
 
+    async def _storm(self) -> None:
+        self._storms += 1
+        await storms.run(
+            f"s{self._storms}",
+            self.instances,
+            self.keys,
+            self.evidence,
+            self.rng,
+        )
+
     async def _announce_limits(self) -> None:
         """Lets one or all endpoints of a service announce rate limits."""
         service_endpoints = self._list_endpoints(self.rng.choice(SERVICES))
