Give the soak's endpoints speeds, and let some slow down

All endpoints of the soak took the same time. Each run of an endpoint now takes 1 to 3 times as long as the fastest, and a share of them another 1.5 times as long from six running requests of eight slots.

--- a/features/soak_test.py
+++ b/features/soak_test.py
@@ -1,6 +1,7 @@
 """The soak's checks find violations, and a short run of it has none."""
 
 import asyncio
+import contextlib
 import math
 import random
 
@@ -11,6 +12,7 @@
 from tools.soak import evidence as evidences
 from tools.soak import keepalivecallers
 from tools.soak import leavewatch
+from tools.soak import pace as paces
 from tools.soak import proxy as proxies
 from tools.soak import ratewatch
 from tools.soak import run
@@ -455,6 +457,22 @@
             assert second_s >= first_s + 0.5
 
 
+def test_endpoints_have_speeds_and_some_slow_down_when_nearly_full():
+    factors = set()
+    for seed in range(50):
+        pace = paces.Pace(random.Random(seed))
+        idle = pace.slowness
+        with contextlib.ExitStack() as slots:
+            for _ in range(paces.NEARLY_FULL - 1):
+                slots.enter_context(pace.hold_slot())
+            assert pace.slowness == idle
+            slots.enter_context(pace.hold_slot())
+            factors.add((idle, pace.slowness / idle))
+        assert pace.slowness == idle
+    wanted = (1.0, paces.SLOWING_FACTOR)
+    assert factors == {(s, f) for s in paces.SLOWNESS for f in wanted}
+
+
 def test_seeds_are_parsed_from_the_file_and_the_option(tmp_path):
     path = tmp_path / "seeds.txt"
     path.write_text("# Seeds.\n17 a stop that cut streams\n\n4 a lost lease\n")
--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -13,15 +13,16 @@
 from tools.soak import evacuationwatch
 from tools.soak import evidence as evidences
 from tools.soak import leavewatch
+from tools.soak import pace as paces
 from tools.soak import proxy as proxies
 from tools.soak import ratewatch
 from tools.soak import store as stores
 
-# Seconds between two events of a stream.
+# Seconds between two events of a stream at the fastest endpoints.
 EVENT_INTERVAL_S = 0.02
 # Events of a stream.
 EVENTS = 30
-# Seconds that a call takes.
+# Seconds that a call takes at the fastest endpoints.
 CALL_DURATION_S = 0.03
 # Seconds between the moment at which a leaving endpoint is listed as draining
 # and its end.
@@ -73,6 +74,7 @@
         self._evacuations = evacuations
         self._revoke_s = revoke_s
         self._rng = rng
+        self._pace = paces.Pace(rng)
         self._leases: dict[str, float] = {}
         self._started_ms = 0
         # The state in its entry; empty while it has none.
@@ -88,6 +90,7 @@
                 self.id = f"i-{self._rng.getrandbits(32):08x}"
             self._announced_leaving = False
             self._started_ms = round(time.time() * 1e3)
+            self._pace = paces.Pace(self._rng)
             self.rate = ratewatch.RateWatch(self.id, self._evidence)
             self._cooldowns = cooldownwatch.CooldownWatch(
                 self.id, self._evidence
@@ -147,7 +150,7 @@
                 "service": self.service,
                 "address": f"127.0.0.1:{self._port}",
                 "zone": self._data_centre,
-                "slots": 8,
+                "slots": paces.SLOTS,
                 "state": state,
                 "sequence": 1,
                 "born": self._started_ms,
@@ -181,9 +184,10 @@
         self._evidence.note_run(request_id, self.id)
         self._evidence.check_revoked(request_id, self._revoke_s)
         answer[names.SEAL] = self.rate.announcement_id
-        if request.path.startswith("/s/"):
-            return await self._stream(request, answer, request_id)
-        await asyncio.sleep(CALL_DURATION_S)
+        with self._pace.hold_slot():
+            if request.path.startswith("/s/"):
+                return await self._stream(request, answer, request_id)
+            await self._pace.sleep(CALL_DURATION_S)
         if self.mode == "lose" and self._rng.random() < 0.5:
             self._reset_connection(request)
             return web.Response()
@@ -206,7 +210,7 @@
             await response.write(
                 f"id: {number}\ndata: {request_id} {number}\n\n".encode()
             )
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await self._pace.sleep(EVENT_INTERVAL_S)
         await response.write_eof()
         return response
 
