Let the soak's endpoints start cold, off by default

The bound on cold endpoints had no check under random faults. With coldwatch.IS_ON, endpoints state after each start for how long they are cold, in their entry and in health answers, and a watch counts what arrives from all instances in any second.

Not run switched on.

--- a/features/soak_test.py
+++ b/features/soak_test.py
@@ -6,6 +6,7 @@
 import random
 
 from rhubarblock.platform import names
+from tools.soak import coldwatch
 from tools.soak import cooldownwatch
 from tools.soak import evacuations
 from tools.soak import evacuationwatch
@@ -473,6 +474,34 @@
     assert factors == {(s, f) for s in paces.SLOWNESS for f in wanted}
 
 
+def count_cold_violations(monkeypatch, arrivals, interval_s, mode=""):
+    """Sends requests to a cold endpoint, and returns the violations."""
+    clock = [SENT_S]
+    monkeypatch.setattr(evidences, "read_clock", lambda: clock[0])
+    monkeypatch.setattr(coldwatch, "IS_ON", True)
+    seen = evidences.Evidence()
+    watch = coldwatch.ColdWatch("e1", seen)
+    assert watch.remaining_ms == round(coldwatch.COLD_START_S * 1e3)
+    proxy = proxies.SoakProxy()
+    proxy.mode = mode
+    for _ in range(arrivals):
+        watch.note_arrival(proxy)
+        clock[0] += interval_s
+    return len(seen.violations)
+
+
+def test_requests_above_the_bound_of_a_cold_endpoint_are_a_violation(
+    monkeypatch,
+):
+    allowed = int(coldwatch.ALLOWED)
+    assert count_cold_violations(monkeypatch, allowed, 0.01) == 0
+    assert count_cold_violations(monkeypatch, 2 * allowed, 0.01) == 1
+    assert count_cold_violations(monkeypatch, 2 * allowed, 0.01, "slow") == 0
+    assert count_cold_violations(monkeypatch, 4 * allowed, 0.11) == 0
+    # The endpoint is warm at the second request.
+    assert count_cold_violations(monkeypatch, 2, 5.0) == 0
+
+
 def test_seeds_are_parsed_from_the_file_and_the_option(tmp_path):
     path = tmp_path / "seeds.txt"
     path.write_text("# Seeds.\n17 a stop that cut streams\n\n4 a lost lease\n")
--- a/tools/soak/configuration.py
+++ b/tools/soak/configuration.py
@@ -1,5 +1,7 @@
 """The configuration of the soak: one streaming and two call routes."""
 
+from tools.soak import coldwatch
+
 ENGINE = {
     "slots": 8,
     "kvCapacityTokens": 450_000,
@@ -34,6 +36,9 @@
             route("once", "non_idempotent", "desk"),
             route("again", "idempotent", "desk"),
         ],
-        "services": [{"name": "pool", "engine": ENGINE}, {"name": "desk"}],
+        "services": [
+            {"name": "pool", "engine": ENGINE, **coldwatch.SERVICE},
+            {"name": "desk", **coldwatch.SERVICE},
+        ],
         "tenants": [{"name": "w", "apiKeys": keys}],
     }
--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from rhubarblock.platform import names
+from tools.soak import coldwatch
 from tools.soak import cooldownwatch
 from tools.soak import evacuationwatch
 from tools.soak import evidence as evidences
@@ -32,6 +33,8 @@
 MAX_LISTING_DELAY_S = 2.0
 # Seconds between two checks of whether the store accepts writes.
 LISTING_RETRY_S = 0.1
+# States the milliseconds for which an endpoint stays cold in health answers.
+COLD_REMAINING = "X-Rhubarblock-Cold-Remaining"
 # Share of the restarts after a crash that get a new id; the others keep the id.
 NEW_ID_SHARE = 0.5
 
@@ -68,6 +71,7 @@
         self.id = ""
         self.rate = ratewatch.RateWatch("", evidence)
         self._cooldowns = cooldownwatch.CooldownWatch("", evidence)
+        self._cold = coldwatch.ColdWatch("", evidence)
         self._data_centre = data_centre
         self._store = store
         self._evidence = evidence
@@ -95,6 +99,7 @@
             self._cooldowns = cooldownwatch.CooldownWatch(
                 self.id, self._evidence
             )
+            self._cold = coldwatch.ColdWatch(self.id, self._evidence)
             self._ended = asyncio.Event()
             async with (
                 stores.serve(self._handle) as (_, target),
@@ -144,9 +149,11 @@
 
     def _write_entry(self, state: str) -> None:
         self._state = state
+        cold = {"coldRemainingMs": self._cold.remaining_ms}
         self._store.put(
             f"servers/{self.id}",
             {
+                **(cold if coldwatch.IS_ON else {}),
                 "service": self.service,
                 "address": f"127.0.0.1:{self._port}",
                 "zone": self._data_centre,
@@ -160,12 +167,16 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == "/order":
             return self._handle_order(json.loads(await request.text()))
+        if coldwatch.IS_ON and request.path == "/":
+            left_ms = str(self._cold.remaining_ms)
+            return web.Response(headers={COLD_REMAINING: left_ms})
         request_id = request.headers.get(names.ATTEMPT_ID, "")
         answer = {names.ATTEMPT_ID: request_id}
         if request.headers.get(names.TARGET) != self.id:
             return web.Response(status=421, headers=answer)
         self.rate.note_arrival(request_id, self.proxy.healed_s)
         self._cooldowns.note_arrival(request_id, self.proxy)
+        self._cold.note_arrival(self.proxy)
         leavewatch.check_arrival(self._evidence, request_id, self.id)
         self._evacuations.check_arrival(
             request_id, self.id, self._data_centre, self.proxy
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -9,6 +9,7 @@
 import sys
 
 from rhubarblock.platform import names
+from tools.soak import coldwatch
 from tools.soak import evidence as evidences
 
 # Seconds after the stop signal in which an instance still gets new connections:
@@ -38,7 +39,7 @@
 budgetWindowS = 10
 maxHoldMs = 20000
 idleMaxMs = 9000
-[platformSettings]
+{cold_bounds}[platformSettings]
 address = "127.0.0.1:{store}"
 """
 
@@ -81,6 +82,7 @@
                 last=peers + 1,
                 revoke_ms=round(revoke_s * 1e3),
                 evacuate_ms=EVACUATE_MS,
+                cold_bounds=coldwatch.BOUNDS,
                 store=store_port,
             )
         )
