--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -9,18 +9,21 @@
 from aiohttp import web
 
 from rhubarblock.platform import names
+from tools.soak import coldwatch
 from tools.soak import cooldownwatch
+from tools.soak import evacuationwatch
 from tools.soak import evidence as evidences
 from tools.soak import leavewatch
+from tools.soak import pace as paces
 from tools.soak import proxy as proxies
 from tools.soak import ratewatch
 from tools.soak import store as stores
 
-# Seconds between two events of a stream.
+# Seconds between two events of a stream at the fastest endpoints.
 EVENT_INTERVAL_S = 0.02
 # Events of a stream.
 EVENTS = 30
-# Seconds that a call takes.
+# Seconds that a call takes at the fastest endpoints.
 CALL_DURATION_S = 0.03
 # Seconds between the moment at which a leaving endpoint is listed as draining
 # and its end.
@@ -30,6 +33,8 @@
 MAX_LISTING_DELAY_S = 2.0
 # Seconds between two checks of whether the store accepts writes.
 LISTING_RETRY_S = 0.1
+# States the milliseconds for which an endpoint stays cold in health answers.
+COLD_REMAINING = "X-Rhubarblock-Cold-Remaining"
 # Share of the restarts after a crash that get a new id; the others keep the id.
 NEW_ID_SHARE = 0.5
 
@@ -55,6 +60,7 @@
         data_centre: str,
         store: stores.SoakStore,
         evidence: evidences.Evidence,
+        evacuations: evacuationwatch.EvacuationWatch,
         revoke_s: float,
         rng: random.Random,
     ):
@@ -65,11 +71,14 @@
         self.id = ""
         self.rate = ratewatch.RateWatch("", evidence)
         self._cooldowns = cooldownwatch.CooldownWatch("", evidence)
+        self._cold = coldwatch.ColdWatch("", evidence)
         self._data_centre = data_centre
         self._store = store
         self._evidence = evidence
+        self._evacuations = evacuations
         self._revoke_s = revoke_s
         self._rng = rng
+        self._pace = paces.Pace(rng)
         self._leases: dict[str, float] = {}
         self._started_ms = 0
         # The state in its entry; empty while it has none.
@@ -85,10 +94,12 @@
                 self.id = f"i-{self._rng.getrandbits(32):08x}"
             self._announced_leaving = False
             self._started_ms = round(time.time() * 1e3)
+            self._pace = paces.Pace(self._rng)
             self.rate = ratewatch.RateWatch(self.id, self._evidence)
             self._cooldowns = cooldownwatch.CooldownWatch(
                 self.id, self._evidence
             )
+            self._cold = coldwatch.ColdWatch(self.id, self._evidence)
             self._ended = asyncio.Event()
             async with (
                 stores.serve(self._handle) as (_, target),
@@ -138,13 +149,15 @@
 
     def _write_entry(self, state: str) -> None:
         self._state = state
+        cold = {"coldRemainingMs": self._cold.remaining_ms}
         self._store.put(
             f"servers/{self.id}",
             {
+                **(cold if coldwatch.IS_ON else {}),
                 "service": self.service,
                 "address": f"127.0.0.1:{self._port}",
                 "zone": self._data_centre,
-                "slots": 8,
+                "slots": paces.SLOTS,
                 "state": state,
                 "sequence": 1,
                 "born": self._started_ms,
@@ -154,13 +167,20 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == "/order":
             return self._handle_order(json.loads(await request.text()))
+        if coldwatch.IS_ON and request.path == "/":
+            left_ms = str(self._cold.remaining_ms)
+            return web.Response(headers={COLD_REMAINING: left_ms})
         request_id = request.headers.get(names.ATTEMPT_ID, "")
         answer = {names.ATTEMPT_ID: request_id}
         if request.headers.get(names.TARGET) != self.id:
             return web.Response(status=421, headers=answer)
         self.rate.note_arrival(request_id, self.proxy.healed_s)
         self._cooldowns.note_arrival(request_id, self.proxy)
+        self._cold.note_arrival(self.proxy)
         leavewatch.check_arrival(self._evidence, request_id, self.id)
+        self._evacuations.check_arrival(
+            request_id, self.id, self._data_centre, self.proxy
+        )
         if self._announced_leaving:
             answer[names.LEAVING] = "1"
         if self.rate.per_s is not None:
@@ -175,9 +195,10 @@
         self._evidence.note_run(request_id, self.id)
         self._evidence.check_revoked(request_id, self._revoke_s)
         answer[names.SEAL] = self.rate.announcement_id
-        if request.path.startswith("/s/"):
-            return await self._stream(request, answer, request_id)
-        await asyncio.sleep(CALL_DURATION_S)
+        with self._pace.hold_slot():
+            if request.path.startswith("/s/"):
+                return await self._stream(request, answer, request_id)
+            await self._pace.sleep(CALL_DURATION_S)
         if self.mode == "lose" and self._rng.random() < 0.5:
             self._reset_connection(request)
             return web.Response()
@@ -200,7 +221,7 @@
             await response.write(
                 f"id: {number}\ndata: {request_id} {number}\n\n".encode()
             )
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await self._pace.sleep(EVENT_INTERVAL_S)
         await response.write_eof()
         return response
 
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -9,12 +9,15 @@
 import sys
 
 from rhubarblock.platform import names
+from tools.soak import coldwatch
 from tools.soak import evidence as evidences
 
 # Seconds after the stop signal in which an instance still gets new connections:
 # a load balancer that probes once a second notices the stop only after two
 # failed probes.
 BALANCER_DELAY_S = 2.0
+# Milliseconds within which an evacuation must be in force.
+EVACUATE_MS = 5_000
 
 SETTINGS = """\
 nodeName = "{name}"
@@ -30,12 +33,13 @@
 drainMs = 2000
 graceS = 6
 revokeMs = {revoke_ms}
+evacuateMs = {evacuate_ms}
 retryBudgetRatio = 0.2
 retryBudgetSlack = 100
 budgetWindowS = 10
 maxHoldMs = 20000
 idleMaxMs = 9000
-[platformSettings]
+{cold_bounds}[platformSettings]
 address = "127.0.0.1:{store}"
 """
 
@@ -77,6 +81,8 @@
                 peers=peers,
                 last=peers + 1,
                 revoke_ms=round(revoke_s * 1e3),
+                evacuate_ms=EVACUATE_MS,
+                cold_bounds=coldwatch.BOUNDS,
                 store=store_port,
             )
         )
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -15,6 +15,8 @@
 from tools.soak import callers
 from tools.soak import configuration
 from tools.soak import engines
+from tools.soak import evacuations
+from tools.soak import evacuationwatch
 from tools.soak import evidence as evidences
 from tools.soak import fleet
 from tools.soak import keepalivecallers
@@ -22,6 +24,7 @@
 from tools.soak import proxy as proxies
 from tools.soak import restore
 from tools.soak import store as stores
+from tools.soak import storms
 
 # Seconds within which a revoked key must be refused everywhere.
 REVOKE_S = 3.0
@@ -63,10 +66,17 @@
         self.folder = folder
         self.store = stores.SoakStore()
         self.evidence = evidences.Evidence()
+        self.evacuations = evacuationwatch.EvacuationWatch(
+            self.store, self.evidence
+        )
+        self.operator = evacuations.Operator(
+            self.store, self.evacuations, DATA_CENTRES, self.rng
+        )
         self.keys = [f"key-{n}" for n in range(6)]
         self.version = 1
         self.stop = asyncio.Event()
         self._is_restoring = False
+        self._storms = 0
 
     async def run(self, length_s: float) -> evidences.Evidence:
         """Injects faults for some seconds and returns what was observed."""
@@ -79,21 +89,35 @@
             await self._start(stack, group, store_port)
             await self._wait_ready()
             self._start_callers()
-            watching = group.create_task(self.evidence.watch_stalls())
+            watching = [
+                group.create_task(self.evidence.watch_stalls()),
+                group.create_task(
+                    self.evacuations.run(self.instances, self.proxies)
+                ),
+            ]
             faulting = group.create_task(self._inject_faults())
             await asyncio.sleep(length_s)
             faulting.cancel()
             self._heal()
             await self._wait_ready()
-            await asyncio.sleep(SETTLE_S)
-            self.evidence.calm_since_s = evidences.read_clock()
-            await self._run_planned_work()
+            # One data centre is evacuated in a part of the calm time.
+            chosen = {self.rng.choice(DATA_CENTRES)}
+            async with self.operator.evacuate(chosen):
+                await asyncio.sleep(SETTLE_S)
+                self.evidence.calm_since_s = evidences.read_clock()
+                self._start_keep_alive_callers()
+                await self._run_planned_work(SERVICES[0])
+            storm = group.create_task(self._storm())
+            await self._run_planned_work(SERVICES[1])
+            await storm
+            await asyncio.sleep(FINISH_S)
             self.evidence.calm_since_s = None
             for task in self.caller_tasks:
                 task.cancel()
             await asyncio.sleep(RELEASE_S)
             self._check_memory()
-            watching.cancel()
+            for task in watching:
+                task.cancel()
             self.stop.set()
             for instance in self.instances:
                 instance.send(signal.SIGKILL)
@@ -110,6 +134,11 @@
             configuration.make_configuration(self.version, self.keys),
         )
 
+    def _write_again(self) -> None:
+        """Writes all objects of the operator again."""
+        self._put_configuration()
+        self.operator.write()
+
     async def _start(
         self,
         stack: contextlib.AsyncExitStack,
@@ -122,6 +151,7 @@
                 DATA_CENTRES[n % len(DATA_CENTRES)],
                 self.store,
                 self.evidence,
+                self.evacuations,
                 REVOKE_S,
                 random.Random(self.rng.random()),
             )
@@ -202,12 +232,15 @@
             self._announce_limits,
             self._drain_unlisted,
             self._refuse_with_cooldown,
+            self.operator.evacuate_some,
+            self._storm,
         )
         # Every run has these faults; the others are drawn.
         due = [
             self._drain_unlisted,
             self._refuse_with_cooldown,
             self._restore_store,
+            self.operator.evacuate_some,
         ]
         running: set[asyncio.Task[None]] = set()
         while True:
@@ -262,7 +295,7 @@
                 self.store,
                 self.endpoints,
                 self.evidence,
-                self._put_configuration,
+                self._write_again,
                 self.rng,
             )
         finally:
@@ -305,6 +338,16 @@
         length_s = self.rng.uniform(*REFUSAL_LENGTHS_S)
         await endpoint.refuse_all(self.rng.choice(COOLDOWNS_S), length_s)
 
+    async def _storm(self) -> None:
+        self._storms += 1
+        await storms.run(
+            f"s{self._storms}",
+            self.instances,
+            self.keys,
+            self.evidence,
+            self.rng,
+        )
+
     async def _announce_limits(self) -> None:
         """Lets one or all endpoints of a service announce rate limits."""
         service_endpoints = self._list_endpoints(self.rng.choice(SERVICES))
@@ -330,6 +373,7 @@
             self.evidence.key_revoked_s[key] = evidences.read_clock()
 
     def _heal(self) -> None:
+        self.operator.end_all()
         for proxy in self.proxies:
             proxy.heal()
         self.store.is_down = False
@@ -343,27 +387,22 @@
         for instance in self.instances:
             instance.send(signal.SIGCONT)
 
-    async def _run_planned_work(self) -> None:
-        """Stops instances, drains endpoints and lets some refuse requests."""
-        self._start_keep_alive_callers()
-        for service in SERVICES:
-            await plannedstops.stop_some(
-                self.instances, self.evidence, self.rng
-            )
-            service_endpoints = self._list_endpoints(service)
-            draining, refusing = self.rng.sample(service_endpoints, 2)
-            draining.end("drain")
-            retry_after_s = self.rng.choice(COOLDOWNS_S)
-            refusal = asyncio.ensure_future(
-                refusing.refuse_all(retry_after_s, fleet.BALANCER_DELAY_S)
-            )
-            await asyncio.sleep(fleet.BALANCER_DELAY_S)
-            self._revoke_key()
-            await self._wait_ready()
-            await refusal
-            for instance in self.instances:
-                instance.stop_signalled_s = None
-        await asyncio.sleep(FINISH_S)
+    async def _run_planned_work(self, service: str) -> None:
+        """Stops instances, drains an endpoint and lets one refuse requests."""
+        await plannedstops.stop_some(self.instances, self.evidence, self.rng)
+        service_endpoints = self._list_endpoints(service)
+        draining, refusing = self.rng.sample(service_endpoints, 2)
+        draining.end("drain")
+        retry_after_s = self.rng.choice(COOLDOWNS_S)
+        refusal = asyncio.ensure_future(
+            refusing.refuse_all(retry_after_s, fleet.BALANCER_DELAY_S)
+        )
+        await asyncio.sleep(fleet.BALANCER_DELAY_S)
+        self._revoke_key()
+        await self._wait_ready()
+        await refusal
+        for instance in self.instances:
+            instance.stop_signalled_s = None
 
     def _check_memory(self) -> None:
         held = sum(endpoint.count_leases() for endpoint in self.endpoints)
