--- a/rhubarblock/exchange/peering/demandupdates.py
+++ b/rhubarblock/exchange/peering/demandupdates.py
@@ -5,6 +5,7 @@
 there are.
 """
 
+import math
 import random
 from typing import Any
 
@@ -19,6 +20,9 @@
 # Peers that get a summary. With summaries of up to 400 bytes, an instance sends
 # and receives 6.4 KB a second.
 MAX_RECIPIENTS = 8
+# Longest accepted name of a service in characters, as each name that a peer
+# sends gets counts.
+MAX_NAME_CHARACTERS = 200
 # Decimal places of the counts.
 _DIGITS = 2
 
@@ -84,6 +88,8 @@
 
     def _receive(self, fields: list[Any], address: peer_table.Address) -> None:
         service, encoded = fields[:2]
+        if not 0 < len(service) <= MAX_NAME_CHARACTERS:
+            raise ValueError("no name of a service")
         summary = _decode(encoded)
         now_s = self._timers.read_monotonic()
         demand = self._controller.find_demand(str(service))
@@ -116,12 +122,32 @@
 def _decode(encoded: list[Any]) -> demands.Summary:
     return {
         int(rank): demands.RankDemand(
-            demands.Count(float(offered), float(admitted)),
-            float(returned),
+            _decode_count([offered, admitted]),
+            _read_amount(returned),
             {
-                str(name): demands.Count(float(o_ms) / 1e3, float(a_ms) / 1e3)
-                for name, (o_ms, a_ms) in workspaces.items()
+                str(name): _decode_count(count, 1e3)
+                for name, count in _list_items(workspaces)
             },
         )
         for rank, offered, admitted, returned, workspaces in encoded
     }
+
+
+def _decode_count(encoded: list[Any], unit: float = 1.0) -> demands.Count:
+    offered, admitted = encoded
+    return demands.Count(
+        _read_amount(offered) / unit, _read_amount(admitted) / unit
+    )
+
+
+def _list_items(field: Any) -> list[tuple[Any, Any]]:
+    if not isinstance(field, dict):
+        raise ValueError("no counts by workspace")
+    return list(field.items())
+
+
+def _read_amount(field: Any) -> float:
+    amount = float(field)
+    if not math.isfinite(amount) or amount < 0.0:
+        raise ValueError("no amount of demand")
+    return amount
