--- a/rhubarblock/scripts/measure.py
+++ b/rhubarblock/scripts/measure.py
@@ -23,6 +23,7 @@
 from rhubarblock.experiments.faults import scenario as faults
 from rhubarblock.experiments.limits import scenario as limits
 from rhubarblock.experiments.platform import deployments as platformdeployments
+from rhubarblock.experiments.platform import overload
 from rhubarblock.experiments.platform import scenario as platformscenario
 from rhubarblock.experiments.storereturn import fleet as returnfleet
 from rhubarblock.experiments.storereturn import scenario as storereturn
@@ -115,6 +116,43 @@
 add_platform(platformdeployments.LARGE)
 
 
+@measure_group.command("platform-overload")
+@click.option(
+    "--policy",
+    type=click.Choice(overload.POLICIES),
+    default=overload.ADMISSION,
+    show_default=True,
+)
+@click.option(
+    "--load",
+    type=click.FloatRange(min=0.0, min_open=True),
+    default=4.0,
+    show_default=True,
+    help="Factor of the rates of the sheet.",
+)
+@click.option(
+    "--flood",
+    type=click.FloatRange(min=1.0),
+    default=1.0,
+    show_default=True,
+    help="Factor on the load of one workspace, besides.",
+)
+@seed_option
+@json_option
+def platform_overload_command(
+    policy: str, load: float, flood: float, seed: int, as_json: bool
+) -> None:
+    """Measures what is earned past saturation, with and without admission.
+
+    The load lasts for the whole run. Refused callers return once.
+    """
+    surge = overload.Surge(load, flood=flood)
+    print_result(
+        overload.measure(platformdeployments.ADWOA, policy, surge, seed),
+        as_json,
+    )
+
+
 @measure_group.command("endpoint-limits")
 @click.option(
     "--policy",
