Name the refusals of admission as causes and tell operators of them

Refusals by admission were counted as a lost endpoint or as a refusal of an engine. losses has three causes for them now; no endpoint has room is one of its own, as such a request reached no engine. explain shows the line "admission refused" with its inputs.

--- a/rhubarblock/loganalysis/causes.py
+++ b/rhubarblock/loganalysis/causes.py
@@ -48,6 +48,9 @@
     NOT_AT_HOME: no endpoint was in the home regions of route and workspace.
     NO_MEMORY: the instance had no memory free for the body or the answer.
     SLOW_CALLER: the caller read its answer too slowly.
+    TOO_LATE: admission refused it, as no endpoint could begin it in its time.
+    SATURATED: admission refused it, as its placement would cost too much.
+    NO_ROOM: no endpoint had room for it; it may have waited for one.
     RATE_LIMITED: the endpoints' rate limits were exhausted.
     EVACUATED: the operator evacuated the data centre of the endpoint.
     MAYBE_COLD: endpoints had got as much as a cold one survives.
@@ -69,6 +72,9 @@
     NOT_AT_HOME = "no endpoint in its home regions"
     NO_MEMORY = "the instance had no memory free"
     SLOW_CALLER = "the caller read too slowly"
+    TOO_LATE = "it could not be answered in its time"
+    SATURATED = "others would have lost more than it gained"
+    NO_ROOM = "no endpoint had room"
     RATE_LIMITED = "endpoints' rate limits left no room"
     EVACUATED = "its data centre was evacuated"
     MAYBE_COLD = "endpoints that may be cold had no room"
@@ -97,7 +103,9 @@
     ("home regions", Cause.NOT_AT_HOME),
     ("no memory is free", Cause.NO_MEMORY),
     ("caller read too slowly", Cause.SLOW_CALLER),
-    ("no endpoint has room", Cause.ENGINE_REFUSED),
+    ("answered in its time", Cause.TOO_LATE),
+    ("others would lose more", Cause.SATURATED),
+    ("no endpoint has room", Cause.NO_ROOM),
     ("rate limits of endpoints", Cause.RATE_LIMITED),
     ("evacuated", Cause.EVACUATED),
     ("endpoints that may be cold", Cause.MAYBE_COLD),
--- a/rhubarblock/scripts/explain_test.py
+++ b/rhubarblock/scripts/explain_test.py
@@ -91,3 +91,17 @@
     assert result.output.splitlines()[-1] == (
         "cause: the endpoint answered 500; then retry budget spent"
     )
+
+
+def test_refusal_by_admission_is_shown_with_its_inputs(tmp_path):
+    reason = '"reason": "others would lose more than it gains"}'
+    text = (
+        '1.0 edge-1 {"message": "admission refused", "request": "q7", '
+        f'"rank": 1, "cost": 0.4, {reason}\n'
+        '1.0 edge-1 {"message": "request failed", "request": "q7", '
+        f'"code": "no_endpoint", {reason}\n'
+    )
+    lines = run("q7", tmp_path, text).output.splitlines()
+    assert "admission refused" in lines[0]
+    assert "cost=0.4" in lines[0]
+    assert lines[-1] == "cause: others would lose more than it gains"
--- a/rhubarblock/scripts/losses_test.py
+++ b/rhubarblock/scripts/losses_test.py
@@ -61,6 +61,13 @@
     )
 
 
+def refused_by_admission(request, reason):
+    return (
+        line(13.1, "i1", "admission refused", request=request, reason=reason),
+        failed(13.1, "i1", request, "no_endpoint", reason, verdict="NOT_RUN"),
+    )
+
+
 LOG = [
     "day trouble-1 is played",
     line(0.0, "i1", "starting"),
@@ -107,6 +114,10 @@
         "its data centres are evacuated",
         verdict="NOT_RUN",
     ),
+    # Admission refuses q21, q22 and q23, before any attempt.
+    *refused_by_admission("q21", "it can't be answered in its time"),
+    *refused_by_admission("q22", "others would lose more than it gains"),
+    *refused_by_admission("q23", "no endpoint has room"),
     # The endpoint of q17 fails, and no retry is left; q18 got one earlier.
     ended(13.1, "i1", "q17", "the endpoint answered 500"),
     line(
@@ -173,11 +184,14 @@
         "moved: paused by other reading": 1,
         "refused: an engine refused it": 1,
         "refused: endpoints' rate limits left no room": 1,
+        "refused: it could not be answered in its time": 1,
         "refused: its data centre was evacuated": 1,
         "refused: no confirmed configuration": 1,
+        "refused: no endpoint had room": 1,
+        "refused: others would have lost more than it gained": 1,
         "refused: the instance had just started": 1,
     }
-    assert (summary["requests"], summary["skipped"]) == (20, 2)
+    assert (summary["requests"], summary["skipped"]) == (23, 2)
 
 
 def test_order_of_the_log_files_does_not_matter(tmp_path):
