--- a/rhubarblock/routing/admission/controller.py
+++ b/rhubarblock/routing/admission/controller.py
@@ -39,8 +39,7 @@
 # Part of its objective that a request may spend waiting for room: a caller that
 # is refused after a longer wait would have done better to come back.
 MAX_WAIT_PART = 0.125
-# Utilisation below which nothing is refused for its cost as long as the service
-# is not saturated.
+# Utilisation below which nothing is refused for its cost.
 LOW_UTILISATION = 0.3
 # Most requests of a service that wait at one instance.
 MAX_WAITING = 64
@@ -171,7 +170,10 @@
             )
         standing = None
         cost_part = CALM_COST_PART
-        if demand.is_saturated(now_s):
+        # A service with room is not saturated whatever was refused: refusals by
+        # standing would otherwise keep the service saturated.
+        has_room = outlook is not None and outlook.utilisation < LOW_UTILISATION
+        if demand.is_saturated(now_s) and not has_room:
             standing = standings.find_standing(
                 demand,
                 candidate.rank,
@@ -181,8 +183,7 @@
             )
             cost_part = SATURATED_COST_PARTS[standing]
         if outlook is not None and (
-            _is_worth(outlook, candidate, cost_part)
-            or (standing is None and outlook.utilisation < LOW_UTILISATION)
+            _is_worth(outlook, candidate, cost_part) or has_room
         ):
             self._note(candidate, True, now_s)
             return Decision(Verdict.ADMIT, standing=standing)
--- a/rhubarblock/routing/admission/controller_test.py
+++ b/rhubarblock/routing/admission/controller_test.py
@@ -90,6 +90,15 @@
     assert not demand.is_saturated(4 * demands.DECAY_S)
 
 
+def test_refusals_do_not_keep_a_service_with_room_saturated():
+    # Callers that return and are refused again would do so for ever.
+    controller = make_controller()
+    saturate(controller)
+    decision = decide(controller, WAITED, IDLE)
+    assert decision.verdict is controllers.Verdict.ADMIT
+    assert decision.standing is None
+
+
 def test_single_request_that_finds_no_room_is_no_saturation():
     controller = make_controller()
     saturate(controller, admitted=0, refused=1)
