Measure utilisation on the engines that may be used

Cause: the work placed on all engines was divided by the number of those that a request may use, so with data centres evacuated, cold or cut off the rest looked saturated and short prompts were refused there.

Change: each engine keeps the average of the work placed on it, and the utilisation sums it over the candidates.

--- a/rhubarblock/routing/admission/controller.py
+++ b/rhubarblock/routing/admission/controller.py
@@ -40,7 +40,7 @@
 # is refused after a longer wait would have done better to come back.
 MAX_WAIT_PART = 0.125
 # Utilisation below which nothing is refused for its cost.
-LOW_UTILISATION = 0.3
+LOW_UTILISATION = 0.4
 # Most requests of a service that wait at one instance.
 MAX_WAITING = 64
 
--- a/rhubarblock/routing/placement/jobtracker.py
+++ b/rhubarblock/routing/placement/jobtracker.py
@@ -12,7 +12,6 @@
 from collections.abc import Iterator
 import contextlib
 import dataclasses
-import math
 
 from rhubarblock.core import route as routes
 from rhubarblock.routing.coldstart import recentcounts
@@ -21,7 +20,8 @@
 # Seconds after which a job is dropped if its end was not announced: twice the
 # longest time that callers wait in known deployments.
 JOB_TTL_S = 30.0
-# Time constant in seconds of the average of placed work.
+# Seconds over which placed work is averaged: it counts less and less for twice
+# this time.
 WORK_DECAY_S = 2.0
 
 
@@ -130,6 +130,8 @@
 
     __slots__ = (
         "_settled_s",
+        "_work_at_s",
+        "_work_s",
         "changes",
         "factors",
         "helper_prefills",
@@ -145,6 +147,9 @@
           factors: its learned factors, which change; None for the cost model.
         """
         self._settled_s = 0.0
+        # Seconds of prefill placed lately, as of the last one.
+        self._work_s = 0.0
+        self._work_at_s = 0.0
         self.changes = 0
         self.factors = factors or speeds.Factors()
         self.helper_prefills: dict[str, Prefill] = {}
@@ -165,6 +170,18 @@
             if prefill.left_s > 0 or prefill.tokens
         )
 
+    def note_work(self, prefill_s: float, now_s: float) -> None:
+        """Adds a prefill to the average of the work placed here."""
+        self._work_s = self.measure_work(now_s) + prefill_s
+        self._work_at_s = now_s
+
+    def measure_work(self, now_s: float) -> float:
+        """Returns the seconds of prefill placed in about ``WORK_DECAY_S``."""
+        left_s = 2.0 * WORK_DECAY_S - (now_s - self._work_at_s)
+        if left_s <= 0.0:
+            return 0.0
+        return self._work_s * left_s / (2.0 * WORK_DECAY_S)
+
     def settle(self, now_s: float) -> None:
         """Deducts the prefill done since the last call."""
         spent_s = max(0.0, now_s - self._settled_s)
@@ -225,8 +242,6 @@
         "_jobs",
         "_loads",
         "_watchers",
-        "_work_at_s",
-        "_work_s",
         "recent",
         "speeds",
     )
@@ -240,9 +255,6 @@
         """
         self.speeds = engine_speeds or speeds.EngineSpeeds()
         self.recent = recentcounts.RecentCounts()
-        # Seconds of prefill placed lately; decays with WORK_DECAY_S.
-        self._work_s = 0.0
-        self._work_at_s = 0.0
         self._loads: dict[str, EngineLoad] = {}
         self._jobs: dict[str, PlacedJob] = {}
         self._expiries: dict[str, float] = {}
@@ -269,17 +281,14 @@
           slots: slots of each of them.
           now_s: current time in monotonic seconds.
         """
-        loads = (self._loads.get(name) for name in endpoint_ids)
-        jobs = sum(len(load.jobs) for load in loads if load is not None)
-        self._decay_work(now_s)
-        work = self._work_s / WORK_DECAY_S
-        return max(jobs / slots, work) / len(endpoint_ids)
-
-    def _decay_work(self, now_s: float) -> None:
-        elapsed_s = now_s - self._work_at_s
-        if elapsed_s > 0.0:
-            self._work_s *= math.exp(-elapsed_s / WORK_DECAY_S)
-            self._work_at_s = now_s
+        jobs = 0
+        work_s = 0.0
+        for name in endpoint_ids:
+            load = self._loads.get(name)
+            if load is not None:
+                jobs += len(load.jobs)
+                work_s += load.measure_work(now_s)
+        return max(jobs / slots, work_s / WORK_DECAY_S) / len(endpoint_ids)
 
     def add(self, job: Job, now_s: float) -> None:
         """Adds a placed job; one that is tracked already is ignored."""
@@ -288,8 +297,6 @@
         placed = PlacedJob(job, now_s)
         self._jobs[job.job_id] = placed
         self._expiries[job.job_id] = now_s + JOB_TTL_S
-        self._decay_work(now_s)
-        self._work_s += sum(part.prefill_s for part in job.parts)
         self.find(job.endpoint_id).jobs[job.job_id] = placed
         for part, prefill in zip(job.parts, placed.prefills, strict=True):
             load = self.find(part.endpoint_id)
@@ -299,6 +306,7 @@
             load.changes += 1
             prefill.left_s *= load.factors.prefill
             load.prefills.append(prefill)
+            load.note_work(part.prefill_s, now_s)
             if part.endpoint_id != job.endpoint_id:
                 load.helper_prefills[job.job_id] = prefill
         for part in job.parts:
--- a/rhubarblock/routing/placement/jobtracker_test.py
+++ b/rhubarblock/routing/placement/jobtracker_test.py
@@ -201,3 +201,14 @@
     tracker.end("p.1", 4.0)
     assert noted == [("e1", 5_000, 2.5, 3.5)]
     assert tracker.find("e1").tokens == 0
+
+
+def test_utilisation_counts_only_the_engines_that_may_be_used():
+    # What runs beyond an evacuation or a cut is no load of those that are left.
+    tracker = jobtracker.JobTracker()
+    busy = jobtracker.Part("busy", 4.0, 1_000)
+    tracker.add(jobtracker.Job("p.1", (busy,), 0.2, 5_000, 0.3), 1.0)
+    assert tracker.measure_utilisation(["idle"], 8, 1.0) == 0.0
+    assert tracker.measure_utilisation(["busy", "idle"], 8, 1.0) == 1.0
+    assert tracker.measure_utilisation(["busy"], 8, 4.0) == 0.5
+    assert tracker.measure_utilisation(["busy"], 8, 6.0) == 0.125
