Take nothing from the retry budget for connections that failed

Cause: an instance that has just started has no share of the budget for 13 s, so a call whose connection failed or timed out ended as 503 although nothing had arrived anywhere.

Change: the first three failed connections of an exchange are no retries, as nothing was sent on them; further ones take from the budget as before.

--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -37,6 +37,9 @@
 # seconds between two checks. Short streams free their slots within this time.
 ROOM_TRIES = 30
 ROOM_POLL_S = 0.05
+# Endpoints that may refuse a connection before a further try counts as a retry.
+# Nothing arrived there, so they are no load, but each try takes time.
+MAX_FREE_CONNECTS = 3
 # Seconds between two checks of a new exchange that waits for an endpoint
 # without a cool-down and with a permit.
 AVAILABILITY_POLL_S = 0.02
@@ -345,6 +348,10 @@
         if isinstance(error, statements.EvacuatedError):
             # No endpoint got the request, so this is no repeated one.
             return True
+        if _is_unsent(error) and (
+            len(flow.history.failed_endpoints) <= MAX_FREE_CONNECTS
+        ):
+            return True
         return await self._outcomes.grant(flow, outlook)
 
 
@@ -370,6 +377,14 @@
     return True
 
 
+def _is_unsent(error: failures.FailureError) -> bool:
+    """Returns whether a connection failed before anything was sent on it."""
+    return (
+        isinstance(error, transports.AttemptError)
+        and error.failure.verdict is verdicts.Verdict.NOT_RUN
+    )
+
+
 def _make_final_error(
     flow: flows.Flow, message: str, retry_after_s: float = RETRY_AFTER_S
 ) -> failures.FailureError:
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -884,3 +884,27 @@
             return [name for name in told if name != "e2"]
 
     assert asyncio.run(main()) == broken
+
+
+def test_failed_connections_take_nothing_from_the_retry_budget():
+    """Otherwise an instance that just started fails what never arrived."""
+
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(*[fakes.whole()] * 6)
+        async with fakes.open_parts(endpoint) as parts:
+            listed = fakes.make_endpoint(1, endpoint.address)
+            parts.directory.update(
+                dataclasses.replace(listed, data_centre="oda-hall")
+            )
+            for number in (2, 3):
+                # Nothing listens there, and both are nearer.
+                parts.directory.update(fakes.make_endpoint(number))
+            for _ in range(6):
+                sink = fakes.MemorySink()
+                await parts.relay.serve(fakes.make_exchange(), sink)
+                assert sink.status == 200
+            return parts.metrics.snapshot()
+
+    counts = asyncio.run(main())
+    assert counts.get("exchange.broken", 0) >= 1
+    assert "exchange.retries" not in counts
