--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -430,7 +430,7 @@
     def _make_admission(
         self, updates: peer_updates.PeerUpdates
     ) -> admission.ExchangeAdmission:
-        """Returns the admission control, which tells peers of its demand."""
+        """Returns the admission control, which reports demand to peers."""
         controller = controllers.AdmissionController(self._rng)
         demand_updates = demandupdates.DemandUpdates(
             controller, updates, self.peers, self.timers, self._rng
--- a/rhubarblock/exchange/peering/limitupdates.py
+++ b/rhubarblock/exchange/peering/limitupdates.py
@@ -64,7 +64,7 @@
         return 1 + len(self._list_users(endpoint_id))
 
     def find_reached(self, endpoint_id: str) -> float:
-        """Returns the part of an endpoint's users that this instance hears.
+        """Returns the part of an endpoint's users that sent datagrams lately.
 
         It counts itself. The others may be in another part of a partition.
         """
