Keep one copy of what lets all in, and of the work of a prompt

Cause: the relay and the placer each had a function that lets every exchange in, and the engine seconds of a prompt were computed by the same formula in the admission of exchanges and in the overload experiment.

Change: the relay uses the placer's admit_all, and both use EngineCostModel.predict_work. The order of the arithmetic is kept. The tests of admission, relay, core, peering and the overload experiment pass unchanged.

--- a/rhubarblock/core/route.py
+++ b/rhubarblock/core/route.py
@@ -119,6 +119,22 @@
         whole_ms = tokens / self.prefill_tokens_per_ms + pairs_m * self.pair_ms
         return whole_ms / parts / 1e3
 
+    def predict_work(self, prompt_tokens: int, answer_tokens: int) -> float:
+        """Returns the engine seconds that a prompt and its answer take.
+
+        The answer takes its share of the passes of an engine that is full of
+        requests of the same length.
+
+        Args:
+          prompt_tokens: length of the prompt.
+          answer_tokens: length of the answer.
+        """
+        passes = answer_tokens / self.stride
+        pass_s = self.predict_stride(self.slots, self.slots * prompt_tokens)
+        return self.predict_prefill(prompt_tokens) + (
+            passes * pass_s / self.slots
+        )
+
     def predict_stride(self, sequences: int, context_tokens: int) -> float:
         """Returns the seconds of a pass that only decodes.
 
--- a/rhubarblock/exchange/admission.py
+++ b/rhubarblock/exchange/admission.py
@@ -13,7 +13,6 @@
 import logging
 
 from rhubarblock.core import exchange as exchanges
-from rhubarblock.core import route as routes
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing.admission import controller as controllers
@@ -241,8 +240,7 @@
     model = exchange.service.engine
     if model is None or not exchange.prompt_tokens:
         return CALL_COST_S
-    prefill_s = model.predict_prefill(exchange.prompt_tokens)
-    return prefill_s + _compute_decode(exchange, model)
+    return model.predict_work(exchange.prompt_tokens, exchange.answer_tokens)
 
 
 def _is_slow(exchange: exchanges.Exchange) -> bool:
@@ -254,13 +252,3 @@
         exchange.prompt_tokens, partplan.MAX_PARTS
     )
     return prefill_s > latencycost.SAFE_SHARE * exchange.route.objective_s
-
-
-def _compute_decode(
-    exchange: exchanges.Exchange, model: routes.EngineCostModel
-) -> float:
-    """Returns one slot's share of the passes that decode an answer."""
-    passes = exchange.answer_tokens / model.stride
-    context_tokens = exchange.prompt_tokens * model.slots
-    pass_s = model.predict_stride(model.slots, context_tokens)
-    return passes * pass_s / model.slots
--- a/rhubarblock/exchange/placer.py
+++ b/rhubarblock/exchange/placer.py
@@ -43,7 +43,8 @@
 Admits = Callable[[controllers.Outlook | None], bool]
 
 
-def _admit_all(outlook: controllers.Outlook | None) -> bool:
+def admit_all(outlook: controllers.Outlook | None) -> bool:
+    """Lets in every exchange, as one that was let in at an earlier attempt."""
     del outlook
     return True
 
@@ -120,7 +121,7 @@
         avoid: set[str],
         is_mid_stream: bool = False,
         refusals: int = 0,
-        admits: Admits = _admit_all,
+        admits: Admits = admit_all,
         last_choice: frozenset[str] = frozenset(),
     ) -> Iterator[placements.Placement | None]:
         """Places an attempt and tracks it while the context is open.
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -27,7 +27,6 @@
 from rhubarblock.exchange import statements
 from rhubarblock.exchange import transport as transports
 from rhubarblock.kernel import timers as timer_service
-from rhubarblock.routing.admission import controller as controllers
 from rhubarblock.routing.retrylending import reserve as reserves
 
 # Retry-After of a refused caller in seconds; a rate limit or a cool-down may
@@ -144,7 +143,7 @@
                     avoid,
                     flow.sink.begun,
                     flow.refusals,
-                    gate.check if gate else _admit,
+                    gate.check if gate else placers.admit_all,
                     frozenset(flow.refused_by),
                 ) as placement:
                     if placement is not None:
@@ -371,12 +370,6 @@
     return _make_final_error(flow, "no endpoint is in the home regions")
 
 
-def _admit(outlook: controllers.Outlook | None) -> bool:
-    """Lets in what was let in at an earlier attempt."""
-    del outlook
-    return True
-
-
 def _is_unsent(error: failures.FailureError) -> bool:
     """Returns whether a connection failed before anything was sent on it."""
     return (
--- a/rhubarblock/experiments/platform/overload.py
+++ b/rhubarblock/experiments/platform/overload.py
@@ -354,13 +354,10 @@
         choice: prompts.Choice | None,
     ) -> controllers.Decision:
         now_s = scenario._read_clock()
-        model = self._plan.model
         answer_tokens = arrival.events * arrival.kind.event_tokens
-        pass_s = model.predict_stride(
-            model.slots, model.slots * arrival.prompt_tokens
+        cost_s = self._plan.model.predict_work(
+            arrival.prompt_tokens, answer_tokens
         )
-        cost_s = model.predict_prefill(arrival.prompt_tokens)
-        cost_s += answer_tokens / model.stride * pass_s / model.slots
         outlook = None
         if choice is not None:
             outlook = controllers.Outlook(
