Format peer addresses in one place

Cause: the table of peers had the function, and wrote the same format inline twice beside it; the updates of demand wrote it once more. A comment in calltimes did not say what its constant does.

Change: all call format_address, and the comment says what happens to shorter calls. The tests of peering, calltimes and the follower pass unchanged.

--- a/rhubarblock/exchange/calltimes.py
+++ b/rhubarblock/exchange/calltimes.py
@@ -23,7 +23,7 @@
 CERTAINTY = 2.0
 # Seconds for which computed factors are used.
 REFRESH_S = 0.5
-# Smallest duration in seconds that is measured.
+# Seconds that a shorter call counts as, since logarithms are compared.
 MIN_CALL_S = 1e-4
 
 
--- a/rhubarblock/exchange/peering/demandupdates.py
+++ b/rhubarblock/exchange/peering/demandupdates.py
@@ -93,7 +93,7 @@
         summary = _decode(encoded)
         now_s = self._timers.read_monotonic()
         demand = self._controller.find_demand(str(service))
-        demand.receive("{}:{}".format(*address), summary, now_s)
+        demand.receive(peer_table.format_address(address), summary, now_s)
         self.note_pressure()
 
 
--- a/rhubarblock/exchange/peering/table.py
+++ b/rhubarblock/exchange/peering/table.py
@@ -174,7 +174,7 @@
         best = min(candidates, default=None)
         if best is None or best[0] > _rank(self._capacity, self._own_id):
             return None
-        return "{}:{}".format(*best[1])
+        return format_address(best[1])
 
     def list_group(self) -> list[tuple[Address, Peer]]:
         """Returns the peers of this instance's group, which share a reader."""
@@ -211,7 +211,7 @@
             (
                 peer.data_centre != self._data_centre,
                 -peer.last_seen_s,
-                "{}:{}".format(*address),
+                format_address(address),
             )
             for address, peer in self._peers.items()
             if peer.is_alive(now_s, FAR_HEARTBEATS)
