Use connections that opened while the process was blocked

Cause: coldendpoint_test failed on a machine that was slow to load the program. Thirty exchanges that began in one pass of the event loop took longer than the connect timeout, so the timers of the first ten were due before the loop had handled their connections, which were open. The endpoint was taken for unreachable and the exchanges were refused with 503.

Change: when the connect timeout ends, the loop gets eight more passes before the connection is given up. The test that had no bound on the wait for a failed start has one, and ports of tests lie below those that the kernel gives out by itself.

--- a/rhubarblock/daemon/coldendpoint_test.py
+++ b/rhubarblock/daemon/coldendpoint_test.py
@@ -46,6 +46,7 @@
         stop = asyncio.Event()
         running = asyncio.ensure_future(instance.run(stop))
         while await instancefixtures.ask_ready(session, settings) != 200:
+            assert not running.done(), running
             await asyncio.sleep(0.01)
 
         async def call():
--- a/rhubarblock/daemon/exchangeinstance_test.py
+++ b/rhubarblock/daemon/exchangeinstance_test.py
@@ -106,9 +106,17 @@
 
 
 def find_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return settings_lib.SocketAddress("127.0.0.1", probe.getsockname()[1])
+    """Returns an address with a free port.
+
+    The port is below the ones that the kernel gives to outgoing connections
+    and to listeners without a port, which could take it before the instance
+    listens on it.
+    """
+    while True:
+        port = random.SystemRandom().randrange(10_000, 32_000)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return settings_lib.SocketAddress("127.0.0.1", port)
 
 
 def make_settings(instance_id="i1", bounds=fakes.BOUNDS):
--- a/rhubarblock/exchange/transport.py
+++ b/rhubarblock/exchange/transport.py
@@ -31,6 +31,9 @@
 # Connect timeout in seconds: a hundred times the latency between two data
 # centres, and short enough to retry elsewhere within a caller's objective.
 CONNECT_TIMEOUT_S = 0.25
+# Passes of the event loop between the kernel's word that a connection is open
+# and the use of it, with a margin: a timeout is checked again after them.
+CONNECT_PASSES = 8
 # Time in seconds for which an idle connection is reused. Endpoints close idle
 # connections, and one that is about to be closed would lose the next request.
 KEEPALIVE_S = 4.0
@@ -117,6 +120,55 @@
             self._idle_s = float(found[1])
 
 
+class ConnectLimit:
+    """Ends the opening of a connection that takes too long.
+
+    A process that was blocked finds timers due before it has handled the
+    connections that opened meanwhile. They get some passes of the event loop
+    before the limit applies, so that no endpoint is blamed for the pause.
+    """
+
+    __slots__ = ("_handle", "_loop", "_timeout")
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, timeout: asyncio.Timeout
+    ):
+        """Starts the limit.
+
+        Args:
+          loop: the running event loop.
+          timeout: an entered timeout without a time; it ends at the limit.
+        """
+        self._loop = loop
+        self._timeout = timeout
+        self._handle: asyncio.Handle = loop.call_later(
+            CONNECT_TIMEOUT_S, self._check, CONNECT_PASSES
+        )
+
+    def cancel(self) -> None:
+        """Removes the limit."""
+        self._handle.cancel()
+
+    def _check(self, passes: int) -> None:
+        if passes:
+            self._handle = self._loop.call_soon(self._check, passes - 1)
+        else:
+            self._timeout.reschedule(self._loop.time())
+
+
+class EndpointConnector(aiohttp.TCPConnector):
+    """Opens connections within the connect timeout."""
+
+    async def _wrap_create_connection(self, *args: Any, **kwargs: Any) -> Any:
+        # aiohttp has no public way to replace its own timeout.
+        async with asyncio.timeout(None) as timeout:
+            limit = ConnectLimit(asyncio.get_running_loop(), timeout)
+            try:
+                return await super()._wrap_create_connection(*args, **kwargs)
+            finally:
+                limit.cancel()
+
+
 class EndpointRequest(aiohttp.ClientRequest):
     """Sets which answer the connection expects."""
 
@@ -344,7 +396,7 @@
     read_bytes: int,
 ) -> AsyncIterator[aiohttp.ClientSession]:
     loop = asyncio.get_running_loop()
-    connector = aiohttp.TCPConnector(
+    connector = EndpointConnector(
         limit=0,
         keepalive_timeout=KEEPALIVE_S,
         socket_factory=make_socket,
@@ -365,9 +417,7 @@
         request_class=request_class,
         response_class=EndpointResponse,
         read_bufsize=read_bytes,
-        timeout=aiohttp.ClientTimeout(
-            total=None, sock_connect=CONNECT_TIMEOUT_S
-        ),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=None),
     ) as session:
         yield session
 
--- a/rhubarblock/exchange/transport_test.py
+++ b/rhubarblock/exchange/transport_test.py
@@ -2,6 +2,7 @@
 import dataclasses
 import socket
 import struct
+import time
 
 import pytest
 
@@ -187,6 +188,44 @@
     assert asyncio.run(main()) is verdicts.Verdict.NOT_RUN
 
 
+def test_connection_that_is_not_accepted_times_out():
+    """A lost machine must not hold its request until the deadline."""
+
+    async def main():
+        with (
+            socket.create_server(("127.0.0.1", 0), backlog=0) as full,
+            socket.create_connection(full.getsockname()),
+        ):
+            endpoint = fakes.ScriptedEndpoint()
+            endpoint.address = f"127.0.0.1:{full.getsockname()[1]}"
+            async with fakes.open_parts() as parts:
+                started_s = time.monotonic()
+                with pytest.raises(transports.AttemptError) as raised:
+                    await call(parts, endpoint)
+                length_s = time.monotonic() - started_s
+                return raised.value.failure.verdict, length_s
+
+    verdict, length_s = asyncio.run(main())
+    assert verdict is verdicts.Verdict.NOT_RUN
+    assert transports.CONNECT_TIMEOUT_S <= length_s < 1.5
+
+
+def test_connection_is_kept_after_the_process_was_blocked():
+    """A pause of the own process must not count against the endpoint."""
+
+    async def call_while_blocked(parts, endpoint):
+        calling = asyncio.ensure_future(call(parts, endpoint))
+        loop = asyncio.get_running_loop()
+        while not endpoint.connections and not calling.done():
+            loop.call_soon(time.sleep, 2 * transports.CONNECT_TIMEOUT_S)
+            await asyncio.sleep(0)
+        return await calling
+
+    results, endpoint = run([fakes.whole()], call_while_blocked)
+    assert results == [(200, b"ok")]
+    assert len(endpoint.heads) == 1
+
+
 def test_answer_without_a_request_id_is_an_error():
     async def anonymous(head, writer):
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
