Let callers return into the room that new requests leave

Cause: a caller counted as returning if it had 0.3 s less time than the longest one of its route. Callers allow between 0.87 and 1 of it by themselves, so most new ones counted as returning. They exceeded the tenth that may have returned and were put last, and the spare rate that was computed without them told refused callers to come back after 0.5 s, into the same surge. Those that did return were refused again, which was the last try of most.

Change: a caller returns if it has at most three quarters of the usual time while refusals are known here or from peers. It waits, within a part of its time and of its patience, for the utilisation to fall, and is let in without regard to its own lateness. No more of them wait than the last seconds promise room for. The longest time of a route is forgotten after a minute or two. Summaries no longer carry returned requests.

--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -45,6 +45,7 @@
         waited_s=0.1,
         left_s=8.0,
         is_returning=number % 5 == 0,
+        patience_s=2.0,
     )
 
 
--- a/rhubarblock/exchange/admission.py
+++ b/rhubarblock/exchange/admission.py
@@ -16,6 +16,7 @@
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing.admission import controller as controllers
+from rhubarblock.routing.admission import returntimes
 from rhubarblock.routing.placement import latencycost
 from rhubarblock.routing.placement import partplan
 
@@ -27,15 +28,25 @@
 # Seconds for which a refused placement stands for those of exchanges that cost
 # as much or more: the endpoints can't have changed much since.
 REFUSAL_TTL_S = 0.01
-# An exchange whose time is shorter than the route's usual time by more than
-# this, in seconds, is from a caller that returns after a refusal.
-RETURN_GAP_S = 0.3
+# An exchange is from a caller that returns after a refusal if it has at most
+# this part of the longest time that callers of its route allowed lately. Most
+# callers are told to wait for about a third of their time, and new ones may
+# allow a little less than the longest time, too.
+RETURNING_TIME_PART = 0.75
+# Seconds for which the longest time of a route is remembered at least.
+LONGEST_TIME_S = 60.0
+# Seconds by which callers may return later than they were told.
+LATE_RETURN_S = 2.0
 # Engine seconds of a call to a service without a cost model.
 CALL_COST_S = 0.02
 
 _logger = logging.getLogger(__name__)
 
 _Verdict = controllers.Verdict
+# Rank, whether it is new, and time of arrival of a waiting exchange.
+_Key = tuple[int, bool, float]
+# Service, rank, and whether the caller returns.
+_Class = tuple[str, int, bool]
 # Holds until the controller is asked, which it isn't without any endpoint.
 _NOT_DECIDED = controllers.Decision(_Verdict.REFUSE)
 
@@ -53,16 +64,36 @@
     cost_s: float
 
 
+class _LongestTime:
+    """Longest time that callers of a route allowed in the last minutes."""
+
+    __slots__ = ("_begun_s", "_earlier_s", "_longest_s")
+
+    def __init__(self) -> None:
+        self._begun_s = 0.0
+        self._earlier_s = 0.0
+        self._longest_s = 0.0
+
+    def note(self, whole_s: float, now_s: float) -> float:
+        """Adds the time of a caller and returns the longest one, in seconds."""
+        if now_s - self._begun_s >= LONGEST_TIME_S:
+            self._begun_s = now_s
+            self._earlier_s = self._longest_s
+            self._longest_s = 0.0
+        self._longest_s = max(self._longest_s, whole_s)
+        return max(self._longest_s, self._earlier_s)
+
+
 class ExchangeAdmission:
     """Admission control of one instance."""
 
     __slots__ = (
         "_controller",
-        "_longest_s",
         "_metrics",
         "_on_refusal",
         "_refusals",
         "_timers",
+        "_times",
         "_waiting",
     )
 
@@ -85,11 +116,10 @@
         self._timers = timers
         self._metrics = metrics
         self._on_refusal = on_refusal
-        # Longest time that a caller of a route allowed, in seconds.
-        self._longest_s: dict[str, float] = {}
-        self._refusals: dict[tuple[str, int], _Refusal] = {}
+        self._times: dict[str, _LongestTime] = {}
+        self._refusals: dict[_Class, _Refusal] = {}
         # Order keys of the waiting exchanges by service, sorted.
-        self._waiting: dict[str, list[tuple[int, bool, float]]] = {}
+        self._waiting: dict[str, list[_Key]] = {}
 
     def open_gate(self, exchange: exchanges.Exchange) -> "Gate":
         """Returns the gate of a new exchange."""
@@ -99,10 +129,19 @@
     def _note_time(self, exchange: exchanges.Exchange) -> bool:
         """Returns whether the caller of an exchange has been refused before."""
         name = exchange.route.name
+        times = self._times.get(name)
+        if times is None:
+            times = self._times[name] = _LongestTime()
         whole_s = exchange.deadline_s - exchange.arrived_s
-        longest_s = max(self._longest_s.get(name, 0.0), whole_s)
-        self._longest_s[name] = longest_s
-        return whole_s < longest_s - RETURN_GAP_S
+        now_s = self._timers.read_monotonic()
+        longest_s = times.note(whole_s, now_s)
+        demand = self._controller.find_demand(exchange.service.name)
+        # Refused callers are not told to wait for longer than this.
+        recent_s = longest_s * returntimes.HONOURED_SHARE + LATE_RETURN_S
+        return (
+            whole_s <= RETURNING_TIME_PART * longest_s
+            and now_s - demand.refused_s <= recent_s
+        )
 
 
 class Gate:
@@ -156,10 +195,9 @@
         """
         admission = self._admission
         now_s = admission._timers.read_monotonic()
-        service = self._exchange.service.name
-        waiting = admission._waiting.get(service, [])
+        waiting = admission._waiting.get(self._exchange.service.name, [])
         self.decision = admission._controller.decide(
-            self._describe(now_s), outlook, len(waiting), now_s
+            self._describe(now_s), outlook, len(self._list_like(waiting)), now_s
         )
         if self.decision.verdict is _Verdict.ADMIT:
             return True
@@ -175,22 +213,25 @@
         waiting = admission._waiting.setdefault(service, [])
         bisect.insort(waiting, self._key)
         admission._metrics.count("admission.waits")
-        until_s = (
-            self._exchange.arrived_s
-            + controllers.MAX_WAIT_PART * self._exchange.route.objective_s
-        )
+        now_s = admission._timers.read_monotonic()
+        until_s = self._exchange.arrived_s + self._describe(now_s).max_wait_s
         try:
             while True:
                 await asyncio.sleep(POLL_S)
-                if self._key in waiting[:MAX_TRIED]:
+                if self._key in self._list_like(waiting)[:MAX_TRIED]:
                     return
                 if admission._timers.read_monotonic() >= until_s:
                     return
         finally:
             waiting.remove(self._key)
 
-    def _name_class(self) -> tuple[str, int]:
-        return self._exchange.service.name, self._exchange.priority
+    def _list_like(self, waiting: list[_Key]) -> list[_Key]:
+        """Returns the keys of new exchanges, or of returning ones as itself."""
+        return [key for key in waiting if key[1] == self._key[1]]
+
+    def _name_class(self) -> _Class:
+        exchange = self._exchange
+        return exchange.service.name, exchange.priority, self._is_returning
 
     def _describe(self, now_s: float) -> controllers.Candidate:
         exchange = self._exchange
@@ -204,6 +245,9 @@
             waited_s=now_s - exchange.arrived_s,
             left_s=exchange.deadline_s - now_s,
             is_returning=self._is_returning,
+            patience_s=latencycost.find_patience(
+                exchange.route.objective_s, exchange.route.pause_s
+            ),
             is_slow=_is_slow(exchange),
         )
 
@@ -227,6 +271,9 @@
                 else None,
                 "cost": round(outlook.cost, 2) if outlook else None,
                 "start_s": round(outlook.start_s, 3) if outlook else None,
+                "utilisation": round(outlook.utilisation, 2)
+                if outlook
+                else None,
                 "waited_s": round(now_s - exchange.arrived_s, 3),
                 "returning": self._is_returning,
                 "retry_after_s": round(decision.retry_after_s, 2),
--- a/rhubarblock/exchange/callbalancer.py
+++ b/rhubarblock/exchange/callbalancer.py
@@ -99,7 +99,7 @@
         """
         if all(self._is_full(e.endpoint_id) for e in endpoints):
             return None
-        return controllers.Outlook(0.0, 0.0, 0.0)
+        return controllers.Outlook(0.0, 0.0, 0.0, 0.0)
 
     @contextlib.contextmanager
     def hold(self, endpoint_id: str) -> Iterator[None]:
--- a/rhubarblock/exchange/peering/demandupdates.py
+++ b/rhubarblock/exchange/peering/demandupdates.py
@@ -17,8 +17,8 @@
 
 # Seconds between two summaries of one instance.
 INTERVAL_S = 0.5
-# Peers that get a summary. With summaries of 640 bytes, an instance sends and
-# receives 6.6 KB a second for one service.
+# Peers that get a summary. With summaries of 620 bytes, an instance sends and
+# receives 6.5 KB a second for one service.
 MAX_RECIPIENTS = 5
 # Longest accepted name of a service in characters, as each name that a peer
 # sends gets counts.
@@ -102,7 +102,6 @@
         [
             rank,
             *_encode_count(demand.requests),
-            round(demand.returned, _DIGITS),
             {
                 name: _encode_count(count, 1e3)
                 for name, count in demand.workspaces.items()
@@ -123,13 +122,12 @@
     return {
         int(rank): demands.RankDemand(
             _decode_count([offered, admitted]),
-            _read_amount(returned),
             {
                 str(name): _decode_count(count, 1e3)
                 for name, count in _list_items(workspaces)
             },
         )
-        for rank, offered, admitted, returned, workspaces in encoded
+        for rank, offered, admitted, workspaces in encoded
     }
 
 
--- a/rhubarblock/experiments/platform/overload.py
+++ b/rhubarblock/experiments/platform/overload.py
@@ -377,6 +377,9 @@
                 now_s - arrival.at_s,
                 until_s - now_s,
                 attempt > 0,
+                latencycost.find_patience(
+                    arrival.kind.objective_s, arrival.kind.pause_s
+                ),
             ),
             outlook,
             0,
--- a/rhubarblock/routing/admission/controller.py
+++ b/rhubarblock/routing/admission/controller.py
@@ -28,7 +28,6 @@
 # Largest cost while the service is saturated: only what is on time and takes
 # next to nothing from others is let in.
 SATURATED_COST_PARTS = {
-    standings.Standing.RETURNING: 0.15,
     standings.Standing.WITHIN_SHARE: 0.1,
     standings.Standing.OVER_SHARE: 0.05,
     standings.Standing.OVERTAKING: 0.03,
@@ -39,6 +38,15 @@
 # Part of its objective that a request may spend waiting for room: a caller that
 # is refused after a longer wait would have done better to come back.
 MAX_WAIT_PART = 0.125
+# Parts of its time, and of the time for which its caller is patient, that a
+# returning request may wait for room. Its answer is late already, so the wait
+# costs nothing more, while a second refusal may be its last.
+RETURNING_WAIT_PART = 0.2
+RETURNING_PATIENCE_PART = 0.5
+# Utilisations up to which a returning request is let in when it comes and at
+# the end of its wait: new requests, which can still be on time, have the rest.
+RETURNING_UTILISATION = 0.5
+RETURNING_LATER_UTILISATION = 0.6
 # Utilisation below which nothing is refused for its cost.
 LOW_UTILISATION = 0.4
 # Most requests of a service that wait at one instance.
@@ -67,6 +75,8 @@
       waited_s: seconds since its arrival.
       left_s: seconds until its deadline.
       is_returning: whether its caller returns after a refusal.
+      patience_s: seconds from its arrival after which its caller gives up
+        without a first event.
       is_slow: whether it would be late on idle endpoints too.
     """
 
@@ -79,8 +89,19 @@
     waited_s: float
     left_s: float
     is_returning: bool
+    patience_s: float
     is_slow: bool = False
 
+    @property
+    def max_wait_s(self) -> float:
+        """Longest wait for room, in seconds from its arrival."""
+        if self.is_returning:
+            return min(
+                RETURNING_WAIT_PART * (self.waited_s + self.left_s),
+                RETURNING_PATIENCE_PART * self.patience_s,
+            )
+        return MAX_WAIT_PART * self.objective_s
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Outlook:
@@ -159,7 +180,8 @@
         Args:
           candidate: the request.
           outlook: its best placement, None if no endpoint has room.
-          waiting: requests of its service that wait here already.
+          waiting: requests of its service that wait here already, new or
+            returning ones as it is itself.
           now_s: current time in monotonic seconds.
         """
         demand = self.find_demand(candidate.service)
@@ -178,17 +200,20 @@
                 demand,
                 candidate.rank,
                 candidate.workspace,
-                candidate.is_returning,
                 now_s,
             )
             cost_part = SATURATED_COST_PARTS[standing]
         if outlook is not None and (
-            _is_worth(outlook, candidate, cost_part) or has_room
+            has_room or _is_worth(outlook, candidate, cost_part)
         ):
             self._note(candidate, True, now_s)
             return Decision(Verdict.ADMIT, standing=standing)
-        may_wait = candidate.waited_s < MAX_WAIT_PART * candidate.objective_s
-        if may_wait and waiting < MAX_WAITING:
+        most = MAX_WAITING
+        if candidate.is_returning:
+            # A longer queue would end in refusals that come late.
+            rate_per_s = demand.find_returning_rate(candidate.rank, now_s)
+            most = min(most, int(rate_per_s * candidate.max_wait_s))
+        if candidate.waited_s < candidate.max_wait_s and waiting < most:
             return Decision(Verdict.WAIT, "no room yet", standing)
         reason = "no endpoint has room"
         if outlook is not None:
@@ -229,6 +254,16 @@
     """Returns whether a placement costs less than a part of its value."""
     if outlook.others_cost > MAX_OTHERS_PART * candidate.value:
         return False
-    if candidate.is_slow:
+    if candidate.is_returning:
+        waited_part = min(1.0, candidate.waited_s / candidate.max_wait_s)
+        limit = RETURNING_UTILISATION + waited_part * (
+            RETURNING_LATER_UTILISATION - RETURNING_UTILISATION
+        )
+        if (
+            outlook.utilisation > limit
+            or candidate.waited_s + outlook.start_s > candidate.patience_s
+        ):
+            return False
+    if candidate.is_slow or candidate.is_returning:
         return outlook.others_cost <= cost_part * candidate.value
     return outlook.cost <= cost_part * candidate.value
--- a/rhubarblock/routing/admission/demand.py
+++ b/rhubarblock/routing/admission/demand.py
@@ -58,18 +58,15 @@
 
     Attributes:
       requests: number of requests.
-      returned: number of those let in whose callers returned after a refusal.
       workspaces: engine seconds by workspace.
     """
 
     requests: Count = dataclasses.field(default_factory=Count)
-    returned: float = 0.0
     workspaces: dict[str, Count] = dataclasses.field(default_factory=dict)
 
     def scale(self, factor: float) -> None:
         """Multiplies all counts and drops those that became negligible."""
         self.requests.scale(factor)
-        self.returned *= factor
         for name, count in list(self.workspaces.items()):
             count.scale(factor)
             if count.offered < MIN_COUNT * MIN_COUNT:
@@ -78,7 +75,6 @@
     def add(self, other: "RankDemand") -> None:
         """Adds the demand of another instance."""
         self.requests.add(other.requests)
-        self.returned += other.returned
         for name, count in other.workspaces.items():
             self.workspaces.setdefault(name, Count()).add(count)
 
@@ -103,16 +99,32 @@
 
 
 class ServiceDemand:
-    """Demand for one service."""
+    """Demand for one service.
 
-    __slots__ = ("_decayed_s", "_new", "_own", "_peers", "_totals")
+    Attributes:
+      refused_s: when a refusal here or at a peer was last known, in monotonic
+        seconds.
+    """
+
+    __slots__ = (
+        "_decayed_s",
+        "_new",
+        "_own",
+        "_peers",
+        "_returned",
+        "_totals",
+        "refused_s",
+    )
 
     def __init__(self) -> None:
         """Starts without demand."""
+        self.refused_s = -math.inf
         self._decayed_s = 0.0
         self._own: Summary = collections.defaultdict(RankDemand)
         # New requests by rank, without those whose callers returned.
         self._new: dict[int, float] = {}
+        # Requests by rank that were let in and whose callers had returned.
+        self._returned: dict[int, float] = {}
         # Summaries of peers and when they were received.
         self._peers: dict[str, tuple[float, Summary]] = {}
         self._totals = _Totals()
@@ -145,12 +157,17 @@
         count.offered += cost_s
         if admitted:
             demand.requests.admitted += 1.0
-            demand.returned += is_returning
+            if is_returning:
+                self._returned[rank] = self._returned.get(rank, 0.0) + 1.0
             count.admitted += cost_s
+        else:
+            self.refused_s = now_s
 
     def receive(self, peer: str, summary: Summary, now_s: float) -> None:
         """Replaces the summary of a peer."""
         self._peers[peer] = now_s, summary
+        if any(_has_refused(demand) for demand in summary.values()):
+            self.refused_s = now_s
         self._totals.computed_s = -math.inf
 
     def summarise(self, now_s: float) -> Summary:
@@ -159,7 +176,6 @@
         return {
             rank: RankDemand(
                 dataclasses.replace(demand.requests),
-                demand.returned,
                 {
                     name: dataclasses.replace(count)
                     for name, count in _list_largest(demand.workspaces)
@@ -179,10 +195,7 @@
     def has_refused(self, now_s: float) -> bool:
         """Says whether this instance refused requests in the last seconds."""
         self._decay(now_s)
-        return any(
-            demand.requests.offered - demand.requests.admitted >= MIN_COUNT
-            for demand in self._own.values()
-        )
+        return any(_has_refused(demand) for demand in self._own.values())
 
     def find_served_share(self, rank: int, now_s: float) -> float:
         """Returns the admitted share of a rank's requests, 1 without any."""
@@ -204,12 +217,10 @@
         spare = demand.requests.admitted - self._new.get(rank, 0.0)
         return max(0.0, spare) / DECAY_S
 
-    def find_returned_share(self, rank: int, now_s: float) -> float:
-        """Returns the part of the admitted requests that had returned."""
-        demand = self._sum(now_s).ranks.get(rank)
-        if demand is None or demand.requests.admitted < MIN_COUNT:
-            return 0.0
-        return demand.returned / demand.requests.admitted
+    def find_returning_rate(self, rank: int, now_s: float) -> float:
+        """Returns how many returning requests are let in here a second."""
+        self._decay(now_s)
+        return self._returned.get(rank, 0.0) / DECAY_S
 
     def list_ranks(self, now_s: float) -> list[int]:
         """Returns the ranks with demand, the most urgent first."""
@@ -255,8 +266,14 @@
         factor = math.exp(-elapsed_s / DECAY_S)
         for demand in self._own.values():
             demand.scale(factor)
-        for rank in self._new:
-            self._new[rank] *= factor
+        for counts in (self._new, self._returned):
+            for rank in counts:
+                counts[rank] *= factor
+
+
+def _has_refused(demand: RankDemand) -> bool:
+    requests = demand.requests
+    return requests.offered - requests.admitted >= MIN_COUNT
 
 
 def _list_largest(
--- a/rhubarblock/routing/admission/returntimes.py
+++ b/rhubarblock/routing/admission/returntimes.py
@@ -17,8 +17,9 @@
 # promised: callers then return as late as they can, over when the surge may be.
 MIN_RATE_PER_S = 0.5
 # Part of the honoured time over which callers are spread for whom there is no
-# free place within it.
-SPREAD_PART = 0.4
+# free place within it. A caller that returns is told from a new one by the time
+# that it has left, so that it must not return much earlier.
+SPREAD_PART = 0.2
 
 
 class ReturnTimes:
--- a/rhubarblock/routing/placement/latencycost.py
+++ b/rhubarblock/routing/placement/latencycost.py
@@ -34,6 +34,21 @@
     return 1.0 + prompt_tokens / TOKENS_OF_VALUE
 
 
+def find_patience(objective_s: float, pause_s: float) -> float:
+    """Returns for how long a caller waits for the first event, in seconds.
+
+    Args:
+      objective_s: seconds that count as on time.
+      pause_s: longest pause that counts as on time; 0 for no limit.
+    """
+    patience_s = max(
+        PATIENCE_S,
+        PATIENCE_OBJECTIVES * objective_s,
+        PATIENCE_PAUSES * pause_s,
+    )
+    return PATIENCE_PART * patience_s
+
+
 def compute_delay_loss(
     first_s: float, objective_s: float, pause_s: float
 ) -> float:
@@ -49,12 +64,7 @@
         return WAIT_COST * share
     cost = WAIT_COST * SAFE_SHARE + OVERDUE_COST * share
     cost += LATE_COST * min(1.0, (share - SAFE_SHARE) / (1.0 - SAFE_SHARE))
-    patience_s = max(
-        PATIENCE_S,
-        PATIENCE_OBJECTIVES * objective_s,
-        PATIENCE_PAUSES * pause_s,
-    )
-    if first_s > PATIENCE_PART * patience_s:
+    if first_s > find_patience(objective_s, pause_s):
         cost += 1.0 - LATE_COST
     return cost
 
