Forget the times of routes that are gone, and part waiting exchanges

Cause: the longest time of a route stayed for good when the route was removed, and each poll of a waiting exchange searched the keys of all others.

New and returning exchanges wait in lists of their own.

--- a/rhubarblock/exchange/admission.py
+++ b/rhubarblock/exchange/admission.py
@@ -3,7 +3,8 @@
 A gate asks the admission controller whether a new exchange is let in at the
 placement that was found for it. Exchanges that wait are tried again in the
 order of their rank; only the first few of a service are, as each try searches
-all endpoints.
+all endpoints. Those whose callers return after a refusal wait apart from new
+ones, as they wait longer.
 """
 
 import asyncio
@@ -43,8 +44,8 @@
 _logger = logging.getLogger(__name__)
 
 _Verdict = controllers.Verdict
-# Rank, whether it is new, and time of arrival of a waiting exchange.
-_Key = tuple[int, bool, float]
+# Rank and time of arrival of a waiting exchange.
+_Key = tuple[int, float]
 # Service, rank, and whether the caller returns.
 _Class = tuple[str, int, bool]
 # Holds until the controller is asked, which it isn't without any endpoint.
@@ -64,24 +65,26 @@
     cost_s: float
 
 
-class _LongestTime:
-    """Longest time that callers of a route allowed in the last minutes."""
+class _LongestTimes:
+    """Longest times that callers of the routes allowed in the last minutes."""
 
-    __slots__ = ("_begun_s", "_earlier_s", "_longest_s")
+    __slots__ = ("_begun_s", "_earlier", "_present")
 
     def __init__(self) -> None:
         self._begun_s = 0.0
-        self._earlier_s = 0.0
-        self._longest_s = 0.0
+        # Seconds by route, in the present period and in the one before.
+        self._present: dict[str, float] = {}
+        self._earlier: dict[str, float] = {}
 
-    def note(self, whole_s: float, now_s: float) -> float:
+    def note(self, route: str, whole_s: float, now_s: float) -> float:
         """Adds the time of a caller and returns the longest one, in seconds."""
         if now_s - self._begun_s >= LONGEST_TIME_S:
             self._begun_s = now_s
-            self._earlier_s = self._longest_s
-            self._longest_s = 0.0
-        self._longest_s = max(self._longest_s, whole_s)
-        return max(self._longest_s, self._earlier_s)
+            self._earlier = self._present
+            self._present = {}
+        longest_s = max(whole_s, self._present.get(route, 0.0))
+        self._present[route] = longest_s
+        return max(longest_s, self._earlier.get(route, 0.0))
 
 
 class ExchangeAdmission:
@@ -116,10 +119,11 @@
         self._timers = timers
         self._metrics = metrics
         self._on_refusal = on_refusal
-        self._times: dict[str, _LongestTime] = {}
+        self._times = _LongestTimes()
         self._refusals: dict[_Class, _Refusal] = {}
-        # Order keys of the waiting exchanges by service, sorted.
-        self._waiting: dict[str, list[_Key]] = {}
+        # Order keys of the waiting exchanges, sorted, by service and whether
+        # their callers return.
+        self._waiting: dict[tuple[str, bool], list[_Key]] = {}
 
     def open_gate(self, exchange: exchanges.Exchange) -> "Gate":
         """Returns the gate of a new exchange."""
@@ -128,13 +132,9 @@
 
     def _note_time(self, exchange: exchanges.Exchange) -> bool:
         """Returns whether the caller of an exchange has been refused before."""
-        name = exchange.route.name
-        times = self._times.get(name)
-        if times is None:
-            times = self._times[name] = _LongestTime()
         whole_s = exchange.deadline_s - exchange.arrived_s
         now_s = self._timers.read_monotonic()
-        longest_s = times.note(whole_s, now_s)
+        longest_s = self._times.note(exchange.route.name, whole_s, now_s)
         demand = self._controller.find_demand(exchange.service.name)
         # Refused callers are not told to wait for longer than this.
         recent_s = longest_s * returntimes.HONOURED_SHARE + LATE_RETURN_S
@@ -151,7 +151,14 @@
       decision: the last decision.
     """
 
-    __slots__ = ("_admission", "_cost_s", "_exchange", "_key", "decision")
+    __slots__ = (
+        "_admission",
+        "_cost_s",
+        "_exchange",
+        "_is_returning",
+        "_key",
+        "decision",
+    )
 
     def __init__(
         self,
@@ -162,8 +169,8 @@
         self._admission = admission
         self._exchange = exchange
         self._cost_s = compute_cost(exchange)
-        # Sorts by rank, then returning callers first, then by arrival.
-        self._key = (exchange.priority, not is_returning, exchange.arrived_s)
+        self._is_returning = is_returning
+        self._key = (exchange.priority, exchange.arrived_s)
         self.decision = _NOT_DECIDED
 
     @property
@@ -171,10 +178,6 @@
         """Whether it should be tried again after a wait."""
         return self.decision.verdict is _Verdict.WAIT
 
-    @property
-    def _is_returning(self) -> bool:
-        return not self._key[1]
-
     def begin_try(self) -> bool:
         """Begins a try and says whether it is worth looking for a placement.
 
@@ -195,9 +198,8 @@
         """
         admission = self._admission
         now_s = admission._timers.read_monotonic()
-        waiting = admission._waiting.get(self._exchange.service.name, [])
         self.decision = admission._controller.decide(
-            self._describe(now_s), outlook, len(self._list_like(waiting)), now_s
+            self._describe(now_s), outlook, len(self._find_waiting()), now_s
         )
         if self.decision.verdict is _Verdict.ADMIT:
             return True
@@ -209,8 +211,7 @@
     async def wait(self) -> None:
         """Waits until the exchange should be tried again."""
         admission = self._admission
-        service = self._exchange.service.name
-        waiting = admission._waiting.setdefault(service, [])
+        waiting = self._find_waiting()
         bisect.insort(waiting, self._key)
         admission._metrics.count("admission.waits")
         now_s = admission._timers.read_monotonic()
@@ -218,16 +219,19 @@
         try:
             while True:
                 await asyncio.sleep(POLL_S)
-                if self._key in self._list_like(waiting)[:MAX_TRIED]:
+                if self._key in waiting[:MAX_TRIED]:
                     return
                 if admission._timers.read_monotonic() >= until_s:
                     return
         finally:
             waiting.remove(self._key)
 
-    def _list_like(self, waiting: list[_Key]) -> list[_Key]:
-        """Returns the keys of new exchanges, or of returning ones as itself."""
-        return [key for key in waiting if key[1] == self._key[1]]
+    def _find_waiting(self) -> list[_Key]:
+        """Returns the waiting exchanges of its service that are like itself."""
+        name = self._exchange.service.name
+        return self._admission._waiting.setdefault(
+            (name, self._is_returning), []
+        )
 
     def _name_class(self) -> _Class:
         exchange = self._exchange
