Start the soak's instances on ports that nothing else takes

Ports were probed among those that the kernel also gives to outgoing connections, and the second port of the peers was not probed at all.

Change: four consecutive ports, free for TCP and UDP, below that range. An instance that does not start prints the end of its log.

--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -4,6 +4,7 @@
 import contextlib
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -18,6 +19,10 @@
 BALANCER_DELAY_S = 2.0
 # Milliseconds within which an evacuation must be in force.
 EVACUATE_MS = 5_000
+# First and last port of the instances.
+PORTS = (10_000, 32_000)
+# Lines of the log of an instance that does not start.
+LAST_LINES = 20
 
 SETTINGS = """\
 nodeName = "{name}"
@@ -66,7 +71,8 @@
         # Each instance has its own address because the metrics port is fixed;
         # seeds that run concurrently use different networks.
         self.ip = f"127.{network}.7.{number + 1}"
-        self.front, ready, peers = (_find_port(self.ip) for _ in range(3))
+        self.front = _find_ports(self.ip, 4)
+        ready, peers = self.front + 1, self.front + 2
         self.process: asyncio.subprocess.Process | None = None
         self.stop_signalled_s: float | None = None
         self._path = folder / f"{number}.toml"
@@ -108,6 +114,11 @@
                     self.send(signal.SIGKILL)
                 await asyncio.sleep(0.2)
 
+    def read_last_log(self) -> str:
+        """Returns the last lines that the program wrote."""
+        lines = self._log.read_text().splitlines()[-LAST_LINES:]
+        return "\n".join(lines)
+
     @property
     def process_id(self) -> int:
         """Id of the present process; 0 if none runs."""
@@ -134,8 +145,17 @@
                 self.process.send_signal(number)
 
 
-def _find_port(ip: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        port: int = probe.getsockname()[1]
-        return port
+def _find_ports(ip: str, count: int) -> int:
+    """Returns the first of some consecutive free ports.
+
+    They are below the ports that the kernel gives to outgoing connections,
+    which could take them before the instance listens there.
+    """
+    while True:
+        first = random.SystemRandom().randrange(*PORTS)
+        with contextlib.suppress(OSError), contextlib.ExitStack() as stack:
+            for port in range(first, first + count):
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    probe = stack.enter_context(socket.socket(type=kind))
+                    probe.bind((ip, port))
+            return first
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -177,17 +177,14 @@
             group.create_task(part.run(self.stop))
 
     async def _wait_ready(self) -> None:
-        async with (
-            asyncio.timeout(STARTUP_TIMEOUT_S),
-            aiohttp.ClientSession() as session,
-        ):
+        async with aiohttp.ClientSession() as session:
             for instance in self.instances:
-                while True:
-                    with contextlib.suppress(aiohttp.ClientError):
-                        async with session.get(instance.ready_url) as answer:
-                            if answer.status == 200:
-                                break
-                    await asyncio.sleep(0.1)
+                try:
+                    async with asyncio.timeout(STARTUP_TIMEOUT_S):
+                        await _poll_ready(session, instance.ready_url)
+                except TimeoutError:
+                    print(instance.read_last_log(), file=sys.stderr)
+                    raise
 
     def _start_callers(self) -> None:
         self.callers = [
@@ -412,6 +409,15 @@
             )
 
 
+async def _poll_ready(session: aiohttp.ClientSession, url: str) -> None:
+    while True:
+        with contextlib.suppress(aiohttp.ClientError):
+            async with session.get(url) as answer:
+                if answer.status == 200:
+                    return
+        await asyncio.sleep(0.1)
+
+
 async def run_seed(seed: int, length_s: float) -> evidences.Evidence:
     """Runs one seed in a temporary folder of its own."""
     with tempfile.TemporaryDirectory() as folder:
