Refuse what a stopping instance would cut

Cause: an instance accepts connections for 2.6 s after the stop signal and cuts what runs at the end of its grace time. With slow endpoints, a stream that was sent at 2.55 s took over 2.6 s and was cut after 5.4 s of 6 s.

Change: the request handler keeps the mean duration of each route. Once a stop has an end, an exchange is refused as not run, before anything is sent, if 1.5 times the mean does not fit. `losses` has a cause for it.

--- a/rhubarblock/exchange/requesthandler.py
+++ b/rhubarblock/exchange/requesthandler.py
@@ -16,6 +16,7 @@
 from rhubarblock.core import route as routes
 from rhubarblock.exchange import callerbuffer
 from rhubarblock.exchange import dialect as dialects
+from rhubarblock.exchange import durations
 from rhubarblock.exchange import memoryaccount
 from rhubarblock.exchange import relay as relays
 from rhubarblock.exchange import sink as sinks
@@ -34,6 +35,9 @@
 # Retry-After in seconds of a caller that could not be authenticated because the
 # configuration has no valid lease.
 LEASE_RETRY_S = 1.0
+# Retry-After in seconds of a caller that is refused by an instance which is
+# about to stop: another instance can serve it at once.
+LEAVING_RETRY_S = 0.05
 # Seconds for which a body waits for memory, and Retry-After in seconds of one
 # that got none. Most requests end within a second and release theirs.
 BODY_WAIT_S = 0.5
@@ -59,6 +63,7 @@
     __slots__ = (
         "_config_lease",
         "_dialect",
+        "_durations",
         "_lifecycle",
         "_listed",
         "_memory",
@@ -102,6 +107,7 @@
         self._metrics = metrics
         self._rng = rng
         self._memory = memory
+        self._durations = durations.RouteDurations()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serves one request of a caller."""
@@ -115,6 +121,7 @@
                 share = stack.enter_context(self._memory.open_share())
             try:
                 exchange = await self._read_exchange(request, arrived_s, share)
+                self._check_time_left(exchange)
                 caller: sinks.Sink = sink
                 if share is not None:
                     caller = stack.enter_context(
@@ -127,6 +134,10 @@
                         )
                     )
                 await self._relay.serve(exchange, caller)
+                self._durations.note(
+                    exchange.route.name,
+                    self._timers.read_monotonic() - arrived_s,
+                )
             except failures.FailureError as error:
                 if share is not None and sink.begun and share.held[_ANSWERS]:
                     # Unsent data would be kept until this caller reads it.
@@ -135,6 +146,22 @@
             assert sink.response is not None
             return sink.response
 
+    def _check_time_left(self, exchange: exchanges.Exchange) -> None:
+        """Refuses what may not end before a planned stop cuts it.
+
+        Raises:
+          failures.FailureError: it is refused; NOT_RUN.
+        """
+        left_s = self._lifecycle.drain_ends_s - self._timers.read_monotonic()
+        if not self._durations.fits(exchange.route.name, left_s):
+            raise failures.FailureError(
+                failures.Failure(
+                    failures.FailureCode.DRAINING,
+                    "it may not end before this instance stops",
+                    retry_after_s=LEAVING_RETRY_S,
+                )
+            )
+
     def _answer_failure(
         self,
         request: web.BaseRequest,
--- a/rhubarblock/exchange/requesthandler_test.py
+++ b/rhubarblock/exchange/requesthandler_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 
 import aiohttp
 import pytest
@@ -158,6 +159,30 @@
     assert asyncio.run(main()) == (200, "close")
 
 
+def test_stopping_instance_refuses_what_would_be_cut():
+    """Streams of the route were longer than what was left of the grace time."""
+
+    async def answer_slowly(head, writer):
+        await asyncio.sleep(0.3)
+        await fakes.whole(b"ok")(head, writer)
+
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(*[answer_slowly] * 3)
+        async with open_instance(endpoint) as (parts, session, url):
+            statuses = []
+            for left_s in (math.inf, 0.4, 0.7):
+                now_s = parts.timers.read_monotonic()
+                parts.lifecycle.drain_ends_s = now_s + left_s
+                async with session.get(
+                    url + "/a/x", headers=make_headers()
+                ) as answer:
+                    await answer.read()
+                    statuses.append(answer.status)
+            return statuses, len(endpoint.heads)
+
+    assert asyncio.run(main()) == ([200, 503, 200], 2)
+
+
 def test_disconnect_of_the_caller_closes_the_endpoint_connection():
     async def hang(head, writer):
         while True:
--- a/rhubarblock/kernel/lifecycle.py
+++ b/rhubarblock/kernel/lifecycle.py
@@ -10,6 +10,7 @@
 import contextlib
 import enum
 import logging
+import math
 from typing import Any
 
 import transitions
@@ -49,11 +50,16 @@
 
     A transition that the current state does not allow raises
     ``transitions.MachineError``.
+
+    Attributes:
+      drain_ends_s: when a drain cuts what is still in flight, in monotonic
+        seconds; infinite before a drain with an end.
     """
 
-    __slots__ = ("_hooks", "_in_flight", "_idle", "_machine")
+    __slots__ = ("_hooks", "_in_flight", "_idle", "_machine", "drain_ends_s")
 
     def __init__(self) -> None:
+        self.drain_ends_s = math.inf
         self._hooks: list[Hook] = []
         self._in_flight = 0
         self._idle = asyncio.Event()
--- a/rhubarblock/loganalysis/causes.py
+++ b/rhubarblock/loganalysis/causes.py
@@ -52,6 +52,7 @@
     SATURATED: admission refused it, as its placement would cost too much.
     NO_ROOM: no endpoint had room for it; it may have waited for one.
     RATE_LIMITED: the endpoints' rate limits were exhausted.
+    STOPPING: the instance was about to stop and might have cut it.
     EVACUATED: the operator evacuated the data centre of the endpoint.
     MAYBE_COLD: endpoints had got as much as a cold one survives.
     RESTING: the endpoints were in a cool-down that they had asked for.
@@ -76,6 +77,7 @@
     SATURATED = "others would have lost more than it gained"
     NO_ROOM = "no endpoint had room"
     RATE_LIMITED = "endpoints' rate limits left no room"
+    STOPPING = "the instance was about to stop"
     EVACUATED = "its data centre was evacuated"
     MAYBE_COLD = "endpoints that may be cold had no room"
     RESTING = "endpoints wanted no more requests"
@@ -107,6 +109,7 @@
     ("others would lose more", Cause.SATURATED),
     ("no endpoint has room", Cause.NO_ROOM),
     ("rate limits of endpoints", Cause.RATE_LIMITED),
+    ("before this instance stops", Cause.STOPPING),
     ("evacuated", Cause.EVACUATED),
     ("endpoints that may be cold", Cause.MAYBE_COLD),
     ("ask for rest", Cause.RESTING),
--- a/rhubarblock/scripts/losses_test.py
+++ b/rhubarblock/scripts/losses_test.py
@@ -114,6 +114,15 @@
         "its data centres are evacuated",
         verdict="NOT_RUN",
     ),
+    # The instance of q24 is about to stop.
+    failed(
+        13.1,
+        "i1",
+        "q24",
+        "draining",
+        "it may not end before this instance stops",
+        verdict="NOT_RUN",
+    ),
     # Admission refuses q21, q22 and q23, before any attempt.
     *refused_by_admission("q21", "it can't be answered in its time"),
     *refused_by_admission("q22", "others would lose more than it gains"),
@@ -188,10 +197,11 @@
         "refused: its data centre was evacuated": 1,
         "refused: no confirmed configuration": 1,
         "refused: no endpoint had room": 1,
+        "refused: the instance was about to stop": 1,
         "refused: others would have lost more than it gained": 1,
         "refused: the instance had just started": 1,
     }
-    assert (summary["requests"], summary["skipped"]) == (23, 2)
+    assert (summary["requests"], summary["skipped"]) == (24, 2)
 
 
 def test_order_of_the_log_files_does_not_matter(tmp_path):
