Decide for returning requests without time, too

Cause: a request whose caller leaves it no time, and that could be served at once during a surge, divided by its longest wait of zero.

Change: without a wait, the limit of the end of the wait holds.

Measured: its test raised ZeroDivisionError before; the others pass.

--- a/rhubarblock/routing/admission/controller.py
+++ b/rhubarblock/routing/admission/controller.py
@@ -254,16 +254,21 @@
     """Returns whether a placement costs less than a part of its value."""
     if outlook.others_cost > MAX_OTHERS_PART * candidate.value:
         return False
-    if candidate.is_returning:
-        waited_part = min(1.0, candidate.waited_s / candidate.max_wait_s)
-        limit = RETURNING_UTILISATION + waited_part * (
-            RETURNING_LATER_UTILISATION - RETURNING_UTILISATION
-        )
-        if (
-            outlook.utilisation > limit
-            or candidate.waited_s + outlook.start_s > candidate.patience_s
-        ):
-            return False
+    if candidate.is_returning and (
+        outlook.utilisation > _limit_utilisation(candidate)
+        or candidate.waited_s + outlook.start_s > candidate.patience_s
+    ):
+        return False
     if candidate.is_slow or candidate.is_returning:
         return outlook.others_cost <= cost_part * candidate.value
     return outlook.cost <= cost_part * candidate.value
+
+
+def _limit_utilisation(candidate: Candidate) -> float:
+    """Returns the utilisation up to which a returning request is let in."""
+    if candidate.waited_s >= candidate.max_wait_s:
+        return RETURNING_LATER_UTILISATION
+    waited_part = candidate.waited_s / candidate.max_wait_s
+    return RETURNING_UTILISATION + waited_part * (
+        RETURNING_LATER_UTILISATION - RETURNING_UTILISATION
+    )
--- a/rhubarblock/routing/admission/controller_test.py
+++ b/rhubarblock/routing/admission/controller_test.py
@@ -201,6 +201,17 @@
     )
 
 
+def test_returning_request_without_time_is_decided():
+    # It has no time to wait for, which must not end in an error.
+    controller = make_controller()
+    saturate(controller)
+    returning = dataclasses.replace(SHORT, is_returning=True, left_s=0.0)
+    at_once = controllers.Outlook(0.0, 0.0, 0.0, 0.9)
+    assert decide(controller, returning, at_once).verdict is (
+        controllers.Verdict.REFUSE
+    )
+
+
 def test_returning_request_takes_nothing_from_others():
     controller = make_controller()
     saturate(controller)
