--- a/rhubarblock/daemon/coldendpoint_test.py
+++ b/rhubarblock/daemon/coldendpoint_test.py
@@ -2,17 +2,13 @@
 
 import asyncio
 import dataclasses
-import random
 
-import aiohttp
 import pytest
 
 from rhubarblock.daemon import endpointlimit_test
-from rhubarblock.daemon import exchangeinstance
 from rhubarblock.daemon import exchangeinstance_test as instancefixtures
 from rhubarblock.daemon import plannedstop
 from rhubarblock.exchange import fakeparts_test as fakes
-from rhubarblock.platform import names
 
 CALLS = 30
 COLD = dataclasses.replace(fakes.SERVICE, cold_start_s=60.0, cold_per_s=2.0)
@@ -29,35 +25,21 @@
 async def call_all(bounds, fields):
     """Sends calls at once; returns the endpoint and the statuses."""
     endpoint = endpointlimit_test.CountingEndpoint()
-    settings = dataclasses.replace(
-        instancefixtures.make_settings(), bounds=bounds
-    )
-    async with endpoint.open(), aiohttp.ClientSession() as session:
+    settings = instancefixtures.make_settings(bounds=bounds)
+    async with endpoint.open():
         store = instancefixtures.FakeStore(endpoint)
         store.objects["servers/e1"].update(fields)
-        instance = exchangeinstance.ExchangeInstance(
-            settings,
-            ColdDialect(),
-            lambda session, metrics, eras: store,
-            lambda session: fakes.NoLeases(),
-            names.ATTEMPT_ID,
-            random.Random(1),
-        )
-        stop = asyncio.Event()
-        running = asyncio.ensure_future(instance.run(stop))
-        while await instancefixtures.ask_ready(session, settings) != 200:
-            assert not running.done(), running
-            await asyncio.sleep(0.01)
-
-        async def call():
-            headers = instancefixtures.HEADERS
-            url = f"http://{settings.callers}/a/x"
-            async with session.get(url, headers=headers) as answer:
-                return answer.status
-
-        statuses = await asyncio.gather(*(call() for _ in range(CALLS)))
-        stop.set()
-        await running
+        async with instancefixtures.run_instance(
+            settings, ColdDialect(), store
+        ) as (_, session, _, _):
+
+            async def call():
+                headers = instancefixtures.HEADERS
+                url = f"http://{settings.callers}/a/x"
+                async with session.get(url, headers=headers) as answer:
+                    return answer.status
+
+            statuses = await asyncio.gather(*(call() for _ in range(CALLS)))
     return endpoint, statuses
 
 
--- a/rhubarblock/daemon/exchangeinstance_test.py
+++ b/rhubarblock/daemon/exchangeinstance_test.py
@@ -133,13 +133,11 @@
 
 
 @contextlib.asynccontextmanager
-async def open_instance(endpoint, evacuated=(), bounds=fakes.BOUNDS):
-    settings = make_settings(bounds=bounds)
-    store = FakeStore(endpoint)
-    store.objects |= {f"evacuations/{name}": {} for name in evacuated}
+async def run_instance(settings, dialect, store):
+    """Runs an instance; yields it, a session, its stop event and its task."""
     instance = exchangeinstance.ExchangeInstance(
         settings,
-        FakeDialect(),
+        dialect,
         lambda session, metrics, eras: store,
         lambda session: fakes.NoLeases(),
         names.ATTEMPT_ID,
@@ -152,12 +150,26 @@
             assert not running.done(), running
             await asyncio.sleep(0.01)
         try:
-            yield settings, session, stop, running
+            yield instance, session, stop, running
         finally:
             stop.set()
             await running
 
 
+@contextlib.asynccontextmanager
+async def open_instance(endpoint, evacuated=(), bounds=fakes.BOUNDS):
+    settings = make_settings(bounds=bounds)
+    store = FakeStore(endpoint)
+    store.objects |= {f"evacuations/{name}": {} for name in evacuated}
+    async with run_instance(settings, FakeDialect(), store) as (
+        _,
+        session,
+        stop,
+        running,
+    ):
+        yield settings, session, stop, running
+
+
 async def ask_ready(session, settings):
     try:
         async with session.get(f"http://{settings.readiness}/ready") as answer:
--- a/rhubarblock/daemon/homes_test.py
+++ b/rhubarblock/daemon/homes_test.py
@@ -3,13 +3,9 @@
 import asyncio
 import contextlib
 import dataclasses
-import random
-
-import aiohttp
 
 from rhubarblock.core import route as routes
 from rhubarblock.daemon import endpointlimit_test as fleetfixtures
-from rhubarblock.daemon import exchangeinstance
 from rhubarblock.daemon import exchangeinstance_test as instancefixtures
 from rhubarblock.daemon import plannedstop
 from rhubarblock.exchange import fakeparts_test as fakes
@@ -55,26 +51,15 @@
     async with contextlib.AsyncExitStack() as stack:
         for endpoint in endpoints:
             await stack.enter_async_context(endpoint.open())
-        session = await stack.enter_async_context(aiohttp.ClientSession())
         store = fleetfixtures.FleetStore(*endpoints)
         for number, data_centre in enumerate(REGIONS, 1):
             store.objects[f"servers/e{number}"]["zone"] = data_centre
         settings = dataclasses.replace(
             instancefixtures.make_settings(), regions=REGIONS
         )
-        instance = exchangeinstance.ExchangeInstance(
-            settings,
-            HomesDialect(),
-            lambda session, metrics, eras: store,
-            lambda session: fakes.NoLeases(),
-            names.ATTEMPT_ID,
-            random.Random(1),
+        instance, session, _, _ = await stack.enter_async_context(
+            instancefixtures.run_instance(settings, HomesDialect(), store)
         )
-        stop = asyncio.Event()
-        running = asyncio.ensure_future(instance.run(stop))
-        while await instancefixtures.ask_ready(session, settings) != 200:
-            assert not running.done(), running
-            await asyncio.sleep(0.01)
 
         async def ask(route, key="secret"):
             headers = {**instancefixtures.HEADERS, names.CREDENTIAL: key}
@@ -83,11 +68,7 @@
                 await answer.read()
                 return answer.status, "Retry-After" in answer.headers
 
-        try:
-            yield ask, instance
-        finally:
-            stop.set()
-            await running
+        yield ask, instance
 
 
 def test_requests_stay_in_their_home_regions(monkeypatch):
--- a/rhubarblock/daemon/memory_test.py
+++ b/rhubarblock/daemon/memory_test.py
@@ -6,7 +6,6 @@
 import asyncio
 import contextlib
 import dataclasses
-import random
 import socket
 
 import aiohttp
@@ -14,13 +13,11 @@
 
 from rhubarblock.core import capacity as capacities
 from rhubarblock.core import route as routes
-from rhubarblock.daemon import exchangeinstance
 from rhubarblock.daemon import exchangeinstance_test as instancefixtures
 from rhubarblock.daemon import plannedstop
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.exchange import memoryaccount
 from rhubarblock.kernel import metrics as metric_store
-from rhubarblock.platform import names
 from rhubarblock.relay import apierrors
 
 # Seconds after which the endpoint cuts an answer that is not read.
@@ -95,29 +92,16 @@
 async def open_instance(memory_mb):
     """Yields the instance, its endpoint and the address for callers."""
     endpoint = SlowEndpoint()
-    async with endpoint.open(), aiohttp.ClientSession() as session:
-        settings = dataclasses.replace(
-            instancefixtures.make_settings(),
-            capacity=capacities.Capacity(memory_mb=memory_mb),
-        )
-        instance = exchangeinstance.ExchangeInstance(
-            settings,
-            MemoryDialect(),
-            lambda session, metrics, eras: instancefixtures.FakeStore(endpoint),
-            lambda session: fakes.NoLeases(),
-            names.ATTEMPT_ID,
-            random.Random(1),
-        )
-        stop = asyncio.Event()
-        running = asyncio.ensure_future(instance.run(stop))
-        while await instancefixtures.ask_ready(session, settings) != 200:
-            assert not running.done(), running
-            await asyncio.sleep(0.01)
-        try:
+    settings = dataclasses.replace(
+        instancefixtures.make_settings(),
+        capacity=capacities.Capacity(memory_mb=memory_mb),
+    )
+    async with endpoint.open():
+        store = instancefixtures.FakeStore(endpoint)
+        async with instancefixtures.run_instance(
+            settings, MemoryDialect(), store
+        ) as (instance, _, _, _):
             yield instance, endpoint, settings.callers
-        finally:
-            stop.set()
-            await running
 
 
 async def open_stream(address):
--- a/rhubarblock/exchange/admission.py
+++ b/rhubarblock/exchange/admission.py
@@ -31,12 +31,12 @@
 REFUSAL_TTL_S = 0.01
 # An exchange is from a caller that returns after a refusal if it has at most
 # this part of the longest time that callers of its route allowed lately. Most
-# callers are told to wait for about a third of their time, and new ones may
-# allow a little less than the longest time, too.
+# refused callers get a Retry-After of about a third of their time, and new ones
+# may allow a little less than the longest time, too.
 RETURNING_TIME_PART = 0.75
 # Seconds for which the longest time of a route is remembered at least.
 LONGEST_TIME_S = 60.0
-# Seconds by which callers may return later than they were told.
+# Seconds by which callers may return later than their Retry-After.
 LATE_RETURN_S = 2.0
 # Engine seconds of a call to a service without a cost model.
 CALL_COST_S = 0.02
@@ -136,7 +136,7 @@
         now_s = self._timers.read_monotonic()
         longest_s = self._times.note(exchange.route.name, whole_s, now_s)
         demand = self._controller.find_demand(exchange.service.name)
-        # Refused callers are not told to wait for longer than this.
+        # No refused caller gets a longer Retry-After than this.
         recent_s = longest_s * returntimes.HONOURED_SHARE + LATE_RETURN_S
         return (
             whole_s <= RETURNING_TIME_PART * longest_s
--- a/rhubarblock/exchange/relayengines_test.py
+++ b/rhubarblock/exchange/relayengines_test.py
@@ -11,19 +11,26 @@
 from rhubarblock.routing.placement import jobtracker
 
 
-def test_helper_that_caused_a_refusal_is_avoided():
+def refuse_for_helper(blamed):
+    """Returns a script that blames a helper; `blamed` gets its address."""
+
     async def refuse(head, writer):
         helper = next(x for x in head.split("\r\n") if names.HELPERS in x)
-        address = helper.split(": ")[1].split(",")[0]
+        blamed.append(helper.split(": ")[1].split(",")[0])
         await fakes.whole(
             b"",
             "503 Service Unavailable",
-            f"{names.NOT_EXECUTED}: 1\r\n{names.AT_SERVER}: {address}\r\n",
+            f"{names.NOT_EXECUTED}: 1\r\n{names.AT_SERVER}: {blamed[-1]}\r\n",
         )(head, writer)
 
+    return refuse
+
+
+def test_helper_that_caused_a_refusal_is_avoided():
     async def main():
         endpoints = [
-            fakes.ScriptedEndpoint(refuse, fakes.events(1)) for _ in range(4)
+            fakes.ScriptedEndpoint(refuse_for_helper([]), fakes.events(1))
+            for _ in range(4)
         ]
         async with fakes.open_parts(*endpoints, service="pool") as parts:
             exchange = fakes.make_exchange(
@@ -219,18 +226,10 @@
 def test_refused_split_avoids_the_helper_and_not_the_asked_engine():
     blamed = []
 
-    async def refuse(head, writer):
-        helper = next(x for x in head.split("\r\n") if names.HELPERS in x)
-        blamed.append(helper.split(": ")[1].split(",")[0])
-        await fakes.whole(
-            b"",
-            "503 Service Unavailable",
-            f"{names.NOT_EXECUTED}: 1\r\n{names.AT_SERVER}: {blamed[-1]}\r\n",
-        )(head, writer)
-
     async def main():
         endpoints = [
-            fakes.ScriptedEndpoint(refuse, fakes.events(1)) for _ in range(4)
+            fakes.ScriptedEndpoint(refuse_for_helper(blamed), fakes.events(1))
+            for _ in range(4)
         ]
         async with fakes.open_parts(*endpoints, service="pool") as parts:
             exchange = fakes.make_exchange(
--- a/rhubarblock/scripts/measure.py
+++ b/rhubarblock/scripts/measure.py
@@ -45,6 +45,15 @@
     show_default=True,
     help="Share of the fleet's prefill capacity.",
 )
+limit_policy_option = click.option(
+    "--policy",
+    type=click.Choice(limitfleet.POLICIES),
+    default=limitfleet.PERMITS,
+    show_default=True,
+)
+instances_option = click.option(
+    "--instances", type=click.IntRange(min=2), default=7, show_default=True
+)
 json_option = click.option(
     "--json", "as_json", is_flag=True, help="Print one JSON object."
 )
@@ -178,15 +187,8 @@
 
 
 @measure_group.command("endpoint-limits")
-@click.option(
-    "--policy",
-    type=click.Choice(limitfleet.POLICIES),
-    default=limitfleet.PERMITS,
-    show_default=True,
-)
-@click.option(
-    "--instances", type=click.IntRange(min=2), default=7, show_default=True
-)
+@limit_policy_option
+@instances_option
 @click.option(
     "--limit",
     type=click.FloatRange(min=0.0, min_open=True),
@@ -209,15 +211,8 @@
 
 
 @measure_group.command("cold-endpoints")
-@click.option(
-    "--policy",
-    type=click.Choice(limitfleet.POLICIES),
-    default=limitfleet.PERMITS,
-    show_default=True,
-)
-@click.option(
-    "--instances", type=click.IntRange(min=2), default=7, show_default=True
-)
+@limit_policy_option
+@instances_option
 @click.option(
     "--cold-rate",
     type=click.FloatRange(min=0.0, min_open=True),
