Log when no endpoint of a service is reached any more

Change: connections to endpoints report whether they open and receive data, by service. An instance logs once when connections to two endpoints failed with nothing received in between, with the endpoints, the errors and the age of the last data, and once when data comes again; counters paths.failed and paths.partitions.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -28,6 +28,7 @@
 from rhubarblock.exchange import leases
 from rhubarblock.exchange import memoryaccount
 from rhubarblock.exchange import outcomes
+from rhubarblock.exchange import paths as endpoint_paths
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
 from rhubarblock.exchange import requesthandler
@@ -133,6 +134,9 @@
         self.health = healths.Health(settings.data_centre)
         self.cooldowns = cooldowns.Cooldowns(self.metrics)
         self.eras = era_lib.EraTracker(self.metrics)
+        self.paths = endpoint_paths.EndpointPaths(
+            self._find_service_at, self.timers, self.metrics
+        )
         self._dialect = dialect
         self._make_store = make_store
         self._make_leases = make_leases
@@ -217,6 +221,11 @@
         listed = self.directory.find(endpoint_id)
         return listed.service if listed else ""
 
+    def _find_service_at(self, address: str) -> str:
+        """Returns the service of the endpoint at an address, or nothing."""
+        listed = self.directory.find_at(address)
+        return listed.service if listed else ""
+
     def _reset_endpoint(
         self, endpoint_id: str, limits: endpointlimits.EndpointLimits
     ) -> None:
@@ -378,6 +387,7 @@
                 memoryaccount.READ_BYTES
                 if self.settings.capacity.memory_mb
                 else transports.READ_BYTES,
+                self.paths,
             )
         )
         runner = attempts.AttemptRunner(
--- /dev/null
+++ b/rhubarblock/exchange/paths.py
@@ -0,0 +1,138 @@
+"""The network paths from this instance to the endpoints.
+
+An endpoint to which no connection opens may be gone, or this instance may be
+partitioned from it. One failure does not tell; failures at several endpoints of
+a service, with nothing received from any of them in between, speak against the
+instance's own paths.
+"""
+
+from collections.abc import Callable
+import logging
+import math
+
+from rhubarblock.kernel import metrics as metric_store
+from rhubarblock.kernel import timers as timer_service
+
+# Number of endpoints that must fail, with nothing received from any endpoint of
+# the service in between, for the instance to count as partitioned. One may fail
+# by itself.
+PARTITION_ENDPOINTS = 2
+
+_logger = logging.getLogger(__name__)
+
+
+class ServicePaths:
+    """The paths to the endpoints of one service.
+
+    Attributes:
+      received_s: when one of them was last reached, in monotonic seconds; minus
+        infinity before the first time.
+      partitioned_s: since when the instance is partitioned from them, in
+        monotonic seconds; None while it is not.
+    """
+
+    __slots__ = (
+        "_failed",
+        "_metrics",
+        "_service",
+        "_timers",
+        "partitioned_s",
+        "received_s",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        timers: timer_service.Timers,
+        metrics: metric_store.Metrics,
+    ):
+        """Starts with all paths intact.
+
+        Args:
+          service: name of the service.
+          timers: the clock.
+          metrics: counters.
+        """
+        self._service = service
+        self._timers = timers
+        self._metrics = metrics
+        # Endpoints to which no connection opened, and the last error of each,
+        # since something was received from any endpoint.
+        self._failed: dict[str, str] = {}
+        self.received_s = -math.inf
+        self.partitioned_s: float | None = None
+
+    def note_received(self) -> None:
+        """Records that a connection opened or received data."""
+        self.received_s = self._timers.read_monotonic()
+        if self._failed:
+            self._failed.clear()
+        if self.partitioned_s is None:
+            return
+        lasted_s = self.received_s - self.partitioned_s
+        self.partitioned_s = None
+        _logger.warning(
+            "endpoints are reached again",
+            extra={"service": self._service, "lasted_s": round(lasted_s, 3)},
+        )
+
+    def note_failed(self, address: str, reason: str) -> None:
+        """Records that no connection to an endpoint opened.
+
+        Args:
+          address: ``host:port`` of the endpoint.
+          reason: the error.
+        """
+        self._metrics.count("paths.failed")
+        self._failed[address] = reason
+        if (
+            self.partitioned_s is not None
+            or len(self._failed) < PARTITION_ENDPOINTS
+        ):
+            return
+        self.partitioned_s = self._timers.read_monotonic()
+        age_s = self.partitioned_s - self.received_s
+        self._metrics.count("paths.partitions")
+        _logger.warning(
+            "no endpoint is reached",
+            extra={
+                "service": self._service,
+                "failed": dict(self._failed),
+                "received_age_s": round(age_s, 3)
+                if math.isfinite(age_s)
+                else None,
+            },
+        )
+
+
+class EndpointPaths:
+    """The paths to all endpoints, by service."""
+
+    __slots__ = ("_find_service", "_metrics", "_services", "_timers")
+
+    def __init__(
+        self,
+        find_service: Callable[[str], str],
+        timers: timer_service.Timers,
+        metrics: metric_store.Metrics,
+    ):
+        """Starts with all paths intact.
+
+        Args:
+          find_service: returns the service of the endpoint at an address.
+          timers: the clock.
+          metrics: counters.
+        """
+        self._find_service = find_service
+        self._timers = timers
+        self._metrics = metrics
+        self._services: dict[str, ServicePaths] = {}
+
+    def find(self, address: str) -> ServicePaths:
+        """Returns the paths to the service of the endpoint at an address."""
+        service = self._find_service(address)
+        paths = self._services.get(service)
+        if paths is None:
+            paths = ServicePaths(service, self._timers, self._metrics)
+            self._services[service] = paths
+        return paths
--- a/rhubarblock/exchange/state/directory.py
+++ b/rhubarblock/exchange/state/directory.py
@@ -90,6 +90,7 @@
     """
 
     __slots__ = (
+        "_by_address",
         "_counts",
         "_drain_s",
         "_ended",
@@ -140,6 +141,7 @@
         self._sizes: Sizes = {}
         # Cache derived from both; cleared by each change.
         self._counts: Sizes = {}
+        self._by_address: dict[str, lists.ListedEndpoint] = {}
         self.number = 0
 
     def replace(self, listing: list[lists.ListedEndpoint]) -> None:
@@ -359,6 +361,15 @@
         endpoint = self._endpoints.get(endpoint_id)
         return endpoint.listed if endpoint else None
 
+    def find_at(self, address: str) -> lists.ListedEndpoint | None:
+        """Returns the endpoint at an address, or None if there is none."""
+        if not self._by_address:
+            self._by_address = {
+                endpoint.listed.address: endpoint.listed
+                for endpoint in self._endpoints.values()
+            }
+        return self._by_address.get(address)
+
     def list_ids(self) -> set[str]:
         """Returns the ids of all known endpoints."""
         return set(self._endpoints)
@@ -420,6 +431,7 @@
     def _note_change(self) -> None:
         self.number += 1
         self._counts.clear()
+        self._by_address.clear()
 
     def list_usable(self, service: str) -> list[lists.ListedEndpoint]:
         """Returns the endpoints of a service that take new work.
--- a/rhubarblock/exchange/transport.py
+++ b/rhubarblock/exchange/transport.py
@@ -26,6 +26,7 @@
 from rhubarblock.core import failure as failures
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.exchange import dialect as dialects
+from rhubarblock.exchange import paths as endpoint_paths
 from rhubarblock.store import sendonce
 
 # Longest connect timeout in seconds: a hundred times the latency between two
@@ -79,14 +80,20 @@
     Attributes:
       expected_id: id that the answer to the current request echoes.
       was_reset: whether the connection ended with an error.
+      paths: records that the connection receives data.
     """
 
     # Parameter of Keep-Alive with an endpoint's idle timeout in seconds.
     _IDLE_TIME = re.compile(r"\btimeout=(\d{1,9})(?!\w)", re.IGNORECASE)
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, attempt_header: str):
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        attempt_header: str,
+    ):
         super().__init__(loop)
         self._attempt_header = attempt_header
+        self.paths: endpoint_paths.ServicePaths | None = None
         self.expected_id = ""
         self.was_reset = False
         self._idle_s = math.inf
@@ -119,6 +126,8 @@
 
     def data_received(self, data: bytes) -> None:
         self._used_s = self._loop.time()
+        if self.paths is not None:
+            self.paths.note_received()
         super().data_received(data)
 
     def _note_idle_time(self, text: str) -> None:
@@ -168,9 +177,37 @@
 
 
 class EndpointConnector(aiohttp.TCPConnector):
-    """Opens connections within the connect timeout."""
+    """Opens connections within the connect timeout.
+
+    Attributes:
+      paths: records which connections open; None if nothing does.
+    """
+
+    paths: endpoint_paths.EndpointPaths | None = None
 
     async def _wrap_create_connection(
+        self,
+        *args: Any,
+        req: aiohttp.ClientRequest,
+        timeout: aiohttp.ClientTimeout,
+        **kwargs: Any,
+    ) -> Any:
+        if self.paths is None:
+            return await self._open(*args, req=req, timeout=timeout, **kwargs)
+        address = f"{req.url.raw_host}:{req.port}"
+        paths = self.paths.find(address)
+        try:
+            transport, protocol = await self._open(
+                *args, req=req, timeout=timeout, **kwargs
+            )
+        except (aiohttp.ClientConnectorError, TimeoutError) as error:
+            paths.note_failed(address, str(error) or type(error).__name__)
+            raise
+        protocol.paths = paths
+        paths.note_received()
+        return transport, protocol
+
+    async def _open(
         self, *args: Any, timeout: aiohttp.ClientTimeout, **kwargs: Any
     ) -> Any:
         # aiohttp has no public way to replace its own timeout.
@@ -395,6 +432,7 @@
 async def open_sessions(
     attempt_header: str,
     read_bytes: int = READ_BYTES,
+    paths: endpoint_paths.EndpointPaths | None = None,
 ) -> AsyncIterator[EndpointSessions]:
     """Opens sessions for requests to endpoints.
 
@@ -402,14 +440,17 @@
       attempt_header: name of the header field that answers echo.
       read_bytes: bytes of an answer that a connection buffers before they are
         read; up to twice as many, and one read of the socket more.
+      paths: records which connections open and receive data.
 
     Yields:
       The sessions; they are closed with the context.
     """
     async with (
-        _open_session(attempt_header, _make_socket, read_bytes) as unprobed,
         _open_session(
-            attempt_header, _make_probed_socket, read_bytes
+            attempt_header, _make_socket, read_bytes, paths
+        ) as unprobed,
+        _open_session(
+            attempt_header, _make_probed_socket, read_bytes, paths
         ) as probed,
     ):
         yield EndpointSessions(unprobed, probed)
@@ -420,6 +461,7 @@
     attempt_header: str,
     make_socket: Callable[[Any], socket.socket],
     read_bytes: int,
+    paths: endpoint_paths.EndpointPaths | None,
 ) -> AsyncIterator[aiohttp.ClientSession]:
     loop = asyncio.get_running_loop()
     connector = EndpointConnector(
@@ -428,6 +470,7 @@
         socket_factory=make_socket,
         happy_eyeballs_delay=None,
     )
+    connector.paths = paths
     # aiohttp has no public way to choose the class of its connections.
     connector._factory = functools.partial(  # type: ignore[assignment]
         EndpointProtocol, loop=loop, attempt_header=attempt_header
