Add a failing test of instances partitioned from all endpoints

The test runs three whole instances over sockets and partitions one or two of them from all endpoints, with connections that hang, are refused or reset, and asks for two thirds of what the others serve.

--- /dev/null
+++ b/rhubarblock/daemon/partition_test.py
@@ -0,0 +1,185 @@
+"""Complete instances, some of which are partitioned from all endpoints."""
+
+import asyncio
+import contextlib
+import contextvars
+import dataclasses
+import random
+
+import aiohttp
+import pytest
+
+from rhubarblock.core import route as routes
+from rhubarblock.daemon import endpointlimit_test as fleetfixtures
+from rhubarblock.daemon import exchangeinstance
+from rhubarblock.daemon import exchangeinstance_test as instancefixtures
+from rhubarblock.daemon import plannedstop
+from rhubarblock.exchange import fakeparts_test as fakes
+from rhubarblock.platform import names
+
+ENDPOINT_COUNT = 3
+# First tries per instance before and after the partition counts.
+EARLY_TRIES = 4
+TRIES = 30
+# Smallest ratio of the share of first tries that partitioned instances serve to
+# that of the others.
+MIN_RATIO = 2 / 3
+
+# The network of the instance that the running task belongs to.
+_network = contextvars.ContextVar("network", default=None)
+
+
+class Network:
+    """The network between one instance and all endpoints.
+
+    Attributes:
+      refusal: how connections to endpoints fail: "hang" or an exception; None
+        while the network is whole.
+    """
+
+    def __init__(self):
+        self.refusal = None
+
+    async def cross(self):
+        """Returns once a connection may be opened."""
+        if self.refusal == "hang":
+            await asyncio.Event().wait()
+        if self.refusal is not None:
+            raise self.refusal
+
+
+class KindDialect(instancefixtures.FakeDialect):
+    """Has a single route of one kind."""
+
+    def __init__(self, kind):
+        super().__init__()
+        self.kind = kind
+
+    def change_table(self, before, document, difference):
+        table = super().change_table(before, document, difference)
+        route = fakes.make_route(self.kind, timeout_s=5.0)
+        return dataclasses.replace(table, routes=routes.RouteIndex([route]))
+
+
+class Fleet:
+    """Instances that share a store and endpoints.
+
+    Attributes:
+      instances: the instances.
+      networks: the network of each instance.
+      session: session of the callers.
+      endpoints: the endpoints.
+    """
+
+    def __init__(self, session, endpoints, store):
+        self.session = session
+        self.endpoints = endpoints
+        self.instances = []
+        self.networks = []
+        self._store = store
+        self._running = []
+        self._stops = []
+
+    async def start(self, kind=routes.RouteKind.NON_IDEMPOTENT, centre=None):
+        """Starts one more instance."""
+        number = len(self.instances)
+        settings = instancefixtures.make_settings(f"i{number}")
+        if centre is not None:
+            settings = dataclasses.replace(settings, data_centre=centre)
+        instance = exchangeinstance.ExchangeInstance(
+            settings,
+            KindDialect(kind),
+            lambda session, metrics, eras: self._store,
+            lambda session: fakes.NoLeases(),
+            names.ATTEMPT_ID,
+            random.Random(number),
+        )
+        network = Network()
+        stop = asyncio.Event()
+        context = contextvars.copy_context()
+        context.run(_network.set, network)
+        running = asyncio.create_task(instance.run(stop), context=context)
+        self.instances.append(instance)
+        self.networks.append(network)
+        self._running.append(running)
+        self._stops.append(stop)
+        while (
+            await instancefixtures.ask_ready(self.session, settings) != 200
+            or instance.peers.count_instances() <= number
+        ):
+            assert not running.done(), running
+            await asyncio.sleep(0.01)
+
+    async def stop(self, number):
+        """Stops an instance as planned."""
+        self._stops[number].set()
+        await self._running[number]
+
+    async def stop_all(self):
+        for number in range(len(self.instances)):
+            await self.stop(number)
+
+    async def ask(self, number):
+        """Sends a request to an instance; returns its status."""
+        url = f"http://{self.instances[number].settings.callers}/a/x"
+        return await fleetfixtures.ask(self.session, url)
+
+    async def count_served(self, number, tries):
+        """Returns how many first tries an instance serves."""
+        statuses = [await self.ask(number) for _ in range(tries)]
+        return statuses.count(200)
+
+
+@contextlib.asynccontextmanager
+async def open_fleet(kind=routes.RouteKind.NON_IDEMPOTENT, count=3):
+    """Runs a fleet."""
+    loop = asyncio.get_running_loop()
+    connect = loop.sock_connect
+    async with contextlib.AsyncExitStack() as stack:
+        endpoints = [
+            fleetfixtures.CountingEndpoint() for _ in range(ENDPOINT_COUNT)
+        ]
+        for endpoint in endpoints:
+            await stack.enter_async_context(endpoint.open())
+        ports = {int(e.address.rpartition(":")[2]) for e in endpoints}
+
+        async def connect_over_network(sock, address):
+            network = _network.get()
+            if network is not None and address[1] in ports:
+                await network.cross()
+            await connect(sock, address)
+
+        loop.sock_connect = connect_over_network
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        fleet = Fleet(session, endpoints, fleetfixtures.FleetStore(*endpoints))
+        stack.push_async_callback(fleet.stop_all)
+        for _ in range(count):
+            await fleet.start(kind)
+        yield fleet
+
+
+@pytest.fixture(autouse=True)
+def stop_quickly(monkeypatch):
+    monkeypatch.setattr(plannedstop, "LAME_DUCK_S", 0.05)
+
+
+@pytest.mark.parametrize(
+    "refusal",
+    ["hang", ConnectionRefusedError(111, "refused"), ConnectionResetError()],
+    ids=["hang", "refused", "reset"],
+)
+@pytest.mark.parametrize("partitioned", [[0], [0, 1]], ids=["one", "most"])
+def test_partitioned_instances_serve_first_tries_like_the_others(
+    refusal, partitioned
+):
+    async def main():
+        async with open_fleet() as fleet:
+            for number in partitioned:
+                fleet.networks[number].refusal = refusal
+            for number in partitioned:
+                await fleet.count_served(number, EARLY_TRIES)
+            return [await fleet.count_served(n, TRIES) for n in range(3)]
+
+    served = asyncio.run(main())
+    assert served[2] == TRIES
+    assert min(served[n] for n in partitioned) >= MIN_RATIO * served[2]
