Reach endpoints through a peer when the own path to them is lost

Cause: the only way from an instance to an endpoint was its own direct connection. One that lost its links tried endpoint after endpoint until the retry budget was spent, 0.12 to 0.25 s each, while its peers reached all of them. It is a single path taken for the state of what lies behind it. Ruled out: endpoints gone, and refusals by the instance's own tables (the line 'no endpoint is reached' came at the four cut instances only, after nothing had been received for 0.5 to 1.8 s).

Change: a direct connection gets a head start of 30 ms; then a peer is asked for a tunnel (HTTP CONNECT on the listener for peers) as well, and whichever opens first is used. While the path is known to be lost, both start at once, so its return needs no probes. The peer forwards bytes and decides nothing: admission, limits, retries and verdicts stay with the instance that has the caller, each counted once. A tunnel serves one request, leads only to a listed endpoint, only for a peer and over one hop; a stopping instance lets its tunnels end. Connections that are older than the partition are not reused.

Why it works: a peer is asked within the same attempt, before the attempt counts as failed, so nothing is spent of the retry budget or of maxAttempts.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -48,6 +48,8 @@
 from rhubarblock.exchange.state import follower as followers
 from rhubarblock.exchange.state import replica as replicas
 from rhubarblock.exchange.state import subset as subsets
+from rhubarblock.exchange.tunnels import client as tunnel_client
+from rhubarblock.exchange.tunnels import server as tunnel_server
 from rhubarblock.kernel import countlog
 from rhubarblock.kernel import lifecycle as lifecycles
 from rhubarblock.kernel import metrics as metric_store
@@ -137,6 +139,9 @@
         self.paths = endpoint_paths.EndpointPaths(
             self._find_service_at, self.timers, self.metrics
         )
+        self.tunnels = tunnel_server.TunnelServer(
+            self.directory, self.peers, self.paths, self.metrics
+        )
         self._dialect = dialect
         self._make_store = make_store
         self._make_leases = make_leases
@@ -172,6 +177,7 @@
                 self.settings.instance_id,
                 self.lifecycle,
                 self._callers,
+                self.tunnels,
                 self.settings.bounds.grace_s,
                 self.timers,
             ).run()
@@ -388,6 +394,14 @@
                 if self.settings.capacity.memory_mb
                 else transports.READ_BYTES,
                 self.paths,
+                tunnel_client.PeerTunnels(
+                    self.directory,
+                    self.peers,
+                    self.subsets,
+                    self.settings.data_centre,
+                    self.timers,
+                    self._rng,
+                ),
             )
         )
         runner = attempts.AttemptRunner(
@@ -498,13 +512,15 @@
                 else listeners.READ_BYTES,
             )
         )
-        for handler, address in (
-            (pages.answer_readiness, settings.readiness),
-            (feed.handle, settings.peers),
-            (pages.answer_metrics, settings.metrics),
+        for handler, address, wrap in (
+            (pages.answer_readiness, settings.readiness, None),
+            (feed.handle, settings.peers, self.tunnels.make_protocol),
+            (pages.answer_metrics, settings.metrics, None),
         ):
             await stack.enter_async_context(
-                listeners.open_listener(handler, address, KEEPALIVE_S)
+                listeners.open_listener(
+                    handler, address, KEEPALIVE_S, wrap=wrap
+                )
             )
 
     def _make_follower(
--- a/rhubarblock/daemon/listener.py
+++ b/rhubarblock/daemon/listener.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import functools
 
 from aiohttp import web
 
@@ -20,6 +21,9 @@
 SHUTDOWN_S = 0.3
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+ProtocolFactory = Callable[[], asyncio.Protocol]
+# Returns the protocol of a connection that may turn out to be HTTP.
+ProtocolWrapper = Callable[[ProtocolFactory], asyncio.Protocol]
 
 
 class Listener:
@@ -80,6 +84,7 @@
     address: settings_lib.SocketAddress,
     keepalive_s: float,
     read_bytes: int = READ_BYTES,
+    wrap: ProtocolWrapper | None = None,
 ) -> AsyncIterator[Listener]:
     """Serves HTTP at an address while the context is open.
 
@@ -89,6 +94,7 @@
       keepalive_s: seconds for which an idle connection is kept open.
       read_bytes: bytes of a body that a connection may receive before its
         handler reads it; up to twice as many, and one read of the socket more.
+      wrap: chooses between HTTP and another protocol; None for HTTP alone.
 
     Yields:
       The listener.
@@ -99,8 +105,12 @@
     http_listener = Listener(keepalive_s, read_bytes)
     server = web.Server(handler, handler_cancellation=True)
     loop = asyncio.get_running_loop()
+
+    def connect() -> asyncio.Protocol:
+        return http_listener.connect(server)
+
     http_listener.listener = await loop.create_server(
-        lambda: http_listener.connect(server),
+        connect if wrap is None else functools.partial(wrap, connect),
         address.host,
         address.port,
         backlog=BACKLOG,
--- a/rhubarblock/daemon/plannedstop.py
+++ b/rhubarblock/daemon/plannedstop.py
@@ -10,6 +10,7 @@
 import logging
 
 from rhubarblock.daemon import listener as listeners
+from rhubarblock.exchange.tunnels import server as tunnel_server
 from rhubarblock.kernel import lifecycle as lifecycles
 from rhubarblock.kernel import timers as timer_service
 
@@ -33,6 +34,7 @@
         "_instance_id",
         "_lifecycle",
         "_timers",
+        "_tunnels",
     )
 
     def __init__(
@@ -40,6 +42,7 @@
         instance_id: str,
         lifecycle: lifecycles.InstanceLifecycle,
         callers: listeners.Listener,
+        tunnels: tunnel_server.TunnelServer,
         grace_s: float,
         timers: timer_service.Timers,
     ):
@@ -49,12 +52,14 @@
           instance_id: name of the instance.
           lifecycle: its state and its count of requests in flight.
           callers: its listener for callers.
+          tunnels: its tunnels, in which requests of peers may be under way.
           grace_s: grace period in seconds from the stop signal to the kill.
           timers: timer service.
         """
         self._instance_id = instance_id
         self._lifecycle = lifecycle
         self._callers = callers
+        self._tunnels = tunnels
         self._grace_s = grace_s
         self._timers = timers
 
@@ -71,6 +76,7 @@
         budget_s = max(0.0, self._grace_s - EXIT_RESERVE_S)
         deadline_s = self._timers.read_monotonic() + budget_s
         self._lifecycle.drain_ends_s = deadline_s
+        self._tunnels.drain()
         await self._timers.sleep(
             min(LAME_DUCK_S, LAME_DUCK_MAX_SHARE * budget_s)
         )
@@ -82,6 +88,7 @@
             ):
                 await self._callers.wait_closed()
                 await self._lifecycle.wait_idle()
+                await self._tunnels.wait_empty()
         except TimeoutError:
             _logger.warning(
                 "requests cut", extra={"count": self._lifecycle.in_flight}
@@ -90,6 +97,7 @@
         # Cancels the remaining handlers early enough for them to release their
         # resources at other processes.
         self._callers.abort()
+        self._tunnels.abort()
         self._log_lifecycle(self._lifecycle.mark_stopped)
 
     def _log_connections(self, message: str) -> None:
--- a/rhubarblock/daemon/plannedstop_test.py
+++ b/rhubarblock/daemon/plannedstop_test.py
@@ -12,7 +12,12 @@
 from rhubarblock.daemon import memorytransport_test
 from rhubarblock.daemon import plannedstop
 from rhubarblock.exchange import fakeparts_test as fakes
+from rhubarblock.exchange import paths as endpoint_paths
+from rhubarblock.exchange.peering import table as peer_table
+from rhubarblock.exchange.state import directory as directories
+from rhubarblock.exchange.tunnels import server as tunnel_server
 from rhubarblock.kernel import lifecycle as lifecycles
+from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
 from rhubarblock.platform import names
@@ -131,6 +136,22 @@
     assert answer.endswith(b"late")
 
 
+def make_stop(lifecycle, listener, grace_s=GRACE_S):
+    """Returns the stop of an instance without tunnels."""
+    timers = timer_service.LoopTimers()
+    metrics = metric_store.Metrics()
+    directory = directories.Directory(timers)
+    tunnels = tunnel_server.TunnelServer(
+        directory,
+        peer_table.PeerTable("i1", "osu-hall", timers),
+        endpoint_paths.EndpointPaths(lambda address: "", timers, metrics),
+        metrics,
+    )
+    return plannedstop.PlannedStop(
+        "i1", lifecycle, listener, tunnels, grace_s, timers
+    )
+
+
 class MemoryListener(listeners.Listener):
     """A listener for connections in memory.
 
@@ -180,9 +201,7 @@
     listener = MemoryListener(lifecycle, run_s)
     opened = listener.connect_caller() if is_open else None
     loop = asyncio.get_running_loop()
-    stop = plannedstop.PlannedStop(
-        "i1", lifecycle, listener, GRACE_S, timer_service.LoopTimers()
-    )
+    stop = make_stop(lifecycle, listener)
     running = asyncio.ensure_future(stop.run())
     await asyncio.sleep(moment_s)
     caller = opened or listener.connect_caller()
@@ -231,9 +250,7 @@
         caller.receive(HEAD + BODY)
         await asyncio.sleep(0.1)
         caller.close()
-        await plannedstop.PlannedStop(
-            "i1", lifecycle, listener, GRACE_S, timer_service.LoopTimers()
-        ).run()
+        await make_stop(lifecycle, listener).run()
         return asyncio.get_running_loop().time()
 
     assert virtualloop.run(main()) < plannedstop.LAME_DUCK_S + 0.2
@@ -246,9 +263,7 @@
         lifecycle.mark_ready()
         listener = MemoryListener(lifecycle, 100.0)
         listener.connect_caller().receive(HEAD + BODY)
-        await plannedstop.PlannedStop(
-            "i1", lifecycle, listener, grace_s, timer_service.LoopTimers()
-        ).run()
+        await make_stop(lifecycle, listener, grace_s).run()
         # The cancelled handler releases its resources before the process
         # exits.
         await asyncio.sleep(0.01)
--- /dev/null
+++ b/rhubarblock/exchange/connection.py
@@ -0,0 +1,92 @@
+"""A connection to an endpoint."""
+
+import asyncio
+import math
+import re
+from typing import Any
+
+from aiohttp import client_proto
+
+from rhubarblock.exchange import paths as endpoint_paths
+
+# Seconds before an endpoint's own idle timeout from which a connection is not
+# reused: a request must arrive before the endpoint closes it.
+KEEPALIVE_MARGIN_S = 0.5
+
+
+class EndpointProtocol(client_proto.ResponseHandler):
+    """A connection that matches each answer to its request.
+
+    Attributes:
+      expected_id: id that the answer to the current request echoes.
+      was_reset: whether the connection ended with an error.
+      is_relayed: whether a peer forwards it.
+    """
+
+    # Parameter of Keep-Alive with an endpoint's idle timeout in seconds.
+    _IDLE_TIME = re.compile(r"\btimeout=(\d{1,9})(?!\w)", re.IGNORECASE)
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        attempt_header: str,
+    ):
+        super().__init__(loop)
+        self._attempt_header = attempt_header
+        self.is_relayed = False
+        self._paths: endpoint_paths.ServicePaths | None = None
+        self.expected_id = ""
+        self.was_reset = False
+        self._idle_s = math.inf
+        self._used_s = loop.time()
+
+    def is_connected(self) -> bool:
+        # Data that arrived on an idle connection belongs to no request.
+        if not super().is_connected() or self.should_close:
+            return False
+        if self._paths is not None and self._paths.distrusts(self._used_s):
+            return False
+        return (
+            self._loop.time()
+            <= self._used_s + self._idle_s - KEEPALIVE_MARGIN_S
+        )
+
+    def set_direct(self, paths: endpoint_paths.ServicePaths) -> None:
+        """Reports what the connection receives to the paths that it uses."""
+        self._paths = paths
+
+    def set_relayed(self) -> None:
+        """Marks a connection that a peer forwards.
+
+        It serves one request: the peer could not stop without closing a kept
+        connection on which a request may be on its way.
+        """
+        self.is_relayed = True
+        self.force_close()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        if exc is not None:
+            self.was_reset = True
+        super().connection_lost(exc)
+
+    async def read(self) -> Any:
+        """Returns the next answer that echoes the expected id."""
+        while True:
+            message, payload = await super().read()
+            self._note_idle_time(message.headers.get("Keep-Alive", ""))
+            echoed = message.headers.get(self._attempt_header)
+            if echoed is None or echoed == self.expected_id:
+                return message, payload
+            # A late answer to an abandoned request.
+            await payload.read()
+
+    def data_received(self, data: bytes) -> None:
+        self._used_s = self._loop.time()
+        if self._paths is not None:
+            self._paths.note_received()
+        super().data_received(data)
+
+    def _note_idle_time(self, text: str) -> None:
+        found = self._IDLE_TIME.search(text)
+        if found is not None:
+            self._idle_s = float(found[1])
--- a/rhubarblock/exchange/paths.py
+++ b/rhubarblock/exchange/paths.py
@@ -17,6 +17,15 @@
 # the service in between, for the instance to count as partitioned. One may fail
 # by itself.
 PARTITION_ENDPOINTS = 2
+# Seconds for which a path counts as lost after a peer was needed.
+LOST_S = 5.0
+# Seconds for which no peer is asked for an endpoint that none reached.
+UNREACHABLE_S = 1.0
+# Seconds for which data from any endpoint shows that this instance is not
+# partitioned.
+PROOF_S = 1.0
+# Most endpoints whose state is kept before ended states are dropped.
+MAX_STATES = 256
 
 _logger = logging.getLogger(__name__)
 
@@ -33,9 +42,11 @@
 
     __slots__ = (
         "_failed",
+        "_lost_until_s",
         "_metrics",
         "_service",
         "_timers",
+        "_unreachable_until_s",
         "partitioned_s",
         "received_s",
     )
@@ -59,14 +70,28 @@
         # Endpoints to which no connection opened, and the last error of each,
         # since something was received from any endpoint.
         self._failed: dict[str, str] = {}
+        # Until when paths count as lost, and endpoints as gone, by address.
+        self._lost_until_s: dict[str, float] = {}
+        self._unreachable_until_s: dict[str, float] = {}
         self.received_s = -math.inf
         self.partitioned_s: float | None = None
 
     def note_received(self) -> None:
-        """Records that a connection opened or received data."""
+        """Records that a direct connection received data.
+
+        It does not end a partition: open connections may outlive a path on
+        which no new ones open.
+        """
         self.received_s = self._timers.read_monotonic()
-        if self._failed:
+        if self.partitioned_s is None and self._failed:
             self._failed.clear()
+
+    def note_opened(self, address: str) -> None:
+        """Records that a direct connection opened."""
+        self.received_s = self._timers.read_monotonic()
+        self._failed.clear()
+        self._lost_until_s.pop(address, None)
+        self._unreachable_until_s.pop(address, None)
         if self.partitioned_s is None:
             return
         lasted_s = self.received_s - self.partitioned_s
@@ -76,6 +101,13 @@
             extra={"service": self._service, "lasted_s": round(lasted_s, 3)},
         )
 
+    def note_detoured(self, address: str) -> None:
+        """Records that only a peer reached an endpoint."""
+        now_s = self._timers.read_monotonic()
+        self._metrics.count("paths.detoured")
+        _set_until(self._lost_until_s, address, now_s, LOST_S)
+        self._add_failure(address, "only a peer reached it")
+
     def note_failed(self, address: str, reason: str) -> None:
         """Records that no connection to an endpoint opened.
 
@@ -83,7 +115,39 @@
           address: ``host:port`` of the endpoint.
           reason: the error.
         """
+        now_s = self._timers.read_monotonic()
         self._metrics.count("paths.failed")
+        _set_until(self._unreachable_until_s, address, now_s, UNREACHABLE_S)
+        self._add_failure(address, reason)
+
+    def is_suspect(self, address: str) -> bool:
+        """Returns whether the direct path to an endpoint may be lost."""
+        if self.partitioned_s is not None:
+            return True
+        now_s = self._timers.read_monotonic()
+        return now_s < self._lost_until_s.get(address, 0.0)
+
+    def may_detour(self, address: str) -> bool:
+        """Returns whether a peer might reach an endpoint."""
+        if self.partitioned_s is not None:
+            return True
+        now_s = self._timers.read_monotonic()
+        return now_s >= self._unreachable_until_s.get(address, 0.0)
+
+    def is_proven(self) -> bool:
+        """Returns whether an endpoint was reached lately."""
+        return self._timers.read_monotonic() - self.received_s < PROOF_S
+
+    def distrusts(self, used_s: float) -> bool:
+        """Returns whether a kept connection may be dead.
+
+        Args:
+          used_s: when it last received data, in monotonic seconds.
+        """
+        return self.partitioned_s is not None and used_s <= self.partitioned_s
+
+    def _add_failure(self, address: str, reason: str) -> None:
+        """Adds evidence of a partition."""
         self._failed[address] = reason
         if (
             self.partitioned_s is not None
@@ -136,3 +200,13 @@
             paths = ServicePaths(service, self._timers, self._metrics)
             self._services[service] = paths
         return paths
+
+
+def _set_until(
+    until_s: dict[str, float], address: str, now_s: float, length_s: float
+) -> None:
+    """Starts a state of an endpoint, and drops ended ones if there are many."""
+    if len(until_s) >= MAX_STATES:
+        for other in [a for a, end_s in until_s.items() if end_s <= now_s]:
+            del until_s[other]
+    until_s[address] = now_s + length_s
--- a/rhubarblock/exchange/paths_test.py
+++ b/rhubarblock/exchange/paths_test.py
@@ -46,6 +46,8 @@
     assert paths.partitioned_s == timers.now_s
     timers.now_s += 4.0
     paths.note_received()
+    assert paths.partitioned_s is not None
+    paths.note_opened("10.0.0.3:80")
     assert paths.partitioned_s is None
     began, ended = caplog.records
     assert began.failed == {"10.0.0.1:80": "timeout", "10.0.0.2:80": "timeout"}
@@ -53,6 +55,52 @@
     assert ended.lasted_s == 4.0
 
 
+def test_kept_connections_from_before_a_partition_are_not_trusted(
+    paths, timers
+):
+    paths.note_received()
+    assert not paths.distrusts(timers.now_s)
+    partition(paths)
+    assert paths.distrusts(timers.now_s)
+    assert not paths.distrusts(timers.now_s + 0.1)
+    paths.note_opened("10.0.0.1:80")
+    assert not paths.distrusts(timers.now_s)
+
+
+def test_peers_are_asked_at_once_while_the_path_is_lost(paths, timers):
+    assert not paths.is_suspect("10.0.0.1:80")
+    paths.note_detoured("10.0.0.1:80")
+    assert paths.is_suspect("10.0.0.1:80")
+    assert not paths.is_suspect("10.0.0.2:80")
+    timers.now_s += endpoint_paths.LOST_S
+    assert not paths.is_suspect("10.0.0.1:80")
+
+
+def test_peers_are_not_asked_again_for_an_endpoint_that_none_reached(
+    paths, timers
+):
+    paths.note_failed("10.0.0.1:80", "refused")
+    assert not paths.may_detour("10.0.0.1:80")
+    assert paths.may_detour("10.0.0.2:80")
+    timers.now_s += endpoint_paths.UNREACHABLE_S
+    assert paths.may_detour("10.0.0.1:80")
+    partition(paths)
+    assert paths.may_detour("10.0.0.1:80")
+
+
+def test_state_of_endpoints_that_are_gone_is_dropped(paths, timers):
+    for number in range(3 * endpoint_paths.MAX_STATES):
+        timers.now_s += endpoint_paths.LOST_S / 10
+        paths.note_detoured(f"10.0.{number}.1:80")
+        paths.note_opened("10.0.0.2:80")
+    assert len(paths._lost_until_s) <= endpoint_paths.MAX_STATES
+
+
+def partition(paths):
+    for number in range(endpoint_paths.PARTITION_ENDPOINTS):
+        paths.note_failed(f"10.0.0.{number + 1}:80", "timeout")
+
+
 def test_services_are_told_apart(timers):
     services = {"10.0.0.1:80": "pool", "10.0.0.2:80": "desk"}
     table = endpoint_paths.EndpointPaths(
--- a/rhubarblock/exchange/peering/table.py
+++ b/rhubarblock/exchange/peering/table.py
@@ -206,17 +206,28 @@
 
         Peers of this data centre come first, then the most recently seen.
         """
-        now_s = self._timers.read_monotonic()
         alive = [
             (
                 peer.data_centre != self._data_centre,
                 -peer.last_seen_s,
                 format_address(address),
             )
+            for address, peer in self.list_alive()
+        ]
+        return [address for _, _, address in sorted(alive)][:MAX_POLLED_PEERS]
+
+    def list_alive(self) -> list[tuple[Address, Peer]]:
+        """Returns the live peers with their addresses."""
+        now_s = self._timers.read_monotonic()
+        return [
+            (address, peer)
             for address, peer in self._peers.items()
             if peer.is_alive(now_s, FAR_HEARTBEATS)
         ]
-        return [address for _, _, address in sorted(alive)][:MAX_POLLED_PEERS]
+
+    def has_host(self, host: str) -> bool:
+        """Returns whether a peer runs at an IP address."""
+        return any(peer_host == host for peer_host, _ in self._peers)
 
     def list_known(self) -> list[tuple[Address, Peer]]:
         """Returns all peers with their addresses, dead ones too."""
--- a/rhubarblock/exchange/transport.py
+++ b/rhubarblock/exchange/transport.py
@@ -12,47 +12,30 @@
 import contextlib
 import dataclasses
 import functools
-import math
-import re
 import socket
 from typing import Any
 
 import aiohttp
-from aiohttp import client_proto
 from aiohttp import http_exceptions
 import yarl
 
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import failure as failures
 from rhubarblock.core import verdict as verdicts
+from rhubarblock.exchange import connection as connections
+from rhubarblock.exchange import connector as connectors
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import paths as endpoint_paths
 from rhubarblock.store import sendonce
 
-# Longest connect timeout in seconds: a hundred times the latency between two
-# data centres.
-CONNECT_TIMEOUT_S = 0.25
 # Part of a route's objective after which a connection is given up, so that
 # another endpoint can still answer on time, and the shortest such time in
 # seconds: links that are full delay the first packets by tens of milliseconds.
 CONNECT_OBJECTIVE_PART = 0.4
 MIN_CONNECT_TIMEOUT_S = 0.1
-# Passes of the event loop between the kernel's word that a connection is open
-# and the use of it, with a margin: a timeout is checked again after them.
-CONNECT_PASSES = 8
 # Time in seconds for which an idle connection is reused. Endpoints close idle
 # connections, and one that is about to be closed would lose the next request.
 KEEPALIVE_S = 4.0
-# Seconds before an endpoint's own idle timeout from which a connection is not
-# reused: a request must arrive before the endpoint closes it.
-KEEPALIVE_MARGIN_S = 0.5
-# Milliseconds after which unacknowledged data breaks a connection, so that a
-# dead one does not hold its request until the deadline.
-UNACKED_TIMEOUT_MS = 2_000
-# Idle time and interval in seconds of TCP keep-alive probes. Together with the
-# bound above they detect a lost machine after three seconds, a second before
-# the memory leases of its request must be free.
-KEEPALIVE_PROBE_S = 1
 # Bytes of an answer that a connection buffers, as aiohttp has them by default.
 READ_BYTES = 1 << 18
 # Bytes of a body that are written before the endpoint has to take them.
@@ -74,155 +57,6 @@
     """An attempt failed; its verdict says whether it may have run."""
 
 
-class EndpointProtocol(client_proto.ResponseHandler):
-    """A connection that matches each answer to its request.
-
-    Attributes:
-      expected_id: id that the answer to the current request echoes.
-      was_reset: whether the connection ended with an error.
-      paths: records that the connection receives data.
-    """
-
-    # Parameter of Keep-Alive with an endpoint's idle timeout in seconds.
-    _IDLE_TIME = re.compile(r"\btimeout=(\d{1,9})(?!\w)", re.IGNORECASE)
-
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        attempt_header: str,
-    ):
-        super().__init__(loop)
-        self._attempt_header = attempt_header
-        self.paths: endpoint_paths.ServicePaths | None = None
-        self.expected_id = ""
-        self.was_reset = False
-        self._idle_s = math.inf
-        self._used_s = loop.time()
-
-    def is_connected(self) -> bool:
-        # Data that arrived on an idle connection belongs to no request.
-        if not super().is_connected() or self.should_close:
-            return False
-        return (
-            self._loop.time()
-            <= self._used_s + self._idle_s - KEEPALIVE_MARGIN_S
-        )
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        if exc is not None:
-            self.was_reset = True
-        super().connection_lost(exc)
-
-    async def read(self) -> Any:
-        """Returns the next answer that echoes the expected id."""
-        while True:
-            message, payload = await super().read()
-            self._note_idle_time(message.headers.get("Keep-Alive", ""))
-            echoed = message.headers.get(self._attempt_header)
-            if echoed is None or echoed == self.expected_id:
-                return message, payload
-            # A late answer to an abandoned request.
-            await payload.read()
-
-    def data_received(self, data: bytes) -> None:
-        self._used_s = self._loop.time()
-        if self.paths is not None:
-            self.paths.note_received()
-        super().data_received(data)
-
-    def _note_idle_time(self, text: str) -> None:
-        found = self._IDLE_TIME.search(text)
-        if found is not None:
-            self._idle_s = float(found[1])
-
-
-class ConnectLimit:
-    """Ends the opening of a connection that takes too long.
-
-    A process that was blocked finds timers due before it has handled the
-    connections that opened meanwhile. They get some passes of the event loop
-    before the limit applies, so that no endpoint is blamed for the pause.
-    """
-
-    __slots__ = ("_handle", "_loop", "_timeout")
-
-    def __init__(
-        self,
-        loop: asyncio.AbstractEventLoop,
-        timeout: asyncio.Timeout,
-        limit_s: float,
-    ):
-        """Starts the limit.
-
-        Args:
-          loop: the running event loop.
-          timeout: an entered timeout without a time; it ends at the limit.
-          limit_s: seconds until the limit.
-        """
-        self._loop = loop
-        self._timeout = timeout
-        self._handle: asyncio.Handle = loop.call_later(
-            limit_s, self._check, CONNECT_PASSES
-        )
-
-    def cancel(self) -> None:
-        """Removes the limit."""
-        self._handle.cancel()
-
-    def _check(self, passes: int) -> None:
-        if passes:
-            self._handle = self._loop.call_soon(self._check, passes - 1)
-        else:
-            self._timeout.reschedule(self._loop.time())
-
-
-class EndpointConnector(aiohttp.TCPConnector):
-    """Opens connections within the connect timeout.
-
-    Attributes:
-      paths: records which connections open; None if nothing does.
-    """
-
-    paths: endpoint_paths.EndpointPaths | None = None
-
-    async def _wrap_create_connection(
-        self,
-        *args: Any,
-        req: aiohttp.ClientRequest,
-        timeout: aiohttp.ClientTimeout,
-        **kwargs: Any,
-    ) -> Any:
-        if self.paths is None:
-            return await self._open(*args, req=req, timeout=timeout, **kwargs)
-        address = f"{req.url.raw_host}:{req.port}"
-        paths = self.paths.find(address)
-        try:
-            transport, protocol = await self._open(
-                *args, req=req, timeout=timeout, **kwargs
-            )
-        except (aiohttp.ClientConnectorError, TimeoutError) as error:
-            paths.note_failed(address, str(error) or type(error).__name__)
-            raise
-        protocol.paths = paths
-        paths.note_received()
-        return transport, protocol
-
-    async def _open(
-        self, *args: Any, timeout: aiohttp.ClientTimeout, **kwargs: Any
-    ) -> Any:
-        # aiohttp has no public way to replace its own timeout.
-        loop = asyncio.get_running_loop()
-        limit_s = timeout.sock_connect or CONNECT_TIMEOUT_S
-        async with asyncio.timeout(None) as limited:
-            limit = ConnectLimit(loop, limited, limit_s)
-            try:
-                return await super()._wrap_create_connection(
-                    *args, timeout=_NO_TIMEOUT, **kwargs
-                )
-            finally:
-                limit.cancel()
-
-
 class EndpointRequest(aiohttp.ClientRequest):
     """Sets which answer the connection expects."""
 
@@ -240,7 +74,7 @@
       endpoint_protocol: connection on which it arrived.
     """
 
-    endpoint_protocol: EndpointProtocol | None = None
+    endpoint_protocol: connections.EndpointProtocol | None = None
 
     async def start(self, connection: Any) -> aiohttp.ClientResponse:
         self.endpoint_protocol = connection.protocol
@@ -296,17 +130,21 @@
         """
         with translate_errors():
             data = await self._response.content.readany()
-        if not data and self._was_reset():
-            # Without a length, a reset looks like the end to aiohttp.
-            raise make_error("the connection was reset within the answer")
+        if not data and self._may_be_cut():
+            # Without a length, this looks like the end to aiohttp.
+            raise make_error("the connection ended within the answer")
         return data
 
-    def _was_reset(self) -> bool:
+    def _may_be_cut(self) -> bool:
+        """Returns whether the end of the connection may not be the answer's.
+
+        A peer that forwards a connection closes it regularly when it is killed.
+        """
         response = self._response
         if not isinstance(response, EndpointResponse):
             return False
         protocol = response.endpoint_protocol
-        if protocol is None or not protocol.was_reset:
+        if protocol is None or not (protocol.was_reset or protocol.is_relayed):
             return False
         framed = response.content_length is not None or (
             "Transfer-Encoding" in response.headers
@@ -414,7 +252,7 @@
     """Returns the timeout of a request with an objective in seconds."""
     connect_s = max(MIN_CONNECT_TIMEOUT_S, CONNECT_OBJECTIVE_PART * objective_s)
     return aiohttp.ClientTimeout(
-        total=None, sock_connect=min(connect_s, CONNECT_TIMEOUT_S)
+        total=None, sock_connect=min(connect_s, connectors.CONNECT_TIMEOUT_S)
     )
 
 
@@ -433,6 +271,7 @@
     attempt_header: str,
     read_bytes: int = READ_BYTES,
     paths: endpoint_paths.EndpointPaths | None = None,
+    detours: connectors.Detours | None = None,
 ) -> AsyncIterator[EndpointSessions]:
     """Opens sessions for requests to endpoints.
 
@@ -441,17 +280,17 @@
       read_bytes: bytes of an answer that a connection buffers before they are
         read; up to twice as many, and one read of the socket more.
       paths: records which connections open and receive data.
+      detours: opens connections through peers.
 
     Yields:
       The sessions; they are closed with the context.
     """
+    open_session = functools.partial(
+        _open_session, attempt_header, read_bytes, paths, detours
+    )
     async with (
-        _open_session(
-            attempt_header, _make_socket, read_bytes, paths
-        ) as unprobed,
-        _open_session(
-            attempt_header, _make_probed_socket, read_bytes, paths
-        ) as probed,
+        open_session(connectors.make_socket) as unprobed,
+        open_session(connectors.make_probed_socket) as probed,
     ):
         yield EndpointSessions(unprobed, probed)
 
@@ -459,21 +298,23 @@
 @contextlib.asynccontextmanager
 async def _open_session(
     attempt_header: str,
-    make_socket: Callable[[Any], socket.socket],
     read_bytes: int,
     paths: endpoint_paths.EndpointPaths | None,
+    detours: connectors.Detours | None,
+    make_socket: Callable[[Any], socket.socket],
 ) -> AsyncIterator[aiohttp.ClientSession]:
     loop = asyncio.get_running_loop()
-    connector = EndpointConnector(
+    connector = connectors.EndpointConnector(
         limit=0,
         keepalive_timeout=KEEPALIVE_S,
         socket_factory=make_socket,
         happy_eyeballs_delay=None,
     )
     connector.paths = paths
+    connector.detours = detours
     # aiohttp has no public way to choose the class of its connections.
     connector._factory = functools.partial(  # type: ignore[assignment]
-        EndpointProtocol, loop=loop, attempt_header=attempt_header
+        connections.EndpointProtocol, loop=loop, attempt_header=attempt_header
     )
     request_class = type(
         "NamedRequest", (EndpointRequest,), {"ATTEMPT_HEADER": attempt_header}
@@ -489,25 +330,3 @@
         timeout=_NO_TIMEOUT,
     ) as session:
         yield session
-
-
-def _make_socket(address: Any) -> socket.socket:
-    family, kind, protocol = address[:3]
-    sock = socket.socket(family, kind, protocol)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS
-    )
-    return sock
-
-
-def _make_probed_socket(address: Any) -> socket.socket:
-    sock = _make_socket(address)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_PROBE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_PROBE_S)
-    sock.setsockopt(
-        socket.IPPROTO_TCP,
-        socket.TCP_KEEPCNT,
-        UNACKED_TIMEOUT_MS // 1000 // KEEPALIVE_PROBE_S,
-    )
-    return sock
--- a/rhubarblock/exchange/transport_test.py
+++ b/rhubarblock/exchange/transport_test.py
@@ -7,6 +7,7 @@
 import pytest
 
 from rhubarblock.core import verdict as verdicts
+from rhubarblock.exchange import connector as connectors
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.exchange import transport as transports
@@ -221,7 +222,7 @@
         calling = asyncio.ensure_future(call(parts, endpoint))
         loop = asyncio.get_running_loop()
         while not endpoint.connections and not calling.done():
-            loop.call_soon(time.sleep, 2 * transports.CONNECT_TIMEOUT_S)
+            loop.call_soon(time.sleep, 2 * connectors.CONNECT_TIMEOUT_S)
             await asyncio.sleep(0)
         return await calling
 
