Send orders about memory over the sessions for endpoints

A long prompt needs memory set aside at other engines. A partitioned instance reached engines through a peer for requests only; its orders went over a session of their own and ended unsure, so the prompt failed and the order was released again and again.

Change: the client for leases uses the session for requests to endpoints, with its connect timeout, its detours and its check of late answers. A connection that did not open in time counts as refused: nothing was sent.

Measured: the test fails on the code before (unsure instead of done) and passes.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -102,7 +102,7 @@
           dialect: header names and formats of the deployment's protocol.
           make_store: creates the store client on an HTTP session.
           make_leases: creates the client for leases of engines' KV memory on
-            an HTTP session.
+            an HTTP session for requests to endpoints.
           attempt_header: name of the header that endpoints echo in responses.
           rng: source of jitter and of random choices.
         """
@@ -215,7 +215,7 @@
             updates.open(settings.peers.host, settings.peers.port)
         )
         relay = await self._open_relay(
-            stack, session, updates, limits, limit_peers, cold_starts
+            stack, updates, limits, limit_peers, cold_starts
         )
         await self._listen(stack, relay, updates)
         follower = self._make_follower(session, store)
@@ -336,7 +336,6 @@
     async def _open_relay(
         self,
         stack: contextlib.AsyncExitStack,
-        session: aiohttp.ClientSession,
         updates: peer_updates.PeerUpdates,
         limits: endpointlimits.EndpointLimits,
         limit_peers: limitupdates.DatagramLimitPeers,
@@ -379,14 +378,6 @@
             self.metrics,
             cold_starts,
         )
-        lease_holder = await stack.enter_async_context(
-            leases.open_holder(
-                self._make_leases(session),
-                bounds,
-                statement_handler,
-                self.timers,
-            )
-        )
         endpoint_sessions = await stack.enter_async_context(
             transports.open_sessions(
                 self._attempt_header,
@@ -404,6 +395,14 @@
                 ),
             )
         )
+        lease_holder = await stack.enter_async_context(
+            leases.open_holder(
+                self._make_leases(endpoint_sessions.unprobed),
+                bounds,
+                statement_handler,
+                self.timers,
+            )
+        )
         runner = attempts.AttemptRunner(
             placer,
             transports.EndpointTransport(
--- a/rhubarblock/daemon/partition_test.py
+++ b/rhubarblock/daemon/partition_test.py
@@ -9,12 +9,15 @@
 import aiohttp
 import pytest
 
+from rhubarblock.core import listed
 from rhubarblock.core import route as routes
 from rhubarblock.daemon import endpointlimit_test as fleetfixtures
 from rhubarblock.daemon import exchangeinstance
 from rhubarblock.daemon import exchangeinstance_test as instancefixtures
 from rhubarblock.daemon import plannedstop
+from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import fakeparts_test as fakes
+from rhubarblock.platform import leaseclient
 from rhubarblock.platform import names
 
 ENDPOINT_COUNT = 3
@@ -67,6 +70,7 @@
     Attributes:
       instances: the instances.
       networks: the network of each instance.
+      leases: the client of each instance for memory at engines.
       session: session of the callers.
       endpoints: the endpoints.
     """
@@ -76,6 +80,8 @@
         self.endpoints = endpoints
         self.instances = []
         self.networks = []
+        self.leases = []
+        self._contexts = []
         self._store = store
         self._running = []
         self._stops = []
@@ -90,7 +96,7 @@
             settings,
             KindDialect(kind),
             lambda session, metrics, eras: self._store,
-            lambda session: fakes.NoLeases(),
+            self._make_leases,
             names.ATTEMPT_ID,
             random.Random(number),
         )
@@ -100,6 +106,7 @@
         context.run(_network.set, network)
         running = asyncio.create_task(instance.run(stop), context=context)
         self.instances.append(instance)
+        self._contexts.append(context)
         self.networks.append(network)
         self._running.append(running)
         self._stops.append(stop)
@@ -110,6 +117,15 @@
             assert not running.done(), running
             await asyncio.sleep(0.01)
 
+    def _make_leases(self, session):
+        self.leases.append(leaseclient.PlatformLeaseClient(session))
+        return fakes.NoLeases()
+
+    async def run(self, number, coroutine):
+        """Runs a coroutine in the network of an instance."""
+        context = self._contexts[number]
+        return await asyncio.create_task(coroutine, context=context)
+
     async def stop(self, number):
         """Stops an instance as planned."""
         self._stops[number].set()
@@ -131,12 +147,14 @@
 
 
 @contextlib.asynccontextmanager
-async def open_fleet(kind=routes.RouteKind.NON_IDEMPOTENT, count=3):
-    """Runs a fleet."""
+async def open_fleet(
+    kind=routes.RouteKind.NON_IDEMPOTENT, count=3, endpoints=()
+):
+    """Runs a fleet, before endpoints that serve everything by default."""
     loop = asyncio.get_running_loop()
     connect = loop.sock_connect
     async with contextlib.AsyncExitStack() as stack:
-        endpoints = [
+        endpoints = endpoints or [
             fleetfixtures.CountingEndpoint() for _ in range(ENDPOINT_COUNT)
         ]
         for endpoint in endpoints:
@@ -183,3 +201,25 @@
     served = asyncio.run(main())
     assert served[2] == TRIES
     assert min(served[n] for n in partitioned) >= MIN_RATIO * served[2]
+
+
+def test_partitioned_instance_sets_memory_aside_through_a_peer():
+    # Answers to orders echo no id of a request.
+    answer = fakes.whole(b"{}", request_id="")
+
+    async def main():
+        endpoints = [fakes.ScriptedEndpoint(answer, answer)]
+        async with open_fleet(count=2, endpoints=endpoints) as fleet:
+            fleet.networks[0].refusal = "hang"
+            engine = listed.ListedEndpoint(
+                "e1", fleet.endpoints[0].address, "osu-hall", "desk", 8, False
+            )
+            order = dialects.LeaseRequest("t1", 1000, 2.0)
+            client = fleet.leases[0]
+            return [
+                await fleet.run(0, client.reserve(engine, order)),
+                await fleet.run(0, client.release(engine, "t1")),
+            ]
+
+    replies = asyncio.run(main())
+    assert [r.answer for r in replies] == [dialects.LeaseAnswer.DONE] * 2
--- a/rhubarblock/platform/leaseclient.py
+++ b/rhubarblock/platform/leaseclient.py
@@ -23,7 +23,11 @@
     __slots__ = ("_session",)
 
     def __init__(self, session: aiohttp.ClientSession):
-        """Creates a client; the caller closes the session."""
+        """Creates a client; the caller closes the session.
+
+        Args:
+          session: HTTP session, which may add no headers by itself.
+        """
         self._session = session
 
     async def reserve(
@@ -54,7 +58,10 @@
             async with self._session.post(
                 f"http://{endpoint.address}/order",
                 json=body,
-                headers={names.TARGET: endpoint.endpoint_id},
+                headers={
+                    "Content-Type": "application/json",
+                    names.TARGET: endpoint.endpoint_id,
+                },
                 timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
                 middlewares=(sendonce.send_once,),
             ) as response:
@@ -66,7 +73,8 @@
                         response.status, response.headers
                     ),
                 )
-        except aiohttp.ClientConnectorError:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+            # Nothing was sent.
             return dialects.LeaseReply(_Answer.REFUSED)
         except (aiohttp.ClientError, OSError):
             return dialects.LeaseReply(_Answer.UNSURE)
