Part what connects to endpoints by job

Cause: the connector held sockets, the choice of the path and aiohttp's side in one file, and what else needs a path could not be asked without aiohttp.

Change: sockets (options), dialer (direct or through a peer), connection (one connection's answers), connector (aiohttp's side). Same decisions.

Measured: the tests of the transport and of partitioned instances pass.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -24,6 +24,7 @@
 from rhubarblock.exchange import coldstarts
 from rhubarblock.exchange import crashes
 from rhubarblock.exchange import dialect as dialects
+from rhubarblock.exchange import dialer as dialers
 from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange import leases
 from rhubarblock.exchange import memoryaccount
@@ -384,15 +385,7 @@
                 memoryaccount.READ_BYTES
                 if self.settings.capacity.memory_mb
                 else transports.READ_BYTES,
-                self.paths,
-                tunnel_client.PeerTunnels(
-                    self.directory,
-                    self.peers,
-                    self.subsets,
-                    self.settings.data_centre,
-                    self.timers,
-                    self._rng,
-                ),
+                self._make_dialer(),
             )
         )
         lease_holder = await stack.enter_async_context(
@@ -450,6 +443,18 @@
             self.timers,
         )
 
+    def _make_dialer(self) -> dialers.Dialer:
+        """Returns the part that connects to endpoints."""
+        tunnels = tunnel_client.PeerTunnels(
+            self.directory,
+            self.peers,
+            self.subsets,
+            self.settings.data_centre,
+            self.timers,
+            self._rng,
+        )
+        return dialers.Dialer(self.paths, tunnels)
+
     def _make_admission(
         self, updates: peer_updates.PeerUpdates
     ) -> admission.ExchangeAdmission:
--- a/rhubarblock/exchange/transport.py
+++ b/rhubarblock/exchange/transport.py
@@ -8,11 +8,9 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from collections.abc import Callable
 import contextlib
 import dataclasses
 import functools
-import socket
 from typing import Any
 
 import aiohttp
@@ -25,7 +23,8 @@
 from rhubarblock.exchange import connection as connections
 from rhubarblock.exchange import connector as connectors
 from rhubarblock.exchange import dialect as dialects
-from rhubarblock.exchange import paths as endpoint_paths
+from rhubarblock.exchange import dialer as dialers
+from rhubarblock.exchange import sockets
 from rhubarblock.store import sendonce
 
 # Part of a route's objective after which a connection is given up, so that
@@ -270,8 +269,7 @@
 async def open_sessions(
     attempt_header: str,
     read_bytes: int = READ_BYTES,
-    paths: endpoint_paths.EndpointPaths | None = None,
-    detours: connectors.Detours | None = None,
+    dialer: dialers.Dialer | None = None,
 ) -> AsyncIterator[EndpointSessions]:
     """Opens sessions for requests to endpoints.
 
@@ -279,18 +277,17 @@
       attempt_header: name of the header field that answers echo.
       read_bytes: bytes of an answer that a connection buffers before they are
         read; up to twice as many, and one read of the socket more.
-      paths: records which connections open and receive data.
-      detours: opens connections through peers.
+      dialer: opens the sockets; None for direct connections only.
 
     Yields:
       The sessions; they are closed with the context.
     """
     open_session = functools.partial(
-        _open_session, attempt_header, read_bytes, paths, detours
+        _open_session, attempt_header, read_bytes, dialer
     )
     async with (
-        open_session(connectors.make_socket) as unprobed,
-        open_session(connectors.make_probed_socket) as probed,
+        open_session(sockets.make_socket) as unprobed,
+        open_session(sockets.make_probed_socket) as probed,
     ):
         yield EndpointSessions(unprobed, probed)
 
@@ -299,9 +296,8 @@
 async def _open_session(
     attempt_header: str,
     read_bytes: int,
-    paths: endpoint_paths.EndpointPaths | None,
-    detours: connectors.Detours | None,
-    make_socket: Callable[[Any], socket.socket],
+    dialer: dialers.Dialer | None,
+    make_socket: sockets.SocketFactory,
 ) -> AsyncIterator[aiohttp.ClientSession]:
     loop = asyncio.get_running_loop()
     connector = connectors.EndpointConnector(
@@ -310,8 +306,8 @@
         socket_factory=make_socket,
         happy_eyeballs_delay=None,
     )
-    connector.paths = paths
-    connector.detours = detours
+    connector.dialer = dialer
+    connector.make_socket = make_socket
     # aiohttp has no public way to choose the class of its connections.
     connector._factory = functools.partial(  # type: ignore[assignment]
         connections.EndpointProtocol, loop=loop, attempt_header=attempt_header
--- a/rhubarblock/exchange/tunnels/client.py
+++ b/rhubarblock/exchange/tunnels/client.py
@@ -8,7 +8,8 @@
 import random
 import socket
 
-from rhubarblock.exchange import connector as connectors
+from rhubarblock.exchange import dialer as dialers
+from rhubarblock.exchange import sockets
 from rhubarblock.exchange.peering import table as peer_table
 from rhubarblock.exchange.state import directory as directories
 from rhubarblock.exchange.state import subset as subsets
@@ -24,11 +25,11 @@
 BACKOFF_S = 1.0
 
 
-class TunnelError(connectors.DetourError):
+class TunnelError(dialers.DetourError):
     """A peer opened no tunnel."""
 
 
-class PeerTunnels(connectors.Detours):
+class PeerTunnels(dialers.Detours):
     """Opens tunnels through the peers of an instance.
 
     Peers of this data centre come first, so that a tunnel adds little latency
@@ -72,7 +73,7 @@
         self._rng = rng
         self._backoff_until_s: dict[peer_table.Address, float] = {}
 
-    async def open(self, address: str) -> connectors.Detour:
+    async def open(self, address: str) -> dialers.Opened:
         candidates = self._choose(address)
         opened, _, errors = await staggered.staggered_race(
             [functools.partial(self._open_by, c, address) for c in candidates],
@@ -108,12 +109,12 @@
 
     async def _open_by(
         self, peer_address: peer_table.Address, address: str
-    ) -> connectors.Detour:
+    ) -> dialers.Opened:
         """Opens a tunnel through one peer."""
         started_s = self._timers.read_monotonic()
         sock: socket.socket | None = None
         try:
-            sock = await connectors.connect_socket(*peer_address)
+            sock = await sockets.connect(*peer_address)
             reply = await _request_tunnel(sock, address)
             if reply is not wire.Reply.OPENED:
                 raise TunnelError(reply is wire.Reply.UNREACHABLE)
@@ -124,7 +125,7 @@
             raise
         self._backoff_until_s.pop(peer_address, None)
         peer = self._peers.find(peer_address)
-        return connectors.Detour(sock, peer.instance_id if peer else "")
+        return dialers.Opened(sock, peer.instance_id if peer else "")
 
     def _note_error(
         self,
--- a/rhubarblock/exchange/tunnels/server.py
+++ b/rhubarblock/exchange/tunnels/server.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 import logging
 
-from rhubarblock.exchange import connector as connectors
 from rhubarblock.exchange import paths as endpoint_paths
+from rhubarblock.exchange import sockets
 from rhubarblock.exchange.peering import table as peer_table
 from rhubarblock.exchange.state import directory as directories
 from rhubarblock.exchange.tunnels import wire
@@ -137,7 +137,7 @@
             return wire.Reply.UNAVAILABLE
         try:
             async with asyncio.timeout(CONNECT_S):
-                sock = await connectors.connect_socket(host, port)
+                sock = await sockets.connect(host, port)
         except (OSError, TimeoutError) as error:
             paths.note_failed(address, str(error) or type(error).__name__)
             # Without other evidence, this instance may be partitioned, too.
