Move requests that hang on a lost path

Callers whose requests were under way when their instance lost its links waited until a stall limit or the deadline (evidence-read at the 99th percentile: 6.2 s), and sound engines were blamed for the silence, here and at the peers.

Cause: nothing tells a hanging connection from a silent engine, and no path was looked at while requests waited on it.

Change: while requests are under way at a service and none of its endpoints has sent anything for a quarter of a second, one new connection shows whether the path exists, once a second at most. If only a peer reaches the endpoint, a second one is looked at, and requests that may run again are moved; that blames no endpoint. Requests that may run once go on: they may have run.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -30,6 +30,7 @@
 from rhubarblock.exchange import memoryaccount
 from rhubarblock.exchange import outcomes
 from rhubarblock.exchange import paths as endpoint_paths
+from rhubarblock.exchange import pathwatch
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
 from rhubarblock.exchange import requesthandler
@@ -233,6 +234,16 @@
         listed = self.directory.find_at(address)
         return listed.service if listed else ""
 
+    def _find_other_at(self, address: str) -> str | None:
+        """Returns the address of another endpoint of the same service."""
+        service = self._find_service_at(address)
+        others = [
+            endpoint.address
+            for endpoint in self.directory.list_usable(service)
+            if endpoint.address != address
+        ]
+        return self._rng.choice(others) if others else None
+
     def _reset_endpoint(
         self, endpoint_id: str, limits: endpointlimits.EndpointLimits
     ) -> None:
@@ -379,13 +390,14 @@
             self.metrics,
             cold_starts,
         )
+        dialer = self._make_dialer()
         endpoint_sessions = await stack.enter_async_context(
             transports.open_sessions(
                 self._attempt_header,
                 memoryaccount.READ_BYTES
                 if self.settings.capacity.memory_mb
                 else transports.READ_BYTES,
-                self._make_dialer(),
+                dialer,
             )
         )
         lease_holder = await stack.enter_async_context(
@@ -402,6 +414,7 @@
                 endpoint_sessions,
                 self._dialect,
                 bool(self.settings.capacity.memory_mb),
+                pathwatch.PathWatch(dialer, self._find_other_at, self.timers),
             ),
             self.health,
             lease_holder,
--- a/rhubarblock/daemon/partition_test.py
+++ b/rhubarblock/daemon/partition_test.py
@@ -146,6 +146,33 @@
         return statuses.count(200)
 
 
+class CutEndpoint(fleetfixtures.CountingEndpoint):
+    """Falls silent on the connections that are open at a moment."""
+
+    def __init__(self):
+        super().__init__()
+        self._open = set()
+        self._silent = set()
+
+    def cut_open_connections(self):
+        self._silent |= self._open
+
+    async def _serve(self, reader, writer):
+        self._open.add(writer)
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                if writer in self._silent:
+                    await asyncio.Event().wait()
+                self.heads.append(head)
+                await fakes.whole(b"ok")(head, writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
 @contextlib.asynccontextmanager
 async def open_fleet(
     kind=routes.RouteKind.NON_IDEMPOTENT, count=3, endpoints=()
@@ -223,3 +250,26 @@
 
     replies = asyncio.run(main())
     assert [r.answer for r in replies] == [dialects.LeaseAnswer.DONE] * 2
+
+
+def test_requests_leave_kept_connections_on_a_lost_path():
+    async def main():
+        endpoints = [CutEndpoint() for _ in range(ENDPOINT_COUNT)]
+        kind = routes.RouteKind.IDEMPOTENT
+        async with open_fleet(kind, 2, endpoints) as fleet:
+            await asyncio.gather(*(fleet.ask(0) for _ in range(TRIES)))
+            fleet.networks[0].refusal = "hang"
+            for endpoint in endpoints:
+                endpoint.cut_open_connections()
+            served = await fleet.count_served(0, TRIES)
+            tripped = [
+                instance.health.is_tripped(f"e{number + 1}")
+                for instance in fleet.instances
+                for number in range(ENDPOINT_COUNT)
+            ]
+            return served, tripped
+
+    served, tripped = asyncio.run(main())
+    assert served == TRIES
+    # Sound endpoints are blamed neither here nor at the peer.
+    assert not any(tripped)
--- a/rhubarblock/exchange/attempts.py
+++ b/rhubarblock/exchange/attempts.py
@@ -37,6 +37,12 @@
 
 _Reason = stalls.Reason
 
+_ABANDONED = {
+    _Reason.SILENT: "the endpoint kept silent",
+    _Reason.BUSY: "the engine reads for others for too long",
+    _Reason.LOST: "the path to the endpoint was lost",
+}
+
 
 class RefusedError(failures.FailureError):
     """The endpoint states that it did not run the exchange.
@@ -80,9 +86,7 @@
     """
 
     def __init__(self, reason: stalls.Reason):
-        message = "the endpoint kept silent"
-        if reason is _Reason.BUSY:
-            message = "the engine reads for others for too long"
+        message = _ABANDONED[reason]
         super().__init__(
             failures.Failure(
                 failures.FailureCode.ENDPOINT_FAILED,
@@ -224,7 +228,10 @@
             lambda: detector.abandon(_Reason.BUSY),
         ):
             async with self._transport.send(
-                exchange, placement.endpoint.address, options
+                exchange,
+                placement.endpoint.address,
+                options,
+                lambda: detector.abandon(_Reason.LOST),
             ) as answer:
                 self._note_health(placement.endpoint, answer)
                 self._statements.note_answer(
--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -244,7 +244,7 @@
             self._metrics.count("exchange.failed_answers")
             self._log(flow, placement, failure, "failed")
             self._health.note_error(endpoint.endpoint_id)
-        elif _is_abandoned_as_busy(error):
+        elif _is_no_fault(error):
             self._metrics.count("exchange.moved")
             self._log(flow, placement, failure, "moved")
         else:
@@ -345,8 +345,9 @@
     return f"{kind}.{band}"
 
 
-def _is_abandoned_as_busy(error: transports.AttemptError) -> bool:
+def _is_no_fault(error: transports.AttemptError) -> bool:
+    """Returns whether an attempt was abandoned at a sound endpoint."""
     return (
         isinstance(error, attempts.AbandonedError)
-        and error.reason is stalls.Reason.BUSY
+        and error.reason is not stalls.Reason.SILENT
     )
--- /dev/null
+++ b/rhubarblock/exchange/pathwatch.py
@@ -0,0 +1,159 @@
+"""Notices that requests are under way on paths that are lost.
+
+A connection over a lost path hangs: no error ends a request on it before a
+timeout. While requests are under way and no endpoint of their service sends
+anything, a new connection shows whether the path still exists. If only a peer
+reaches the endpoint, requests that may run again need not wait any longer.
+"""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import logging
+import math
+
+from rhubarblock.exchange import dialer as dialers
+from rhubarblock.exchange import paths as endpoint_paths
+from rhubarblock.kernel import timers as timer_service
+
+# Seconds without data from any endpoint of a service, while requests are under
+# way there, after which a path is checked. Engines that decode send more often.
+SILENCE_S = 0.25
+# Shortest interval of the checks of one service, in seconds.
+CHECK_INTERVAL_S = 1.0
+# Seconds after which the connection of a check is given up.
+CONNECT_S = 0.25
+
+_logger = logging.getLogger(__name__)
+
+
+class Sending:
+    """A request under way.
+
+    Attributes:
+      address: ``host:port`` of the endpoint.
+      is_direct: whether it was sent over a direct connection.
+      on_lost: called when the path is known to be lost.
+    """
+
+    __slots__ = ("address", "is_direct", "on_lost")
+
+    def __init__(self, address: str, on_lost: Callable[[], object]):
+        self.address = address
+        self.is_direct = False
+        self.on_lost = on_lost
+
+
+class _ServiceWatch:
+    """The requests that are under way at one service, oldest first."""
+
+    __slots__ = ("checked_s", "handle", "paths", "sent_s", "under_way")
+
+    def __init__(self, paths: endpoint_paths.ServicePaths):
+        self.paths = paths
+        self.under_way: dict[Sending, None] = {}
+        self.sent_s = 0.0
+        self.checked_s = -math.inf
+        self.handle: asyncio.TimerHandle | None = None
+
+
+class PathWatch:
+    """Watches the paths on which requests are under way."""
+
+    __slots__ = ("_dialer", "_find_other", "_services", "_tasks", "_timers")
+
+    def __init__(
+        self,
+        dialer: dialers.Dialer,
+        find_other: Callable[[str], str | None],
+        timers: timer_service.Timers,
+    ):
+        """Creates a watch without requests.
+
+        Args:
+          dialer: connects to endpoints.
+          find_other: returns the address of another endpoint of the same
+            service, None if there is none.
+          timers: the clock, and callbacks.
+        """
+        self._dialer = dialer
+        self._find_other = find_other
+        self._timers = timers
+        self._services: dict[endpoint_paths.ServicePaths, _ServiceWatch] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @contextlib.contextmanager
+    def watch(self, sending: Sending) -> Iterator[None]:
+        """Watches the path of a request while the context is open."""
+        paths = self._dialer.paths.find(sending.address)
+        service = self._services.get(paths)
+        if service is None:
+            service = self._services[paths] = _ServiceWatch(paths)
+        service.under_way[sending] = None
+        service.sent_s = self._timers.read_monotonic()
+        if service.handle is None:
+            self._schedule(service, SILENCE_S)
+        try:
+            yield
+        finally:
+            del service.under_way[sending]
+            if not service.under_way and service.handle is not None:
+                service.handle.cancel()
+                service.handle = None
+
+    def _schedule(self, service: _ServiceWatch, delay_s: float) -> None:
+        service.handle = self._timers.call_later(
+            delay_s, lambda: self._fire(service)
+        )
+
+    def _fire(self, service: _ServiceWatch) -> None:
+        """Starts a check if it is due, and schedules the next one."""
+        now_s = self._timers.read_monotonic()
+        heard_s = max(service.sent_s, service.paths.received_s)
+        due_s = max(heard_s + SILENCE_S, service.checked_s + CHECK_INTERVAL_S)
+        if now_s < due_s:
+            self._schedule(service, due_s - now_s)
+            return
+        self._schedule(service, CHECK_INTERVAL_S)
+        waiting = [s for s in service.under_way if s.is_direct]
+        if not waiting:
+            return
+        service.checked_s = now_s
+        task = asyncio.ensure_future(self._check(service, waiting))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _check(
+        self, service: _ServiceWatch, waiting: list[Sending]
+    ) -> None:
+        """Checks the path of the oldest request, and then another one."""
+        address = waiting[0].address
+        if not await self._is_lost(address):
+            return
+        other = self._find_other(address)
+        if other is not None:
+            await self._is_lost(other)
+        _logger.info(
+            "path is lost under requests",
+            extra={
+                "address": address,
+                "requests": len(waiting),
+                "is_partitioned": service.paths.partitioned_s is not None,
+            },
+        )
+        for sending in waiting:
+            if sending in service.under_way and service.paths.is_suspect(
+                sending.address
+            ):
+                sending.on_lost()
+
+    async def _is_lost(self, address: str) -> bool:
+        """Returns whether only a peer reaches an endpoint."""
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                opened = await self._dialer.connect(address)
+        except (OSError, TimeoutError):
+            return False
+        opened.sock.close()
+        return bool(opened.peer)
--- a/rhubarblock/exchange/stalls.py
+++ b/rhubarblock/exchange/stalls.py
@@ -33,6 +33,8 @@
     SILENT = "silent"
     # The engine prefills other prompts for too long.
     BUSY = "busy"
+    # The path to the endpoint is lost, and peers still reach it.
+    LOST = "lost"
 
 
 class StallDetector:
--- a/rhubarblock/exchange/transport.py
+++ b/rhubarblock/exchange/transport.py
@@ -8,7 +8,9 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
+import contextvars
 import dataclasses
 import functools
 from typing import Any
@@ -24,6 +26,7 @@
 from rhubarblock.exchange import connector as connectors
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import dialer as dialers
+from rhubarblock.exchange import pathwatch
 from rhubarblock.exchange import sockets
 from rhubarblock.store import sendonce
 
@@ -52,6 +55,12 @@
 _SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 
 
+# The request that the running task sends.
+_sending: contextvars.ContextVar[pathwatch.Sending | None] = (
+    contextvars.ContextVar("sending", default=None)
+)
+
+
 class AttemptError(failures.FailureError):
     """An attempt failed; its verdict says whether it may have run."""
 
@@ -62,6 +71,9 @@
     ATTEMPT_HEADER = ""
 
     async def send(self, conn: Any) -> aiohttp.ClientResponse:
+        sending = _sending.get()
+        if sending is not None:
+            sending.is_direct = not conn.protocol.is_relayed
         conn.protocol.expected_id = self.headers.get(self.ATTEMPT_HEADER, "")
         return await super().send(conn)
 
@@ -169,13 +181,14 @@
 class EndpointTransport:
     """Sends exchanges to endpoints and returns their answers."""
 
-    __slots__ = ("_dialect", "_is_memory_bounded", "_sessions")
+    __slots__ = ("_dialect", "_is_memory_bounded", "_sessions", "_watch")
 
     def __init__(
         self,
         sessions: EndpointSessions,
         dialect: dialects.Dialect,
         is_memory_bounded: bool = False,
+        watch: pathwatch.PathWatch | None = None,
     ):
         """Creates a transport on sessions of ``open_sessions``.
 
@@ -184,7 +197,9 @@
           dialect: header fields of the deployment.
           is_memory_bounded: whether endpoints that read slowly must not make
             the instance hold more than a request's body.
+          watch: watches the paths of requests that are under way.
         """
+        self._watch = watch
         self._is_memory_bounded = is_memory_bounded
         self._sessions = sessions
         self._dialect = dialect
@@ -195,6 +210,7 @@
         exchange: exchanges.Exchange,
         address: str,
         options: dialects.SendOptions,
+        on_lost: Callable[[], object] = lambda: None,
     ) -> AsyncIterator[Answer]:
         """Sends an exchange once; the answer is open within the context.
 
@@ -202,6 +218,7 @@
           exchange: the exchange to send.
           address: ``host:port`` of the endpoint.
           options: options of this attempt.
+          on_lost: called if its path is lost while it is under way.
 
         Yields:
           The answer; its connection is closed unless it was read to the end.
@@ -209,25 +226,47 @@
         Raises:
           AttemptError: it could not be sent, or no valid answer arrived.
         """
+        sending = pathwatch.Sending(address, on_lost)
+        with (
+            self._watch.watch(sending)
+            if self._watch is not None
+            else contextlib.nullcontext()
+        ):
+            response = await self._request(exchange, sending, options)
+            try:
+                answer = Answer(response, self._dialect)
+                if answer.fields.request_id != exchange.request_id:
+                    raise make_error("the answer belongs to another request")
+                yield answer
+            finally:
+                response.close()
+
+    async def _request(
+        self,
+        exchange: exchanges.Exchange,
+        sending: pathwatch.Sending,
+        options: dialects.SendOptions,
+    ) -> aiohttp.ClientResponse:
+        """Sends a request and returns the answer's head."""
         sessions = self._sessions
         session = sessions.probed if options.holds_memory else sessions.unprobed
-        with translate_errors():
-            response = await session.request(
-                exchange.method,
-                yarl.URL(f"http://{address}{exchange.target}", encoded=True),
-                headers=self._dialect.address(exchange, options),
-                data=self._make_body(exchange.body),
-                allow_redirects=False,
-                middlewares=(sendonce.send_once,),
-                timeout=_make_timeout(exchange.route.objective_s),
-            )
+        token = _sending.set(sending)
         try:
-            answer = Answer(response, self._dialect)
-            if answer.fields.request_id != exchange.request_id:
-                raise make_error("the answer belongs to another request")
-            yield answer
+            with translate_errors():
+                return await session.request(
+                    exchange.method,
+                    yarl.URL(
+                        f"http://{sending.address}{exchange.target}",
+                        encoded=True,
+                    ),
+                    headers=self._dialect.address(exchange, options),
+                    data=self._make_body(exchange.body),
+                    allow_redirects=False,
+                    middlewares=(sendonce.send_once,),
+                    timeout=_make_timeout(exchange.route.objective_s),
+                )
         finally:
-            response.close()
+            _sending.reset(token)
 
     def _make_body(self, body: bytes) -> bytes | PiecewiseBody | None:
         """Returns a body as aiohttp takes it; None if it is empty."""
