Refuse at once what no instance can reach

Callers of a service whose endpoints neither their instance nor a peer reached waited 0.3 to 0.5 s for a 503, through three connect timeouts.

Change: while an instance is partitioned from a service and no peer reached two endpoints of it since one was reached, requests that have not been sent are refused as not run, with a time to return; one is tried a quarter of a second after the last failure. What fails for a peer is evidence of a partition only. A peer that knows its own paths to be lost says so at once, up to eight peers are asked, and those that failed are asked later and later.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -454,6 +454,7 @@
             crash_detector,
             self._make_admission(updates),
             self.timers,
+            self.paths,
         )
 
     def _make_dialer(self) -> dialers.Dialer:
--- a/rhubarblock/daemon/partition_test.py
+++ b/rhubarblock/daemon/partition_test.py
@@ -17,6 +17,7 @@
 from rhubarblock.daemon import plannedstop
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import fakeparts_test as fakes
+from rhubarblock.exchange import paths as endpoint_paths
 from rhubarblock.platform import leaseclient
 from rhubarblock.platform import names
 
@@ -140,6 +141,13 @@
         url = f"http://{self.instances[number].settings.callers}/a/x"
         return await fleetfixtures.ask(self.session, url)
 
+    async def ask_whole(self, number):
+        """Sends a request to an instance; returns status and headers."""
+        url = f"http://{self.instances[number].settings.callers}/a/x"
+        headers = instancefixtures.HEADERS
+        async with self.session.post(url, headers=headers) as answer:
+            return answer.status, answer.headers
+
     async def count_served(self, number, tries):
         """Returns how many first tries an instance serves."""
         statuses = [await self.ask(number) for _ in range(tries)]
@@ -273,3 +281,28 @@
     assert served == TRIES
     # Sound endpoints are blamed neither here nor at the peer.
     assert not any(tripped)
+
+
+def test_requests_that_no_instance_can_serve_are_refused_at_once():
+    async def main():
+        async with open_fleet() as fleet:
+            for network in fleet.networks:
+                network.refusal = "hang"
+            for number in range(3):
+                await fleet.count_served(number, EARLY_TRIES)
+            refusals = [await fleet.ask_whole(0) for _ in range(TRIES)]
+            attempts = fleet.instances[0].metrics.counts["exchange.placed"]
+            for network in fleet.networks:
+                network.refusal = None
+            await asyncio.sleep(endpoint_paths.TRIAL_S)
+            served = [await fleet.count_served(n, TRIES) for n in range(3)]
+            return refusals, attempts, served
+
+    refusals, attempts, served = asyncio.run(main())
+    for status, headers in refusals:
+        assert status == 503
+        assert headers["X-Verdict"] == "NOT_RUN"
+        assert float(headers["Retry-After"]) > 0.0
+    # Nearly all of them were refused without an attempt.
+    assert attempts < TRIES
+    assert served == [TRIES] * 3
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -19,6 +19,7 @@
 from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange import leases
 from rhubarblock.exchange import outcomes
+from rhubarblock.exchange import paths as endpoint_paths
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import relay as relays
 from rhubarblock.exchange import requesthandler
@@ -376,6 +377,9 @@
                 self.metrics,
             ),
             self.timers,
+            endpoint_paths.EndpointPaths(
+                lambda address: "", self.timers, self.metrics
+            ),
         )
 
     def add_endpoints(self, *endpoints, service="desk"):
--- a/rhubarblock/exchange/paths.py
+++ b/rhubarblock/exchange/paths.py
@@ -24,6 +24,9 @@
 # Seconds for which data from any endpoint shows that this instance is not
 # partitioned.
 PROOF_S = 1.0
+# Shortest interval in seconds of requests that are tried while neither this
+# instance nor a peer reaches an endpoint.
+TRIAL_S = 0.25
 # Most endpoints whose state is kept before ended states are dropped.
 MAX_STATES = 256
 
@@ -42,11 +45,14 @@
 
     __slots__ = (
         "_failed",
+        "_failed_s",
         "_lost_until_s",
         "_metrics",
         "_service",
         "_timers",
+        "_trial_s",
         "_unreachable_until_s",
+        "_unreached",
         "partitioned_s",
         "received_s",
     )
@@ -70,9 +76,14 @@
         # Endpoints to which no connection opened, and the last error of each,
         # since something was received from any endpoint.
         self._failed: dict[str, str] = {}
+        self._failed_s = -math.inf
         # Until when paths count as lost, and endpoints as gone, by address.
         self._lost_until_s: dict[str, float] = {}
         self._unreachable_until_s: dict[str, float] = {}
+        # Endpoints that neither this instance nor a peer reached since one was
+        # reached, and when that was last tried.
+        self._unreached: set[str] = set()
+        self._trial_s = -math.inf
         self.received_s = -math.inf
         self.partitioned_s: float | None = None
 
@@ -90,6 +101,7 @@
         """Records that a direct connection opened."""
         self.received_s = self._timers.read_monotonic()
         self._failed.clear()
+        self._unreached.clear()
         self._lost_until_s.pop(address, None)
         self._unreachable_until_s.pop(address, None)
         if self.partitioned_s is None:
@@ -106,6 +118,7 @@
         now_s = self._timers.read_monotonic()
         self._metrics.count("paths.detoured")
         _set_until(self._lost_until_s, address, now_s, LOST_S)
+        self._unreached.clear()
         self._add_failure(address, "only a peer reached it")
 
     def note_failed(self, address: str, reason: str) -> None:
@@ -118,6 +131,17 @@
         now_s = self._timers.read_monotonic()
         self._metrics.count("paths.failed")
         _set_until(self._unreachable_until_s, address, now_s, UNREACHABLE_S)
+        self._unreached.add(address)
+        self._trial_s = now_s
+        self._add_failure(address, reason)
+
+    def note_direct_failure(self, address: str, reason: str) -> None:
+        """Records that a direct connection failed that was opened for a peer.
+
+        Args:
+          address: ``host:port`` of the endpoint.
+          reason: the error.
+        """
         self._add_failure(address, reason)
 
     def is_suspect(self, address: str) -> bool:
@@ -127,6 +151,12 @@
         now_s = self._timers.read_monotonic()
         return now_s < self._lost_until_s.get(address, 0.0)
 
+    def is_lost(self) -> bool:
+        """Returns whether a direct connection would fail like the last one."""
+        if self.partitioned_s is None:
+            return False
+        return self._timers.read_monotonic() < self._failed_s + TRIAL_S
+
     def may_detour(self, address: str) -> bool:
         """Returns whether a peer might reach an endpoint."""
         if self.partitioned_s is not None:
@@ -134,6 +164,22 @@
         now_s = self._timers.read_monotonic()
         return now_s >= self._unreachable_until_s.get(address, 0.0)
 
+    def begin_try(self) -> bool:
+        """Returns whether a request may be tried that has not been sent.
+
+        While no endpoint is reached in any way, only few are tried.
+        """
+        if (
+            self.partitioned_s is None
+            or len(self._unreached) < PARTITION_ENDPOINTS
+        ):
+            return True
+        now_s = self._timers.read_monotonic()
+        if now_s < self._trial_s + TRIAL_S:
+            return False
+        self._trial_s = now_s
+        return True
+
     def is_proven(self) -> bool:
         """Returns whether an endpoint was reached lately."""
         return self._timers.read_monotonic() - self.received_s < PROOF_S
@@ -149,6 +195,7 @@
     def _add_failure(self, address: str, reason: str) -> None:
         """Adds evidence of a partition."""
         self._failed[address] = reason
+        self._failed_s = self._timers.read_monotonic()
         if (
             self.partitioned_s is not None
             or len(self._failed) < PARTITION_ENDPOINTS
@@ -194,7 +241,10 @@
 
     def find(self, address: str) -> ServicePaths:
         """Returns the paths to the service of the endpoint at an address."""
-        service = self._find_service(address)
+        return self.find_service(self._find_service(address))
+
+    def find_service(self, service: str) -> ServicePaths:
+        """Returns the paths to a service."""
         paths = self._services.get(service)
         if paths is None:
             paths = ServicePaths(service, self._timers, self._metrics)
--- a/rhubarblock/exchange/paths_test.py
+++ b/rhubarblock/exchange/paths_test.py
@@ -88,6 +88,28 @@
     assert paths.may_detour("10.0.0.1:80")
 
 
+def test_few_requests_are_tried_while_nothing_is_reached(paths, timers):
+    assert all(paths.begin_try() for _ in range(5))
+    paths.note_detoured("10.0.0.3:80")
+    partition(paths)
+    assert not paths.begin_try()
+    timers.now_s += endpoint_paths.TRIAL_S
+    assert [paths.begin_try() for _ in range(2)] == [True, False]
+    paths.note_detoured("10.0.0.3:80")
+    assert all(paths.begin_try() for _ in range(5))
+
+
+def test_failures_for_peers_refuse_no_request_here(paths, timers):
+    for number in (1, 2):
+        paths.note_direct_failure(f"10.0.0.{number}:80", "refused")
+    assert paths.partitioned_s is not None
+    assert paths.begin_try()
+    # Peers are refused at once only while the last failure is fresh.
+    assert paths.is_lost()
+    timers.now_s += endpoint_paths.TRIAL_S
+    assert not paths.is_lost()
+
+
 def test_state_of_endpoints_that_are_gone_is_dropped(paths, timers):
     for number in range(3 * endpoint_paths.MAX_STATES):
         timers.now_s += endpoint_paths.LOST_S / 10
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -19,6 +19,7 @@
 from rhubarblock.exchange import flow as flows
 from rhubarblock.exchange import leases
 from rhubarblock.exchange import outcomes
+from rhubarblock.exchange import paths as endpoint_paths
 from rhubarblock.exchange import permitqueue
 from rhubarblock.exchange import placements
 from rhubarblock.exchange import placer as placers
@@ -54,6 +55,7 @@
         "_admission",
         "_crashes",
         "_outcomes",
+        "_paths",
         "_placer",
         "_queue",
         "_runner",
@@ -68,6 +70,7 @@
         crash_detector: crashes.CrashDetector,
         admission_: admission.ExchangeAdmission,
         timers: timer_service.Timers,
+        paths: endpoint_paths.EndpointPaths,
     ):
         """Creates a relay.
 
@@ -78,7 +81,9 @@
           crash_detector: refuses exchanges that crash endpoints.
           admission_: lets new exchanges in, or refuses them.
           timers: the clock.
+          paths: the network paths to endpoints.
         """
+        self._paths = paths
         self._admission = admission_
         self._placer = placer
         self._runner = runner
@@ -130,6 +135,7 @@
     async def _try_once(self, flow: flows.Flow) -> failures.FailureError | None:
         """Makes one attempt and returns its error, or None."""
         avoid = flow.history.failed_endpoints
+        self._check_paths(flow)
         await self._wait_for_room(flow)
         await self._wait_for_availability(flow)
         await self._wait_for_start(flow)
@@ -153,6 +159,20 @@
                 raise self._make_refusal(flow, gate)
             await gate.wait()
 
+    def _check_paths(self, flow: flows.Flow) -> None:
+        """Refuses an exchange if no endpoint of its service is reached.
+
+        Raises:
+          failures.FailureError: it was refused.
+        """
+        if flow.history.attempts:
+            return
+        paths = self._paths.find_service(flow.exchange.service.name)
+        if not paths.begin_try():
+            raise _make_final_error(
+                flow, "no endpoint of its service is reached"
+            )
+
     def _open_gate(self, flow: flows.Flow) -> admission.Gate | None:
         """Returns the gate of a new exchange; None if it was let in before."""
         if flow.is_admitted:
--- a/rhubarblock/exchange/tunnels/client.py
+++ b/rhubarblock/exchange/tunnels/client.py
@@ -3,6 +3,7 @@
 import asyncio
 from asyncio import staggered
 from collections.abc import Iterator
+import dataclasses
 import functools
 import itertools
 import random
@@ -19,16 +20,32 @@
 # Seconds after which another peer is asked, too: several times what a peer
 # needs that is not busy.
 STAGGER_S = 0.03
-# Most peers that are asked for one tunnel.
-MAX_PEERS = 3
-# Seconds for which other peers are preferred to one that opened no tunnel.
-BACKOFF_S = 1.0
+# Most peers that are asked for one tunnel. One that is partitioned as well
+# refuses at once, so that several can be asked within a connect timeout.
+MAX_PEERS = 8
+# Shortest and longest time in seconds for which other peers are preferred to
+# one that opened no tunnel; it doubles with each further failure.
+MIN_BACKOFF_S = 1.0
+MAX_BACKOFF_S = 8.0
 
 
 class TunnelError(dialers.DetourError):
     """A peer opened no tunnel."""
 
 
+@dataclasses.dataclass(slots=True)
+class _Backoff:
+    """How long other peers are preferred to one.
+
+    Attributes:
+      until_s: end of the time, in monotonic seconds.
+      length_s: its length in seconds.
+    """
+
+    until_s: float = 0.0
+    length_s: float = 0.0
+
+
 class PeerTunnels(dialers.Detours):
     """Opens tunnels through the peers of an instance.
 
@@ -37,7 +54,7 @@
     """
 
     __slots__ = (
-        "_backoff_until_s",
+        "_backoffs",
         "_data_centre",
         "_directory",
         "_peers",
@@ -71,7 +88,7 @@
         self._data_centre = data_centre
         self._timers = timers
         self._rng = rng
-        self._backoff_until_s: dict[peer_table.Address, float] = {}
+        self._backoffs: dict[peer_table.Address, _Backoff] = {}
 
     async def open(self, address: str) -> dialers.Opened:
         candidates = self._choose(address)
@@ -104,9 +121,15 @@
         self._rng.shuffle(far)
         chosen = list(_interleave(near, far))
         # The sort is stable, so only peers that failed lately move back.
-        chosen.sort(key=lambda a: self._backoff_until_s.get(a, 0.0) > now_s)
+        chosen.sort(key=lambda a: self._is_backed_off(a, now_s))
         return chosen[:MAX_PEERS]
 
+    def _is_backed_off(
+        self, peer_address: peer_table.Address, now_s: float
+    ) -> bool:
+        backoff = self._backoffs.get(peer_address)
+        return backoff is not None and now_s < backoff.until_s
+
     async def _open_by(
         self, peer_address: peer_table.Address, address: str
     ) -> dialers.Opened:
@@ -123,7 +146,7 @@
                 sock.close()
             self._note_error(peer_address, error, started_s)
             raise
-        self._backoff_until_s.pop(peer_address, None)
+        self._backoffs.pop(peer_address, None)
         peer = self._peers.find(peer_address)
         return dialers.Opened(sock, peer.instance_id if peer else "")
 
@@ -141,7 +164,13 @@
         if is_cancelled and now_s - started_s < STAGGER_S:
             # Another peer was faster.
             return
-        self._backoff_until_s[peer_address] = now_s + BACKOFF_S
+        backoff = self._backoffs.setdefault(peer_address, _Backoff())
+        if now_s < backoff.until_s:
+            return
+        backoff.length_s = min(
+            MAX_BACKOFF_S, max(MIN_BACKOFF_S, 2.0 * backoff.length_s)
+        )
+        backoff.until_s = now_s + backoff.length_s
 
 
 async def _request_tunnel(sock: socket.socket, address: str) -> wire.Reply:
--- a/rhubarblock/exchange/tunnels/server.py
+++ b/rhubarblock/exchange/tunnels/server.py
@@ -132,14 +132,15 @@
         if (
             self._is_draining
             or len(self._tunnels) > MAX_TUNNELS
-            or paths.partitioned_s is not None
+            or paths.is_lost()
         ):
             return wire.Reply.UNAVAILABLE
         try:
             async with asyncio.timeout(CONNECT_S):
                 sock = await sockets.connect(host, port)
         except (OSError, TimeoutError) as error:
-            paths.note_failed(address, str(error) or type(error).__name__)
+            reason = str(error) or type(error).__name__
+            paths.note_direct_failure(address, reason)
             # Without other evidence, this instance may be partitioned, too.
             if paths.is_proven():
                 return wire.Reply.UNREACHABLE
--- a/rhubarblock/loganalysis/causes.py
+++ b/rhubarblock/loganalysis/causes.py
@@ -50,6 +50,8 @@
     SLOW_CALLER: the caller read its answer too slowly.
     TOO_LATE: admission refused it, as no endpoint could begin it in its time.
     SATURATED: admission refused it, as its placement would cost too much.
+    PARTITIONED: neither the instance nor a peer reached an endpoint, or the
+      path was lost while the request was under way.
     NO_ROOM: no endpoint had room for it; it may have waited for one.
     RATE_LIMITED: the endpoints' rate limits were exhausted.
     STOPPING: the instance was about to stop and might have cut it.
@@ -75,6 +77,7 @@
     SLOW_CALLER = "the caller read too slowly"
     TOO_LATE = "it could not be answered in its time"
     SATURATED = "others would have lost more than it gained"
+    PARTITIONED = "the instance was partitioned from the endpoints"
     NO_ROOM = "no endpoint had room"
     RATE_LIMITED = "endpoints' rate limits left no room"
     STOPPING = "the instance was about to stop"
@@ -107,6 +110,8 @@
     ("caller read too slowly", Cause.SLOW_CALLER),
     ("answered in its time", Cause.TOO_LATE),
     ("others would lose more", Cause.SATURATED),
+    ("of its service is reached", Cause.PARTITIONED),
+    ("path to the endpoint was lost", Cause.PARTITIONED),
     ("no endpoint has room", Cause.NO_ROOM),
     ("rate limits of endpoints", Cause.RATE_LIMITED),
     ("before this instance stops", Cause.STOPPING),
