Ask a peer before an endpoint counts as crashed

An instance whose new connections are refused because it is partitioned held each endpoint on which a connection broke to have crashed, and told all peers which requests ran there; two such reports quarantine a request everywhere.

Change: the probe connects like a request does, through a peer if need be, and a refusal says nothing while the instance is partitioned.

Measured: the new test holds both cases; the probe before connected directly only and called each refused connection a crash.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 import contextlib
+import functools
 import logging
 import random
 
@@ -444,7 +445,10 @@
                 )
             )
         crash_detector = crashes.CrashDetector(
-            updates, self.timers, is_evacuated=self.directory.is_evacuated
+            updates,
+            self.timers,
+            functools.partial(crashes.has_crashed, dialer),
+            self.directory.is_evacuated,
         )
         self.job_tracker.speeds.on_change = outcome.note_speed
         return relays.ExchangeRelay(
--- a/rhubarblock/exchange/crashes.py
+++ b/rhubarblock/exchange/crashes.py
@@ -16,6 +16,7 @@
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import failure as failures
 from rhubarblock.core import listed as lists
+from rhubarblock.exchange import dialer as dialers
 from rhubarblock.exchange.peering import updates as peer_updates
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing.quarantine import registry as quarantineregistry
@@ -30,18 +31,25 @@
 Probe = Callable[[str], Awaitable[bool]]
 
 
-async def has_crashed(address: str) -> bool:
-    """Returns whether an address refuses connections."""
-    host, _, port = address.rpartition(":")
+async def has_crashed(dialer: dialers.Dialer, address: str) -> bool:
+    """Returns whether an endpoint refuses connections.
+
+    One that refuses this instance and takes a connection of a peer has not
+    crashed, nor does it speak against it if this instance is partitioned.
+
+    Args:
+      dialer: connects directly or through a peer.
+      address: ``host:port`` of the endpoint.
+    """
     try:
         async with asyncio.timeout(PROBE_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, int(port))
+            opened = await dialer.connect(address)
     except ConnectionRefusedError:
-        return True
+        return dialer.paths.find(address).partitioned_s is None
     except (OSError, TimeoutError):
         # A timeout may be a network fault.
         return False
-    writer.close()
+    opened.sock.close()
     return False
 
 
@@ -62,7 +70,7 @@
         self,
         updates: peer_updates.PeerUpdates,
         timers: timer_service.Timers,
-        probe: Probe = has_crashed,
+        probe: Probe,
         is_evacuated: Callable[[str], bool] = lambda data_centre: False,
     ):
         """Creates a detector with an empty registry.
--- a/rhubarblock/exchange/crashes_test.py
+++ b/rhubarblock/exchange/crashes_test.py
@@ -1,12 +1,16 @@
 """Quarantine of requests that crash endpoints, over several instances."""
 
 import asyncio
+import socket
 
 import pytest
 
 from rhubarblock.core import failure as failures
 from rhubarblock.exchange import crashes
+from rhubarblock.exchange import dialer as dialers
 from rhubarblock.exchange import fakeparts_test as fakes
+from rhubarblock.exchange import paths as endpoint_paths
+from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
 
@@ -109,17 +113,54 @@
     virtualloop.run(main())
 
 
+class PeerDetours(dialers.Detours):
+    """Reaches endpoints that refuse this instance."""
+
+    async def open(self, address):
+        return dialers.Opened(socket.socket(), "i2")
+
+
+def make_dialer(detours=None):
+    paths = endpoint_paths.EndpointPaths(
+        lambda address: "", timer_service.LoopTimers(), metric_store.Metrics()
+    )
+    return dialers.Dialer(paths, detours)
+
+
+async def find_closed_address():
+    endpoint = fakes.ScriptedEndpoint()
+    async with endpoint.open():
+        pass
+    await asyncio.sleep(0.01)
+    return endpoint.address
+
+
 def test_only_a_refused_connection_is_a_crash():
     async def main():
+        dialer = make_dialer()
         endpoint = fakes.ScriptedEndpoint()
         async with endpoint.open():
-            up = await crashes.has_crashed(endpoint.address)
+            up = await crashes.has_crashed(dialer, endpoint.address)
         await asyncio.sleep(0.01)
-        return up, await crashes.has_crashed(endpoint.address)
+        return up, await crashes.has_crashed(dialer, endpoint.address)
 
     assert asyncio.run(main()) == (False, True)
 
 
+def test_refused_connection_on_a_lost_path_is_no_crash():
+    async def main():
+        address = await find_closed_address()
+        through_peer = make_dialer(PeerDetours())
+        partitioned = make_dialer()
+        partitioned.paths.find(address).note_failed("10.0.0.9:80", "refused")
+        return [
+            await crashes.has_crashed(dialer, address)
+            for dialer in (through_peer, partitioned)
+        ]
+
+    assert asyncio.run(main()) == [False, False]
+
+
 def test_endpoint_of_an_evacuated_data_centre_is_not_probed():
     async def main():
         probed = []
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import random
 
 import aiohttp
@@ -16,6 +17,7 @@
 from rhubarblock.exchange import candidates
 from rhubarblock.exchange import crashes
 from rhubarblock.exchange import dialect as dialects
+from rhubarblock.exchange import dialer as dialers
 from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange import leases
 from rhubarblock.exchange import outcomes
@@ -353,6 +355,9 @@
             self.statements,
             self.timers,
         )
+        paths = endpoint_paths.EndpointPaths(
+            lambda address: "", self.timers, self.metrics
+        )
         self.relay = relays.ExchangeRelay(
             self.placer,
             runner,
@@ -370,16 +375,18 @@
                 self.timers,
                 self.metrics,
             ),
-            crashes.CrashDetector(self.updates, self.timers),
+            crashes.CrashDetector(
+                self.updates,
+                self.timers,
+                functools.partial(crashes.has_crashed, dialers.Dialer(paths)),
+            ),
             admission.ExchangeAdmission(
                 controllers.AdmissionController(random.Random(1)),
                 self.timers,
                 self.metrics,
             ),
             self.timers,
-            endpoint_paths.EndpointPaths(
-                lambda address: "", self.timers, self.metrics
-            ),
+            paths,
         )
 
     def add_endpoints(self, *endpoints, service="desk"):
