Announce no endpoint that fails on the own path only

Peers of a partitioned instance avoided sound endpoints on which its connections had been reset, and so served their own callers worse.

Cause: a broken connection was announced at once, before anything could show whether the endpoint or the path had failed.

Change: peers are told a tenth of a second later, and not if the path to the endpoint, or to its service, is known to be lost by then: the probe for crashes runs in between and connects through a peer if need be.

Measured: the new test finds all three endpoints tripped at the peer on the code before and none now.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -433,6 +433,7 @@
             self.health,
             updates,
             budgets,
+            self.paths,
             self.timers,
             self.metrics,
         )
--- a/rhubarblock/daemon/partition_test.py
+++ b/rhubarblock/daemon/partition_test.py
@@ -5,6 +5,8 @@
 import contextvars
 import dataclasses
 import random
+import socket
+import struct
 
 import aiohttp
 import pytest
@@ -17,6 +19,7 @@
 from rhubarblock.daemon import plannedstop
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import fakeparts_test as fakes
+from rhubarblock.exchange import outcomes
 from rhubarblock.exchange import paths as endpoint_paths
 from rhubarblock.platform import leaseclient
 from rhubarblock.platform import names
@@ -155,16 +158,29 @@
 
 
 class CutEndpoint(fleetfixtures.CountingEndpoint):
-    """Falls silent on the connections that are open at a moment."""
+    """Loses the connections that are open at a moment.
+
+    Attributes:
+      answering: set while requests are answered.
+    """
 
     def __init__(self):
         super().__init__()
+        self.answering = asyncio.Event()
+        self.answering.set()
         self._open = set()
         self._silent = set()
 
     def cut_open_connections(self):
         self._silent |= self._open
 
+    def reset_open_connections(self):
+        for writer in self._open:
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            writer.transport.abort()
+
     async def _serve(self, reader, writer):
         self._open.add(writer)
         try:
@@ -173,6 +189,7 @@
                 if writer in self._silent:
                     await asyncio.Event().wait()
                 self.heads.append(head)
+                await self.answering.wait()
                 await fakes.whole(b"ok")(head, writer)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -306,3 +323,27 @@
     # Nearly all of them were refused without an attempt.
     assert attempts < TRIES
     assert served == [TRIES] * 3
+
+
+def test_broken_connections_on_a_lost_path_are_not_announced():
+    async def main():
+        endpoints = [CutEndpoint() for _ in range(ENDPOINT_COUNT)]
+        kind = routes.RouteKind.IDEMPOTENT
+        async with open_fleet(kind, 2, endpoints) as fleet:
+            for endpoint in endpoints:
+                endpoint.answering.clear()
+            asking = [asyncio.create_task(fleet.ask(0)) for _ in range(6)]
+            while not all(endpoint.heads for endpoint in endpoints):
+                await asyncio.sleep(0.01)
+            fleet.networks[0].refusal = ConnectionResetError()
+            for endpoint in endpoints:
+                endpoint.reset_open_connections()
+                endpoint.answering.set()
+            await asyncio.gather(*asking)
+            await asyncio.sleep(2 * outcomes.ANNOUNCE_DELAY_S)
+            return [
+                fleet.instances[1].health.is_tripped(f"e{number + 1}")
+                for number in range(ENDPOINT_COUNT)
+            ]
+
+    assert not any(asyncio.run(main()))
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -372,6 +372,7 @@
                     self.metrics,
                     is_first_start=True,
                 ),
+                paths,
                 self.timers,
                 self.metrics,
             ),
--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -10,6 +10,7 @@
 from rhubarblock.exchange import attempts
 from rhubarblock.exchange import candidates
 from rhubarblock.exchange import flow as flows
+from rhubarblock.exchange import paths as endpoint_paths
 from rhubarblock.exchange import placements
 from rhubarblock.exchange import retrybudgets
 from rhubarblock.exchange import stalls
@@ -24,6 +25,10 @@
 # Upper bounds of the bands of prompt lengths, in tokens.
 BANDS = ((16_000, "short"), (120_000, "middle"), (450_000, "long"))
 
+# Seconds until peers are told of an endpoint that failed. By then it is known
+# whether only the path of this instance is lost.
+ANNOUNCE_DELAY_S = 0.1
+
 _logger = logging.getLogger(__name__)
 
 
@@ -39,6 +44,7 @@
         "_budgets",
         "_health",
         "_metrics",
+        "_paths",
         "_updates",
         "_timers",
         "on_broken",
@@ -49,6 +55,7 @@
         health: healths.Health,
         updates: peer_updates.PeerUpdates,
         budgets: retrybudgets.RetryBudgets,
+        paths: endpoint_paths.EndpointPaths,
         timers: timer_service.Timers,
         metrics: metric_store.Metrics,
     ):
@@ -58,12 +65,14 @@
           health: circuit breakers of endpoints.
           updates: announces unreachable endpoints to peers.
           budgets: grant retries.
+          paths: the network paths to endpoints.
           timers: the clock.
           metrics: counters.
         """
         self._health = health
         self._updates = updates
         self._budgets = budgets
+        self._paths = paths
         self._timers = timers
         self._metrics = metrics
         self.on_broken: Callable[[str], None] = lambda endpoint_id: None
@@ -275,16 +284,29 @@
         self._metrics.gauge("exchange.deviating_engines", change.deviating)
 
     def suspect(self, endpoint: lists.ListedEndpoint) -> None:
-        """Marks an endpoint as suspect and announces that to near peers."""
+        """Marks an endpoint as suspect and announces that to near peers.
+
+        They are told once it is known whether only this instance's path failed.
+        """
         now_s = self._timers.read_monotonic()
         is_new = self._health.note_unreachable(
             endpoint.endpoint_id, endpoint.data_centre, now_s
         )
         if is_new:
-            self._updates.announce_broken(
-                endpoint.endpoint_id, endpoint.data_centre
+            self._timers.call_later(
+                ANNOUNCE_DELAY_S, lambda: self._announce_broken(endpoint)
             )
 
+    def _announce_broken(self, endpoint: lists.ListedEndpoint) -> None:
+        """Announces a failure unless it may be due to this instance's path."""
+        paths = self._paths.find_service(endpoint.service)
+        if paths.is_suspect(endpoint.address):
+            self._metrics.count("paths.unannounced")
+            return
+        self._updates.announce_broken(
+            endpoint.endpoint_id, endpoint.data_centre
+        )
+
     def _log(
         self,
         flow: flows.Flow,
--- a/rhubarblock/exchange/speedobservation_test.py
+++ b/rhubarblock/exchange/speedobservation_test.py
@@ -83,6 +83,7 @@
         healths.Health("osu-hall"),
         None,
         None,
+        None,
         timer_service.LoopTimers(),
         metrics,
     )
