Read from an endpoint only once its tunnel is joined

Bytes that an endpoint sent before the peer's connection was joined to its own were dropped; a test of the end of a tunnel was meant for it and found it by reading. Endpoints speak first only when they are faulty.

Change: both connections of a tunnel are paused until they are joined. Tests of tunnels: bounded buffers, who gets one and where it may lead, refusals, drains, ends in both directions; the choice of peers; whole instances whose peer stops as planned or is lost, and answers without a length.

--- a/rhubarblock/daemon/partition_test.py
+++ b/rhubarblock/daemon/partition_test.py
@@ -347,3 +347,66 @@
             ]
 
     assert not any(asyncio.run(main()))
+
+
+async def hold_request(fleet):
+    """Sends a request that a peer forwards, and that waits for its answer."""
+    fleet.networks[0].refusal = "hang"
+    for endpoint in fleet.endpoints:
+        endpoint.answering.clear()
+    asking = asyncio.create_task(fleet.ask_whole(0))
+    while not any(endpoint.heads for endpoint in fleet.endpoints):
+        await asyncio.sleep(0.01)
+    return asking
+
+
+def test_stopping_peer_finishes_the_requests_that_it_forwards():
+    async def main():
+        endpoints = [CutEndpoint() for _ in range(ENDPOINT_COUNT)]
+        async with open_fleet(count=2, endpoints=endpoints) as fleet:
+            asking = await hold_request(fleet)
+            stopping = asyncio.create_task(fleet.stop(1))
+            await asyncio.sleep(4 * plannedstop.LAME_DUCK_S)
+            was_stopping = not stopping.done()
+            for endpoint in endpoints:
+                endpoint.answering.set()
+            status, _ = await asking
+            return was_stopping, status
+
+    assert asyncio.run(main()) == (True, 200)
+
+
+def test_request_that_a_lost_peer_forwarded_is_not_sent_again():
+    async def main():
+        endpoints = [CutEndpoint() for _ in range(ENDPOINT_COUNT)]
+        async with open_fleet(endpoints=endpoints) as fleet:
+            asking = await hold_request(fleet)
+            for instance in fleet.instances:
+                instance.tunnels.abort()
+            status, headers = await asking
+            for endpoint in endpoints:
+                endpoint.answering.set()
+            heads = [head for endpoint in endpoints for head in endpoint.heads]
+            return status, headers["X-Verdict"], len(heads)
+
+    assert asyncio.run(main()) == (502, "MAY_HAVE_RUN", 1)
+
+
+def test_answer_without_length_is_not_taken_for_whole_from_a_peer():
+    async def unframed(head, writer):
+        writer.write(
+            f"HTTP/1.1 200 OK\r\n{names.ATTEMPT_ID}: q1\r\n"
+            f"{names.SEAL}: s\r\n\r\nbody".encode()
+        )
+        await writer.drain()
+        raise ConnectionError
+
+    async def main():
+        endpoints = [fakes.ScriptedEndpoint(unframed, unframed)]
+        async with open_fleet(count=2, endpoints=endpoints) as fleet:
+            direct, _ = await fleet.ask_whole(0)
+            fleet.networks[0].refusal = "hang"
+            relayed, headers = await fleet.ask_whole(0)
+            return direct, relayed, headers["X-Verdict"]
+
+    assert asyncio.run(main()) == (200, 502, "MAY_HAVE_RUN")
--- a/rhubarblock/exchange/tunnels/server.py
+++ b/rhubarblock/exchange/tunnels/server.py
@@ -177,12 +177,11 @@
         self.peer_end = _End(self)
 
     def join(self, transport: asyncio.Transport) -> None:
-        """Forwards from now on what a peer's connection receives."""
+        """Forwards from now on what both connections receive."""
         self.peer_end.connection_made(transport)
         transport.set_protocol(self.peer_end)
-        if self.endpoint_end.is_lost:
-            self.close(self.endpoint_end, None)
-            return
+        if self.endpoint_end.transport is not None:
+            self.endpoint_end.transport.resume_reading()
         transport.resume_reading()
 
     def find_other(self, end: "_End") -> "_End":
@@ -216,21 +215,21 @@
 
     Attributes:
       transport: the connection; None before it is open.
-      is_lost: whether it has ended.
     """
 
-    __slots__ = ("_buffer", "_tunnel", "is_lost", "transport")
+    __slots__ = ("_buffer", "_tunnel", "transport")
 
     def __init__(self, tunnel: Tunnel):
         self._tunnel = tunnel
         self._buffer = bytearray()
         self.transport: asyncio.Transport | None = None
-        self.is_lost = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._buffer = bytearray(READ_BYTES)
         transport.set_write_buffer_limits(high=WRITE_BYTES)
+        # Nothing can be forwarded before both connections are open.
+        transport.pause_reading()
         self.transport = transport
 
     def get_buffer(self, sizehint: int) -> bytearray:
@@ -252,7 +251,6 @@
             other.resume_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.is_lost = True
         self._tunnel.close(self, exc)
 
 
