Let the soak partition instances from all endpoints

Cause: no run of real processes lost the paths to all endpoints at once.

Change: instances of the soak start with an event loop whose connections to endpoints can be cut (new ones hang, are refused, or all are reset); after the faults one to all but one are cut for seven seconds, and callers' requests at them are compared with the others as the users state it: two thirds of the share served, unless no more than 10 and one in 50 fail. Sockets to peers come from the address by which peers know the instance.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -471,6 +471,7 @@
             self.settings.data_centre,
             self.timers,
             self._rng,
+            self.settings.peers.host,
         )
         return dialers.Dialer(self.paths, tunnels)
 
--- a/rhubarblock/exchange/sockets.py
+++ b/rhubarblock/exchange/sockets.py
@@ -43,7 +43,10 @@
 
 
 async def connect(
-    host: str, port: int, make: SocketFactory = make_probed_socket
+    host: str,
+    port: int,
+    make: SocketFactory = make_probed_socket,
+    source: str = "",
 ) -> socket.socket:
     """Returns a connected socket.
 
@@ -51,6 +54,7 @@
       host: IPv4 address.
       port: port.
       make: makes the socket.
+      source: own IPv4 address to connect from; empty for any.
 
     Raises:
       OSError: the connection failed.
@@ -58,6 +62,8 @@
     sock = make(IPV4)
     try:
         sock.setblocking(False)
+        if source:
+            sock.bind((source, 0))
         await asyncio.get_running_loop().sock_connect(sock, (host, port))
     except BaseException:
         sock.close()
--- a/rhubarblock/exchange/tunnels/client.py
+++ b/rhubarblock/exchange/tunnels/client.py
@@ -59,6 +59,7 @@
         "_directory",
         "_peers",
         "_rng",
+        "_source",
         "_subsets",
         "_timers",
     )
@@ -71,6 +72,7 @@
         data_centre: str,
         timers: timer_service.Timers,
         rng: random.Random,
+        source: str = "",
     ):
         """Creates a client without tunnels.
 
@@ -81,7 +83,10 @@
           data_centre: data centre of this instance.
           timers: the clock.
           rng: spreads tunnels over the peers.
+          source: own IPv4 address, by which peers know this instance; empty
+            for any.
         """
+        self._source = source
         self._directory = directory
         self._peers = peers
         self._subsets = subsets_
@@ -137,7 +142,7 @@
         started_s = self._timers.read_monotonic()
         sock: socket.socket | None = None
         try:
-            sock = await sockets.connect(*peer_address)
+            sock = await sockets.connect(*peer_address, source=self._source)
             reply = await _request_tunnel(sock, address)
             if reply is not wire.Reply.OPENED:
                 raise TunnelError(reply is wire.Reply.UNREACHABLE)
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -12,6 +12,7 @@
 from rhubarblock.platform import names
 from tools.soak import coldwatch
 from tools.soak import evidence as evidences
+from tools.soak import partitionedstart
 
 # Seconds after the stop signal in which an instance still gets new connections:
 # a load balancer that probes once a second notices the stop only after two
@@ -77,6 +78,9 @@
         self.stop_signalled_s: float | None = None
         self._path = folder / f"{number}.toml"
         self._log = folder / f"{number}.log"
+        self._partition = folder / f"{number}.partition"
+        self._partition.write_text("")
+        self._store_port = store_port
         self._path.write_text(
             SETTINGS.format(
                 name=f"edge-{number}",
@@ -96,13 +100,18 @@
 
     async def run(self, stop: asyncio.Event) -> None:
         """Runs the program again and again until `stop` is set."""
-        env = {**os.environ, names.SETTINGS_VARIABLE: str(self._path)}
+        env = {
+            **os.environ,
+            names.SETTINGS_VARIABLE: str(self._path),
+            partitionedstart.PARTITION_VARIABLE: str(self._partition),
+            partitionedstart.STORE_VARIABLE: str(self._store_port),
+        }
         with self._log.open("ab") as log:
             while not stop.is_set():
                 self.process = await asyncio.create_subprocess_exec(
                     sys.executable,
                     "-m",
-                    "rhubarblock.scripts.edgestart",
+                    "tools.soak.partitionedstart",
                     stdout=log,
                     stderr=log,
                     env=env,
@@ -114,6 +123,10 @@
                     self.send(signal.SIGKILL)
                 await asyncio.sleep(0.2)
 
+    def partition(self, kind: str) -> None:
+        """Cuts the instance from all endpoints; ends it if `kind` is empty."""
+        self._partition.write_text(kind)
+
     def read_last_log(self) -> str:
         """Returns the last lines that the program wrote."""
         lines = self._log.read_text().splitlines()[-LAST_LINES:]
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -20,6 +20,7 @@
 from tools.soak import evidence as evidences
 from tools.soak import fleet
 from tools.soak import keepalivecallers
+from tools.soak import partitions
 from tools.soak import plannedstops
 from tools.soak import proxy as proxies
 from tools.soak import restore
@@ -104,6 +105,7 @@
             chosen = {self.rng.choice(DATA_CENTRES)}
             async with self.operator.evacuate(chosen):
                 await asyncio.sleep(SETTLE_S)
+                await partitions.run(self.instances, self.evidence, self.rng)
                 self.evidence.calm_since_s = evidences.read_clock()
                 self._start_keep_alive_callers()
                 await self._run_planned_work(SERVICES[0])
