Take a lost data centre for no partition of the instance

Callers of a service with one endpoint in each data centre could be refused while the near endpoint was reached: two far endpoints that failed one after the other counted as a partition, and a third try was refused.

Cause: the evidence was a number of endpoints, wherever they are.

Change: a partition needs a failure in each data centre that has endpoints of the service, with nothing received in between. So that this stays quick, the first endpoint that only a peer reaches has one endpoint in each other data centre looked at.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -140,7 +140,10 @@
         self.cooldowns = cooldowns.Cooldowns(self.metrics)
         self.eras = era_lib.EraTracker(self.metrics)
         self.paths = endpoint_paths.EndpointPaths(
-            self._find_service_at, self.timers, self.metrics
+            self.directory.find_at,
+            self.directory.list_usable,
+            self.timers,
+            self.metrics,
         )
         self.tunnels = tunnel_server.TunnelServer(
             self.directory, self.peers, self.paths, self.metrics
@@ -230,21 +233,6 @@
         listed = self.directory.find(endpoint_id)
         return listed.service if listed else ""
 
-    def _find_service_at(self, address: str) -> str:
-        """Returns the service of the endpoint at an address, or nothing."""
-        listed = self.directory.find_at(address)
-        return listed.service if listed else ""
-
-    def _find_other_at(self, address: str) -> str | None:
-        """Returns the address of another endpoint of the same service."""
-        service = self._find_service_at(address)
-        others = [
-            endpoint.address
-            for endpoint in self.directory.list_usable(service)
-            if endpoint.address != address
-        ]
-        return self._rng.choice(others) if others else None
-
     def _reset_endpoint(
         self, endpoint_id: str, limits: endpointlimits.EndpointLimits
     ) -> None:
@@ -415,7 +403,7 @@
                 endpoint_sessions,
                 self._dialect,
                 bool(self.settings.capacity.memory_mb),
-                pathwatch.PathWatch(dialer, self._find_other_at, self.timers),
+                pathwatch.PathWatch(dialer, self.timers),
             ),
             self.health,
             lease_holder,
--- a/rhubarblock/exchange/dialer.py
+++ b/rhubarblock/exchange/dialer.py
@@ -9,6 +9,7 @@
 import abc
 import asyncio
 from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import logging
 import socket
@@ -66,9 +67,11 @@
 
     Attributes:
       paths: records which connections open.
+      on_detoured: called with the address of an endpoint that only a peer
+        reached.
     """
 
-    __slots__ = ("_detours", "paths")
+    __slots__ = ("_detours", "on_detoured", "paths")
 
     def __init__(
         self,
@@ -82,6 +85,7 @@
           detours: opens connections through peers; None without peers.
         """
         self.paths = paths
+        self.on_detoured: Callable[[str], None] = lambda address: None
         self._detours = detours
 
     async def connect(
@@ -129,6 +133,7 @@
         opened = race.winner.result()
         if opened.peer:
             paths.note_detoured(address)
+            self.on_detoured(address)
             _logger.debug(
                 "connected through a peer",
                 extra={"address": address, "peer": opened.peer},
--- a/rhubarblock/exchange/paths.py
+++ b/rhubarblock/exchange/paths.py
@@ -1,21 +1,23 @@
 """The network paths from this instance to the endpoints.
 
 An endpoint to which no connection opens may be gone, or this instance may be
-partitioned from it. One failure does not tell; failures at several endpoints of
-a service, with nothing received from any of them in between, speak against the
-instance's own paths.
+partitioned from it. One failure does not tell; failures in every data centre
+that has endpoints of a service, with nothing received from any of them in
+between, speak against the instance's own paths. If only other data centres are
+out of reach, the near endpoints go on serving.
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 import logging
 import math
 
+from rhubarblock.core import listed as lists
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 
-# Number of endpoints that must fail, with nothing received from any endpoint of
-# the service in between, for the instance to count as partitioned. One may fail
-# by itself.
+# Fewest endpoints that must fail for the instance to count as partitioned. One
+# may fail by itself.
 PARTITION_ENDPOINTS = 2
 # Seconds for which a path counts as lost after a peer was needed.
 LOST_S = 5.0
@@ -30,6 +32,9 @@
 # Most endpoints whose state is kept before ended states are dropped.
 MAX_STATES = 256
 
+Finder = Callable[[str], lists.ListedEndpoint | None]
+Lister = Callable[[str], list[lists.ListedEndpoint]]
+
 _logger = logging.getLogger(__name__)
 
 
@@ -46,6 +51,7 @@
     __slots__ = (
         "_failed",
         "_failed_s",
+        "_list_endpoints",
         "_lost_until_s",
         "_metrics",
         "_service",
@@ -60,6 +66,7 @@
     def __init__(
         self,
         service: str,
+        list_endpoints: Lister,
         timers: timer_service.Timers,
         metrics: metric_store.Metrics,
     ):
@@ -67,10 +74,12 @@
 
         Args:
           service: name of the service.
+          list_endpoints: returns the endpoints of a service that take work.
           timers: the clock.
           metrics: counters.
         """
         self._service = service
+        self._list_endpoints = list_endpoints
         self._timers = timers
         self._metrics = metrics
         # Endpoints to which no connection opened, and the last error of each,
@@ -169,9 +178,8 @@
 
         While no endpoint is reached in any way, only few are tried.
         """
-        if (
-            self.partitioned_s is None
-            or len(self._unreached) < PARTITION_ENDPOINTS
+        if self.partitioned_s is None or not self._is_everywhere(
+            self._unreached
         ):
             return True
         now_s = self._timers.read_monotonic()
@@ -192,13 +200,38 @@
         """
         return self.partitioned_s is not None and used_s <= self.partitioned_s
 
+    def list_elsewhere(self, address: str) -> list[str]:
+        """Returns an endpoint of each data centre but that of an address.
+
+        Where there is no other data centre, it returns another endpoint.
+        """
+        chosen: dict[str, str] = {}
+        centre = ""
+        for endpoint in self._list_endpoints(self._service):
+            if endpoint.address == address:
+                centre = endpoint.data_centre
+            else:
+                chosen.setdefault(endpoint.data_centre, endpoint.address)
+        if len(chosen) > 1:
+            chosen.pop(centre, None)
+        return list(chosen.values())
+
+    def _is_everywhere(self, addresses: Collection[str]) -> bool:
+        """Returns whether some of these endpoints are in each data centre."""
+        if len(addresses) < PARTITION_ENDPOINTS:
+            return False
+        endpoints = self._list_endpoints(self._service)
+        centres = {e.data_centre for e in endpoints}
+        return centres == {
+            e.data_centre for e in endpoints if e.address in addresses
+        }
+
     def _add_failure(self, address: str, reason: str) -> None:
         """Adds evidence of a partition."""
         self._failed[address] = reason
         self._failed_s = self._timers.read_monotonic()
-        if (
-            self.partitioned_s is not None
-            or len(self._failed) < PARTITION_ENDPOINTS
+        if self.partitioned_s is not None or not self._is_everywhere(
+            self._failed
         ):
             return
         self.partitioned_s = self._timers.read_monotonic()
@@ -219,36 +252,47 @@
 class EndpointPaths:
     """The paths to all endpoints, by service."""
 
-    __slots__ = ("_find_service", "_metrics", "_services", "_timers")
+    __slots__ = (
+        "_find_endpoint",
+        "_list_endpoints",
+        "_metrics",
+        "_services",
+        "_timers",
+    )
 
     def __init__(
         self,
-        find_service: Callable[[str], str],
+        find_endpoint: Finder,
+        list_endpoints: Lister,
         timers: timer_service.Timers,
         metrics: metric_store.Metrics,
     ):
         """Starts with all paths intact.
 
         Args:
-          find_service: returns the service of the endpoint at an address.
+          find_endpoint: returns the endpoint at an address.
+          list_endpoints: returns the endpoints of a service that take work.
           timers: the clock.
           metrics: counters.
         """
-        self._find_service = find_service
+        self._find_endpoint = find_endpoint
+        self._list_endpoints = list_endpoints
         self._timers = timers
         self._metrics = metrics
         self._services: dict[str, ServicePaths] = {}
 
     def find(self, address: str) -> ServicePaths:
         """Returns the paths to the service of the endpoint at an address."""
-        return self.find_service(self._find_service(address))
+        endpoint = self._find_endpoint(address)
+        return self.find_service(endpoint.service if endpoint else "")
 
     def find_service(self, service: str) -> ServicePaths:
         """Returns the paths to a service."""
         paths = self._services.get(service)
         if paths is None:
-            paths = ServicePaths(service, self._timers, self._metrics)
-            self._services[service] = paths
+            paths = self._services[service] = ServicePaths(
+                service, self._list_endpoints, self._timers, self._metrics
+            )
         return paths
 
 
--- a/rhubarblock/exchange/pathwatch.py
+++ b/rhubarblock/exchange/pathwatch.py
@@ -8,10 +8,12 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Iterator
 import contextlib
 import logging
 import math
+from typing import Any
 
 from rhubarblock.exchange import dialer as dialers
 from rhubarblock.exchange import paths as endpoint_paths
@@ -48,48 +50,46 @@
 class _ServiceWatch:
     """The requests that are under way at one service, oldest first."""
 
-    __slots__ = ("checked_s", "handle", "paths", "sent_s", "under_way")
+    __slots__ = (
+        "checked_s",
+        "handle",
+        "paths",
+        "sent_s",
+        "surveyed_s",
+        "under_way",
+    )
 
     def __init__(self, paths: endpoint_paths.ServicePaths):
         self.paths = paths
         self.under_way: dict[Sending, None] = {}
         self.sent_s = 0.0
         self.checked_s = -math.inf
+        self.surveyed_s = -math.inf
         self.handle: asyncio.TimerHandle | None = None
 
 
 class PathWatch:
     """Watches the paths on which requests are under way."""
 
-    __slots__ = ("_dialer", "_find_other", "_services", "_tasks", "_timers")
+    __slots__ = ("_dialer", "_services", "_tasks", "_timers")
 
-    def __init__(
-        self,
-        dialer: dialers.Dialer,
-        find_other: Callable[[str], str | None],
-        timers: timer_service.Timers,
-    ):
+    def __init__(self, dialer: dialers.Dialer, timers: timer_service.Timers):
         """Creates a watch without requests.
 
         Args:
           dialer: connects to endpoints.
-          find_other: returns the address of another endpoint of the same
-            service, None if there is none.
           timers: the clock, and callbacks.
         """
         self._dialer = dialer
-        self._find_other = find_other
         self._timers = timers
+        dialer.on_detoured = self._survey
         self._services: dict[endpoint_paths.ServicePaths, _ServiceWatch] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     @contextlib.contextmanager
     def watch(self, sending: Sending) -> Iterator[None]:
         """Watches the path of a request while the context is open."""
-        paths = self._dialer.paths.find(sending.address)
-        service = self._services.get(paths)
-        if service is None:
-            service = self._services[paths] = _ServiceWatch(paths)
+        service = self._find_service(sending.address)
         service.under_way[sending] = None
         service.sent_s = self._timers.read_monotonic()
         if service.handle is None:
@@ -102,6 +102,29 @@
                 service.handle.cancel()
                 service.handle = None
 
+    def _find_service(self, address: str) -> _ServiceWatch:
+        paths = self._dialer.paths.find(address)
+        service = self._services.get(paths)
+        if service is None:
+            service = self._services[paths] = _ServiceWatch(paths)
+        return service
+
+    def _survey(self, address: str) -> None:
+        """Finds out whether paths to other data centres are lost, too."""
+        service = self._find_service(address)
+        now_s = self._timers.read_monotonic()
+        if (
+            service.paths.partitioned_s is None
+            and now_s >= service.surveyed_s + CHECK_INTERVAL_S
+        ):
+            service.surveyed_s = now_s
+            self._start(self._check_elsewhere(service, address))
+
+    def _start(self, check: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(check)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _schedule(self, service: _ServiceWatch, delay_s: float) -> None:
         service.handle = self._timers.call_later(
             delay_s, lambda: self._fire(service)
@@ -120,20 +143,17 @@
         if not waiting:
             return
         service.checked_s = now_s
-        task = asyncio.ensure_future(self._check(service, waiting))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._start(self._check(service, waiting))
 
     async def _check(
         self, service: _ServiceWatch, waiting: list[Sending]
     ) -> None:
-        """Checks the path of the oldest request, and then another one."""
+        """Checks the path of the oldest request, and then those elsewhere."""
         address = waiting[0].address
+        service.surveyed_s = service.checked_s
         if not await self._is_lost(address):
             return
-        other = self._find_other(address)
-        if other is not None:
-            await self._is_lost(other)
+        await self._check_elsewhere(service, address)
         _logger.info(
             "path is lost under requests",
             extra={
@@ -148,6 +168,13 @@
             ):
                 sending.on_lost()
 
+    async def _check_elsewhere(
+        self, service: _ServiceWatch, address: str
+    ) -> None:
+        """Checks a path to each data centre but that of an address."""
+        others = service.paths.list_elsewhere(address)
+        await asyncio.gather(*(self._is_lost(other) for other in others))
+
     async def _is_lost(self, address: str) -> bool:
         """Returns whether only a peer reaches an endpoint."""
         try:
