--- a/rhubarblock/daemon/partition_test.py
+++ b/rhubarblock/daemon/partition_test.py
@@ -32,6 +32,8 @@
 # Smallest ratio of the share of first tries that partitioned instances serve to
 # that of the others.
 MIN_RATIO = 2 / 3
+# Seconds for which a sound endpoint may be silent.
+SILENCE_S = 1.2
 
 # The network of the instance that the running task belongs to.
 _network = contextvars.ContextVar("network", default=None)
@@ -413,3 +415,21 @@
             return direct, relayed, headers["X-Verdict"]
 
     assert asyncio.run(main()) == (200, 502, "MAY_HAVE_RUN")
+
+
+def test_endpoint_that_is_silent_for_a_second_keeps_its_request():
+    async def main():
+        endpoints = [CutEndpoint() for _ in range(ENDPOINT_COUNT)]
+        async with open_fleet(count=2, endpoints=endpoints) as fleet:
+            for endpoint in endpoints:
+                endpoint.answering.clear()
+            asking = asyncio.create_task(fleet.ask_whole(0))
+            await asyncio.sleep(SILENCE_S)
+            for endpoint in endpoints:
+                endpoint.answering.set()
+            status, _ = await asking
+            paths = fleet.instances[0].paths.find_service("desk")
+            heads = [head for endpoint in endpoints for head in endpoint.heads]
+            return status, len(heads), paths.partitioned_s
+
+    assert asyncio.run(main()) == (200, 1, None)
--- a/rhubarblock/exchange/connector.py
+++ b/rhubarblock/exchange/connector.py
@@ -1,6 +1,7 @@
 """Lets aiohttp open connections to endpoints within a connect timeout."""
 
 import asyncio
+import logging
 from typing import Any
 
 import aiohttp
@@ -19,6 +20,9 @@
 _NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
 
 
+_logger = logging.getLogger(__name__)
+
+
 class ConnectLimit:
     """Ends the opening of a connection that takes too long.
 
@@ -63,10 +67,12 @@
     """Opens connections within the connect timeout.
 
     Attributes:
+      attempt_header: name of the header with the id of a request.
       dialer: opens the sockets; None for aiohttp's own way.
       make_socket: makes the socket of a direct connection.
     """
 
+    attempt_header: str = ""
     dialer: dialers.Dialer | None = None
     make_socket: sockets.SocketFactory = staticmethod(sockets.make_socket)
 
@@ -108,6 +114,14 @@
         assert isinstance(protocol, connections.EndpointProtocol)
         if opened.peer:
             protocol.set_relayed()
+            _logger.debug(
+                "connected through a peer",
+                extra={
+                    "request": req.headers.get(self.attempt_header, ""),
+                    "address": address,
+                    "peer": opened.peer,
+                },
+            )
         else:
             protocol.set_direct(dialer.paths.find(address))
         return transport, protocol
--- a/rhubarblock/exchange/dialer.py
+++ b/rhubarblock/exchange/dialer.py
@@ -11,7 +11,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
-import logging
 import socket
 
 from rhubarblock.exchange import paths as endpoint_paths
@@ -21,8 +20,6 @@
 # and time left for the detour within the connect timeout.
 HEAD_START_S = 0.03
 
-_logger = logging.getLogger(__name__)
-
 
 class DetourError(Exception):
     """No detour could be opened.
@@ -134,10 +131,6 @@
         if opened.peer:
             paths.note_detoured(address)
             self.on_detoured(address)
-            _logger.debug(
-                "connected through a peer",
-                extra={"address": address, "peer": opened.peer},
-            )
         else:
             paths.note_opened(address)
         return opened
--- a/rhubarblock/exchange/sockets.py
+++ b/rhubarblock/exchange/sockets.py
@@ -8,9 +8,9 @@
 # Milliseconds after which unacknowledged data breaks a connection, so that a
 # dead one does not hold its request until the deadline.
 UNACKED_TIMEOUT_MS = 2_000
-# Idle time and interval in seconds of TCP keep-alive probes. Together with the
-# bound above they detect a lost machine after three seconds, a second before
-# the memory leases of its request must be free.
+# Idle time and interval in seconds of TCP keep-alive probes. On Linux the bound
+# above decides when they give up: they detect a lost machine after two seconds,
+# before the memory leases of its request must be free.
 KEEPALIVE_PROBE_S = 1
 # Address family, type and protocol, as in an entry of ``getaddrinfo``.
 IPV4 = (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
--- a/rhubarblock/exchange/transport.py
+++ b/rhubarblock/exchange/transport.py
@@ -345,6 +345,7 @@
         socket_factory=make_socket,
         happy_eyeballs_delay=None,
     )
+    connector.attempt_header = attempt_header
     connector.dialer = dialer
     connector.make_socket = make_socket
     # aiohttp has no public way to choose the class of its connections.
