Take failures at endpoints that are gone for no partition

Cause: with no endpoint left that takes work, failures at two that had left counted as a failure in each data centre. Found by reading.

Change: some endpoint that takes work must have failed. Tunnels are opened only for peers whose name is known.

Measured: the new test fails on the code before and passes.

--- a/rhubarblock/exchange/paths.py
+++ b/rhubarblock/exchange/paths.py
@@ -222,9 +222,8 @@
             return False
         endpoints = self._list_endpoints(self._service)
         centres = {e.data_centre for e in endpoints}
-        return centres == {
-            e.data_centre for e in endpoints if e.address in addresses
-        }
+        failed = {e.data_centre for e in endpoints if e.address in addresses}
+        return bool(failed) and failed == centres
 
     def _add_failure(self, address: str, reason: str) -> None:
         """Adds evidence of a partition."""
--- a/rhubarblock/exchange/paths_test.py
+++ b/rhubarblock/exchange/paths_test.py
@@ -165,6 +165,13 @@
     assert not paths.begin_try()
 
 
+def test_failures_at_endpoints_that_are_gone_are_no_partition(timers):
+    paths = make_table(timers).find_service("gone")
+    partition(paths)
+    assert paths.partitioned_s is None
+    assert paths.begin_try()
+
+
 def test_paths_to_other_data_centres_are_surveyed(timers):
     table = make_table(timers)
     desk = table.find_service("desk")
--- a/rhubarblock/exchange/peering/table.py
+++ b/rhubarblock/exchange/peering/table.py
@@ -226,8 +226,11 @@
         ]
 
     def has_host(self, host: str) -> bool:
-        """Returns whether a peer runs at an IP address."""
-        return any(peer_host == host for peer_host, _ in self._peers)
+        """Returns whether a peer whose name is known runs at an IP address."""
+        return any(
+            address[0] == host and bool(peer.instance_id)
+            for address, peer in self._peers.items()
+        )
 
     def list_known(self) -> list[tuple[Address, Peer]]:
         """Returns all peers with their addresses, dead ones too."""
--- a/rhubarblock/exchange/tunnels/server_test.py
+++ b/rhubarblock/exchange/tunnels/server_test.py
@@ -45,7 +45,7 @@
             self.directory.find_at, self.directory.list_usable, timers, metrics
         )
         peers = peer_table.PeerTable("i1", "osu-hall", timers)
-        peers.add(peer_host, 1)
+        peers.add(peer_host, 1, "i2")
         self.tunnels = tunnel_server.TunnelServer(
             self.directory, peers, self.paths, metrics
         )
