Count no connection as failed that its caller gave up early

A caller that left while a connection to an endpoint was being opened counted as a failure of the path, and kept peers from being asked for a second. Found by reading.

Change: what is cancelled within the head start is no evidence.

--- a/rhubarblock/exchange/connector.py
+++ b/rhubarblock/exchange/connector.py
@@ -19,7 +19,6 @@
 
 _NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
 
-
 _logger = logging.getLogger(__name__)
 
 
--- a/rhubarblock/exchange/dialer.py
+++ b/rhubarblock/exchange/dialer.py
@@ -30,7 +30,7 @@
     """
 
     def __init__(self, is_unreachable: bool = False):
-        super().__init__("the peers reach it no more" if is_unreachable else "")
+        super().__init__("no peer opened a connection")
         self.is_unreachable = is_unreachable
 
 
@@ -92,7 +92,8 @@
     ) -> Opened:
         """Connects to an endpoint.
 
-        A caller that cancels this gave up, which counts as a failure.
+        Cancelling this counts as a failure, unless the connection could still
+        open within the head start.
 
         Args:
           address: ``host:port`` of the endpoint.
@@ -105,6 +106,8 @@
           OSError: no connection opened.
         """
         paths = self.paths.find(address)
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
         race = _Race()
         try:
             direct = race.start(_connect_directly(address, make_socket))
@@ -118,7 +121,8 @@
                 race.start(self._detours.open(address))
             await race.wait(None)
         except asyncio.CancelledError:
-            paths.note_failed(address, "no connection opened in time")
+            if loop.time() - started_s >= HEAD_START_S:
+                paths.note_failed(address, "no connection opened in time")
             raise
         finally:
             race.stop()
--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -25,7 +25,7 @@
 # Upper bounds of the bands of prompt lengths, in tokens.
 BANDS = ((16_000, "short"), (120_000, "middle"), (450_000, "long"))
 
-# Seconds until peers are told of an endpoint that failed. By then it is known
+# Seconds until the failure of an endpoint is announced. By then it is known
 # whether only the path of this instance is lost.
 ANNOUNCE_DELAY_S = 0.1
 
@@ -286,7 +286,8 @@
     def suspect(self, endpoint: lists.ListedEndpoint) -> None:
         """Marks an endpoint as suspect and announces that to near peers.
 
-        They are told once it is known whether only this instance's path failed.
+        The announcement waits until it is known whether only this instance's
+        path failed.
         """
         now_s = self._timers.read_monotonic()
         is_new = self._health.note_unreachable(
