Test that kept connections which outlive a path are used

Cause: connections to endpoints may live on while new ones are refused; no test of whole instances held it.

Change: one does: requests go on over them, and peers are asked only for endpoints without one.

Measured: the test passes.

--- a/rhubarblock/daemon/partition_test.py
+++ b/rhubarblock/daemon/partition_test.py
@@ -354,6 +354,21 @@
     assert not any(asyncio.run(main()))
 
 
+def test_kept_connections_that_outlive_the_path_are_used():
+    async def main():
+        async with open_fleet(count=2) as fleet:
+            await fleet.count_served(0, EARLY_TRIES)
+            fleet.networks[0].refusal = ConnectionRefusedError(111, "refused")
+            served = await fleet.count_served(0, TRIES)
+            tunnels = fleet.instances[1].metrics.counts
+            return served, tunnels.get("tunnels.served.opened", 0)
+
+    served, tunnels = asyncio.run(main())
+    assert served == TRIES
+    # Only endpoints without a kept connection need a peer.
+    assert tunnels <= ENDPOINT_COUNT
+
+
 async def hold_request(fleet):
     """Sends a request that a peer forwards, and that waits for its answer."""
     fleet.networks[0].refusal = "hang"
