Check the path of waiting requests however many follow

Requests that hung on a lost path waited longer the busier the instance was: each further request put the check off, so that one that sends more than four a second never made it. Found by reading.

Cause: the quarter of a second was counted from the last request sent.

Change: it is counted from the first request sent since data last arrived.

Measured: the new test (ten requests a tenth of a second apart) finds no check on the code before, and one after 0.25 s now.

--- a/rhubarblock/exchange/pathwatch.py
+++ b/rhubarblock/exchange/pathwatch.py
@@ -48,21 +48,30 @@
 
 
 class _ServiceWatch:
-    """The requests that are under way at one service, oldest first."""
+    """The requests that are under way at one service, oldest first.
+
+    Attributes:
+      paths: the paths to its endpoints.
+      under_way: the requests.
+      waits_s: when the first of them was sent since data last arrived.
+      checked_s: when a path was last checked under requests.
+      surveyed_s: when paths to other data centres were last checked.
+      handle: timer of the next check; None while no request is under way.
+    """
 
     __slots__ = (
         "checked_s",
         "handle",
         "paths",
-        "sent_s",
         "surveyed_s",
         "under_way",
+        "waits_s",
     )
 
     def __init__(self, paths: endpoint_paths.ServicePaths):
         self.paths = paths
         self.under_way: dict[Sending, None] = {}
-        self.sent_s = 0.0
+        self.waits_s = -math.inf
         self.checked_s = -math.inf
         self.surveyed_s = -math.inf
         self.handle: asyncio.TimerHandle | None = None
@@ -90,8 +99,9 @@
     def watch(self, sending: Sending) -> Iterator[None]:
         """Watches the path of a request while the context is open."""
         service = self._find_service(sending.address)
+        if not service.under_way or service.waits_s <= service.paths.received_s:
+            service.waits_s = self._timers.read_monotonic()
         service.under_way[sending] = None
-        service.sent_s = self._timers.read_monotonic()
         if service.handle is None:
             self._schedule(service, SILENCE_S)
         try:
@@ -133,8 +143,8 @@
     def _fire(self, service: _ServiceWatch) -> None:
         """Starts a check if it is due, and schedules the next one."""
         now_s = self._timers.read_monotonic()
-        heard_s = max(service.sent_s, service.paths.received_s)
-        due_s = max(heard_s + SILENCE_S, service.checked_s + CHECK_INTERVAL_S)
+        quiet_s = max(service.waits_s, service.paths.received_s)
+        due_s = max(quiet_s + SILENCE_S, service.checked_s + CHECK_INTERVAL_S)
         if now_s < due_s:
             self._schedule(service, due_s - now_s)
             return
--- a/rhubarblock/exchange/pathwatch_test.py
+++ b/rhubarblock/exchange/pathwatch_test.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import socket
 
 import pytest
@@ -36,6 +37,15 @@
         return dialers.Opened(socket.socket(), self.peer)
 
 
+def make_paths(timers):
+    return endpoint_paths.EndpointPaths(
+        {e.address: e for e in ENDPOINTS}.get,
+        lambda service: ENDPOINTS,
+        timers,
+        metric_store.Metrics(),
+    )
+
+
 def watch(peer, *, length_s, data_s=None, is_direct=True):
     """Watches a request; returns the checked addresses and when it is lost.
 
@@ -49,12 +59,7 @@
 
     async def main():
         timers = timer_service.LoopTimers()
-        paths = endpoint_paths.EndpointPaths(
-            {e.address: e for e in ENDPOINTS}.get,
-            lambda service: ENDPOINTS,
-            timers,
-            metric_store.Metrics(),
-        )
+        paths = make_paths(timers)
         dialer = Dialer(paths, peer)
         path_watch = pathwatch.PathWatch(dialer, timers)
         sending = pathwatch.Sending(
@@ -78,6 +83,27 @@
     assert lost_s == pytest.approx([pathwatch.SILENCE_S], abs=0.01)
 
 
+def test_further_requests_do_not_delay_the_check():
+    lost_s = []
+
+    async def main():
+        timers = timer_service.LoopTimers()
+        paths = make_paths(timers)
+        dialer = Dialer(paths, "i2")
+        path_watch = pathwatch.PathWatch(dialer, timers)
+        with contextlib.ExitStack() as stack:
+            for _ in range(10):
+                sending = pathwatch.Sending(
+                    ADDRESS, lambda: lost_s.append(timers.read_monotonic())
+                )
+                sending.is_direct = True
+                stack.enter_context(path_watch.watch(sending))
+                await asyncio.sleep(0.1)
+
+    virtualloop.run(main())
+    assert min(lost_s) == pytest.approx(pathwatch.SILENCE_S, abs=0.01)
+
+
 def test_request_on_an_intact_path_goes_on():
     addresses, lost_s = watch("", length_s=3.1)
     # One check a second, as long as nothing else shows the path.
