Check right before the send that an endpoint may get a request

Cause: an attempt checked cool-downs, leaving and evacuations before it had a connection; opening one takes up to 0.25 s, through a peer some passes of the event loop more, and on a busy machine longer.

Change: the check is made again once the connection is open; a request that may not be sent any more goes elsewhere as not run.

Measured: the new test sends the request in both cases on the code before, and does not now.

--- a/rhubarblock/exchange/attempts.py
+++ b/rhubarblock/exchange/attempts.py
@@ -201,11 +201,7 @@
         detector: stalls.StallDetector,
     ) -> None:
         exchange = flow.exchange
-        self._statements.check_evacuated(
-            (placement.endpoint, *placement.helper_engines)
-        )
-        if not self._statements.may_send(placement.endpoint):
-            raise ClosedError(placement.endpoint.endpoint_id)
+        self._check(placement)
         options = dialects.SendOptions(
             placement.endpoint.endpoint_id,
             exchange.deadline_s - self._timers.read_monotonic(),
@@ -232,6 +228,7 @@
                 placement.endpoint.address,
                 options,
                 lambda: detector.abandon(_Reason.LOST),
+                lambda: self._check(placement),
             ) as answer:
                 self._note_health(placement.endpoint, answer)
                 self._statements.note_answer(
@@ -240,6 +237,19 @@
                 _check_refusal(answer)
                 await self._forward_answer(flow, placement, answer, detector)
 
+    def _check(self, placement: placements.Placement) -> None:
+        """Checks that its engines may still get a request.
+
+        Raises:
+          ClosedError: the endpoint became unavailable.
+          statements.EvacuatedError: the data centre of an engine was evacuated.
+        """
+        self._statements.check_evacuated(
+            (placement.endpoint, *placement.helper_engines)
+        )
+        if not self._statements.may_send(placement.endpoint):
+            raise ClosedError(placement.endpoint.endpoint_id)
+
     def _note_health(
         self, endpoint: lists.ListedEndpoint, answer: transports.Answer
     ) -> None:
--- a/rhubarblock/exchange/pathwatch.py
+++ b/rhubarblock/exchange/pathwatch.py
@@ -37,12 +37,20 @@
       address: ``host:port`` of the endpoint.
       is_direct: whether it was sent over a direct connection.
       on_lost: called when the path is known to be lost.
+      check: called once a connection is open, right before the request is
+        sent; raises an error if it must not be sent any more.
     """
 
-    __slots__ = ("address", "is_direct", "on_lost")
+    __slots__ = ("address", "check", "is_direct", "on_lost")
 
-    def __init__(self, address: str, on_lost: Callable[[], object]):
+    def __init__(
+        self,
+        address: str,
+        on_lost: Callable[[], object],
+        check: Callable[[], None] = lambda: None,
+    ):
         self.address = address
+        self.check = check
         self.is_direct = False
         self.on_lost = on_lost
 
--- a/rhubarblock/exchange/statements_test.py
+++ b/rhubarblock/exchange/statements_test.py
@@ -7,6 +7,7 @@
 from rhubarblock.core import failure as failures
 from rhubarblock.core import route as routes
 from rhubarblock.core import statement as statements
+from rhubarblock.core import verdict as verdicts
 from rhubarblock.exchange import attempts
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import fakeparts_test as fakes
@@ -123,6 +124,32 @@
     assert asyncio.run(main()) == (False, [])
 
 
+@pytest.mark.parametrize("begins", ["cooldown", "evacuation"])
+def test_request_is_not_sent_after_what_began_while_it_connected(begins):
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(fakes.whole())
+        async with fakes.open_parts(endpoint) as parts:
+            loop = asyncio.get_running_loop()
+            connect = loop.sock_connect
+
+            async def connect_late(sock, address):
+                if begins == "cooldown":
+                    now_s = parts.timers.read_monotonic()
+                    parts.cooldowns.note("e1", 600.0, now_s)
+                else:
+                    parts.directory.set_evacuated(frozenset({"osu-hall"}))
+                await connect(sock, address)
+
+            loop.sock_connect = connect_late
+            failure = await serve(parts)
+            return failure.code, failure.verdict, endpoint.heads
+
+    code, verdict, heads = asyncio.run(main())
+    assert code is failures.FailureCode.NO_ENDPOINT
+    assert verdict is verdicts.Verdict.NOT_RUN
+    assert not heads
+
+
 LEAVES = f"{names.LEAVING}: 1\r\n"
 STREAM = fakes.make_route(routes.RouteKind.STREAMING)
 
--- a/rhubarblock/exchange/transport.py
+++ b/rhubarblock/exchange/transport.py
@@ -73,6 +73,7 @@
     async def send(self, conn: Any) -> aiohttp.ClientResponse:
         sending = _sending.get()
         if sending is not None:
+            sending.check()
             sending.is_direct = not conn.protocol.is_relayed
         conn.protocol.expected_id = self.headers.get(self.ATTEMPT_HEADER, "")
         return await super().send(conn)
@@ -211,6 +212,7 @@
         address: str,
         options: dialects.SendOptions,
         on_lost: Callable[[], object] = lambda: None,
+        check: Callable[[], None] = lambda: None,
     ) -> AsyncIterator[Answer]:
         """Sends an exchange once; the answer is open within the context.
 
@@ -219,6 +221,8 @@
           address: ``host:port`` of the endpoint.
           options: options of this attempt.
           on_lost: called if its path is lost while it is under way.
+          check: called right before it is sent, once a connection is open; its
+            error ends the attempt.
 
         Yields:
           The answer; its connection is closed unless it was read to the end.
@@ -226,7 +230,7 @@
         Raises:
           AttemptError: it could not be sent, or no valid answer arrived.
         """
-        sending = pathwatch.Sending(address, on_lost)
+        sending = pathwatch.Sending(address, on_lost, check)
         with (
             self._watch.watch(sending)
             if self._watch is not None
