Name prompt parts and conclusions in the line of a crash

The header is decoded into the exchange, and the line of a crash carries the shared parts of the young requests under it and what the registry concluded of each. Nothing decides by it yet. Two equal requests at one endpoint are tracked side by side.

--- a/rhubarblock/core/exchange.py
+++ b/rhubarblock/core/exchange.py
@@ -33,6 +33,8 @@
       answer_tokens: maximum tokens of the answer; 0 if there is none.
       last_event: number of the last event that the caller received, or -1.
       digest: equal for equal path, caller and body.
+      prompt_parts: ids of the parts of its prompt that other requests may
+        share, in order; the last part is its own and not among them.
       home_regions: regions in which it may run; None without a bound.
     """
 
@@ -51,4 +53,5 @@
     answer_tokens: int = 0
     last_event: int = -1
     digest: str = ""
+    prompt_parts: tuple[str, ...] = ()
     home_regions: frozenset[str] | None = None
--- a/rhubarblock/exchange/crashes.py
+++ b/rhubarblock/exchange/crashes.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
+import dataclasses
 import logging
 
 from rhubarblock.core import exchange as exchanges
@@ -53,6 +54,15 @@
     return False
 
 
+@dataclasses.dataclass(slots=True, frozen=True, eq=False)
+class _Running:
+    """A request that runs at an endpoint, and when it was sent."""
+
+    digest: str
+    prompt_parts: tuple[str, ...]
+    begun_s: float
+
+
 class CrashDetector:
     """Tracks what runs at each endpoint and which requests crash endpoints."""
 
@@ -86,7 +96,7 @@
         self._timers = timers
         self._has_crashed = probe
         self._is_evacuated = is_evacuated
-        self._running: dict[str, dict[str, float]] = {}
+        self._running: dict[str, list[_Running]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         updates.on_crash = self._record_crash
 
@@ -118,13 +128,17 @@
         self, exchange: exchanges.Exchange, endpoint: lists.ListedEndpoint
     ) -> Iterator[None]:
         """Tracks an exchange as running while the context is open."""
-        digest = quarantineregistry.shorten(exchange.digest)
-        started = self._running.setdefault(endpoint.endpoint_id, {})
-        started[digest] = self._timers.read_monotonic()
+        running = _Running(
+            quarantineregistry.shorten(exchange.digest),
+            exchange.prompt_parts,
+            self._timers.read_monotonic(),
+        )
+        started = self._running.setdefault(endpoint.endpoint_id, [])
+        started.append(running)
         try:
             yield
         finally:
-            started.pop(digest, None)
+            started.remove(running)
             if not started:
                 self._running.pop(endpoint.endpoint_id, None)
 
@@ -145,24 +159,50 @@
         if self._is_evacuated(endpoint.data_centre):
             return
         now_s = self._timers.read_monotonic()
-        started = self._running.get(endpoint.endpoint_id, {})
-        ages = {digest: now_s - begun_s for digest, begun_s in started.items()}
-        task = asyncio.ensure_future(self._probe_endpoint(endpoint, ages))
+        started = self._running.get(endpoint.endpoint_id, ())
+        ages = {r.digest: now_s - r.begun_s for r in started}
+        parts = {r.digest: r.prompt_parts for r in started}
+        task = asyncio.ensure_future(
+            self._probe_endpoint(endpoint, ages, parts)
+        )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _probe_endpoint(
-        self, endpoint: lists.ListedEndpoint, ages: dict[str, float]
+        self,
+        endpoint: lists.ListedEndpoint,
+        ages: dict[str, float],
+        parts: dict[str, tuple[str, ...]],
     ) -> None:
         if not await self._has_crashed(endpoint.address):
             return
-        young = [d for d, s in ages.items() if s <= quarantineregistry.YOUNG_S]
+        self._record_crash(endpoint.endpoint_id, ages)
+        self._log_crash(endpoint.endpoint_id, ages, parts)
+        self._updates.announce_crash(endpoint.endpoint_id, ages)
+
+    def _log_crash(
+        self,
+        endpoint_id: str,
+        ages: dict[str, float],
+        parts: dict[str, tuple[str, ...]],
+    ) -> None:
+        """Logs a crash with the requests that may be its cause."""
+        now_s = self._timers.read_monotonic()
+        young = sorted(
+            d for d, s in ages.items() if s <= quarantineregistry.YOUNG_S
+        )
         _logger.warning(
             "endpoint crashed",
-            extra={"endpoint": endpoint.endpoint_id, "under": sorted(young)},
+            extra={
+                "endpoint": endpoint_id,
+                "under": young,
+                "parts": [list(parts[digest]) for digest in young],
+                "concluded": [
+                    self._registry.decide(digest, now_s).value
+                    for digest in young
+                ],
+            },
         )
-        self._record_crash(endpoint.endpoint_id, ages)
-        self._updates.announce_crash(endpoint.endpoint_id, ages)
 
     def _record_crash(self, endpoint_id: str, ages: dict[str, float]) -> None:
         now_s = self._timers.read_monotonic()
--- a/rhubarblock/exchange/crashes_test.py
+++ b/rhubarblock/exchange/crashes_test.py
@@ -71,6 +71,21 @@
     assert failure.retry_after_s == 60.0
 
 
+def test_crash_line_names_the_shared_parts_of_the_requests_under_it(caplog):
+    async def main():
+        (detector,) = make_detectors(1)
+        first = fakes.make_exchange(digest="p" * 32, prompt_parts=("5c", "bad"))
+        second = fakes.make_exchange(digest="q" * 32, prompt_parts=("5c",))
+        with detector.note_running(second, fakes.make_endpoint(1)):
+            await run_and_crash(detector, first, 1)
+
+    virtualloop.run(main())
+    (line,) = [r for r in caplog.records if r.message == "endpoint crashed"]
+    assert line.under == ["p" * 32, "q" * 32]
+    assert line.parts == [["5c", "bad"], ["5c"]]
+    assert line.concluded == ["isolate", "isolate"]
+
+
 def test_innocent_request_at_the_same_endpoint_is_not_quarantined():
     async def main():
         first, second = make_detectors(2)
--- a/rhubarblock/exchange/dialect.py
+++ b/rhubarblock/exchange/dialect.py
@@ -36,6 +36,8 @@
       prompt_tokens: length of the prompt in tokens, or 0.
       answer_tokens: maximum length of the answer in tokens, or 0.
       last_event: number of the last event that the caller has, or -1.
+      prompt_parts: ids of the parts of the prompt that other requests may
+        share, in order.
     """
 
     request_id: str
@@ -44,6 +46,7 @@
     prompt_tokens: int
     answer_tokens: int
     last_event: int
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/rhubarblock/exchange/requesthandler.py
+++ b/rhubarblock/exchange/requesthandler.py
@@ -332,6 +332,7 @@
             answer_tokens=fields.answer_tokens,
             last_event=fields.last_event,
             digest=_digest(request, workspace, body),
+            prompt_parts=fields.prompt_parts,
             home_regions=homes.combine(
                 route.home_regions,
                 workspace.home_regions if workspace else frozenset(),
--- a/rhubarblock/platform/headercodec.py
+++ b/rhubarblock/platform/headercodec.py
@@ -14,6 +14,11 @@
 # Status with which an endpoint rejects a request addressed to another endpoint.
 MISDIRECTED = 421
 
+# Maximum number of parts of a prompt that are told apart, and of characters of
+# their ids.
+MAX_PROMPT_PARTS = 64
+MAX_PART_ID_LENGTH = 32
+
 _MS_PER_S = 1000.0
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 
@@ -57,6 +62,7 @@
         prompt_tokens=prompt_tokens,
         answer_tokens=answer_tokens,
         last_event=int(_read_number(fields.get(names.LAST_EVENT), -1.0)),
+        prompt_parts=_read_shared_parts(fields),
     )
 
 
@@ -202,3 +208,17 @@
 def _read_tokens(text: str | None) -> tuple[int, int]:
     prompt, _, answer = (text or "").partition(",")
     return int(_read_number(prompt)), int(_read_number(answer))
+
+
+def _read_shared_parts(fields: Mapping[str, str]) -> tuple[str, ...]:
+    """Decodes the ids of a prompt's parts, except the last one."""
+    if names.PROMPT_PREFIX not in fields:
+        return ()
+    wanted = names.PROMPT_PREFIX.lower()
+    text = ",".join(v for n, v in fields.items() if n.lower() == wanted)
+    entries = text.split(",")[:-1]
+    ids = (entry.partition(":")[0].strip().lower() for entry in entries)
+    shared = dict.fromkeys(
+        part for part in ids if 0 < len(part) <= MAX_PART_ID_LENGTH
+    )
+    return tuple(shared)[:MAX_PROMPT_PARTS]
--- a/rhubarblock/platform/headercodec_test.py
+++ b/rhubarblock/platform/headercodec_test.py
@@ -36,6 +36,28 @@
     ) == dialects.CallerFields("", "", 0.0, 0, 0, -1)
 
 
+@pytest.mark.parametrize(
+    ("texts", "parts"),
+    [
+        ([], ()),
+        (["5c1e07a2:800"], ()),
+        (["5C1e07a2:800, 91bd3f06:410,e4402b7d:250"], ("5c1e07a2", "91bd3f06")),
+        (["5c:800,91:410", "91:2,e4:250"], ("5c", "91")),
+        ([f"{'a' * 33}:1,:2,,5c,e4:250"], ("5c",)),
+    ],
+)
+def test_shared_parts_of_a_prompt_are_all_but_the_last(texts, parts):
+    fields = CIMultiDict((names.PROMPT_PREFIX, text) for text in texts)
+    assert headercodec.read_caller(fields).prompt_parts == parts
+
+
+def test_number_of_shared_parts_is_bounded():
+    text = ",".join(f"{number:x}:1" for number in range(1000))
+    fields = CIMultiDict({names.PROMPT_PREFIX: text})
+    parts = headercodec.read_caller(fields).prompt_parts
+    assert len(parts) == headercodec.MAX_PROMPT_PARTS
+
+
 def test_key_and_reserved_fields_of_a_caller_are_not_forwarded():
     sent = [
         ("Accept", "x"),
--- a/rhubarblock/platform/names.py
+++ b/rhubarblock/platform/names.py
@@ -10,6 +10,8 @@
 TENANT = "X-Rhubarblock-Tenant"
 # Tokens of the prompt and maximum tokens of the answer.
 TOKEN_COUNT = "X-Rhubarblock-Token-Count"
+# Parts of the prompt as ID:TOKENS entries; the last one is the request's own.
+PROMPT_PREFIX = "X-Rhubarblock-Prompt-Prefix"
 # Id of the endpoint that a request is addressed to.
 TARGET = "X-Rhubarblock-Target-Instance"
 # The endpoint's signature of its response.
