--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -122,15 +122,16 @@
         self.connections = 0
         self.closed = asyncio.Event()
         self.address = ""
+        self.server = None
 
     @contextlib.asynccontextmanager
     async def open(self):
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
         try:
             yield self
         finally:
-            server.close()
+            self.server.close()
 
     async def _serve(self, reader, writer):
         self.connections += 1
