Attribute crashes to the prompt parts that requests share

What callers saw: requests with one part in their prompts ended 31 to 57 engines, and sound ones beside them were cut. Cause: the registry of crashes counted whole requests, by path, caller and body. Requests that are all different are each new to it, so nothing was ever learned. The class of fault: evidence keyed by an identity that the cause does not have.

Evidence: the line of a crash names the parts now; in the failing test each crash has the one part and a request of its own.

Change: a registry of parts beside that of requests. A part that was in prompts which had just begun, or were about to begin, at two crashes at different moments, under different requests, and that no engine has answered since, is refused everywhere. Parts that always come together are refused together only; one that was answered before needs four crashes; an answer at any instance clears a part. Crashes that a part explains speak against no request. What waits at an engine when its part is quarantined is ended. An endpoint that crashed is no evidence of a partition, which would hide the next crash.

Tests of the detector run the same cases through the quarantine that is now apart from it.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -33,6 +33,7 @@
 from rhubarblock.exchange import paths as endpoint_paths
 from rhubarblock.exchange import pathwatch
 from rhubarblock.exchange import placer as placers
+from rhubarblock.exchange import quarantine as quarantines
 from rhubarblock.exchange import relay as relays
 from rhubarblock.exchange import requesthandler
 from rhubarblock.exchange import retrybudgets
@@ -40,6 +41,7 @@
 from rhubarblock.exchange import transport as transports
 from rhubarblock.exchange.peering import demandupdates
 from rhubarblock.exchange.peering import limitupdates
+from rhubarblock.exchange.peering import quarantineupdates
 from rhubarblock.exchange.peering import retryupdates
 from rhubarblock.exchange.peering import table as peer_table
 from rhubarblock.exchange.peering import updates as peer_updates
@@ -433,8 +435,9 @@
                     lambda: self._remove_unlisted(cold_starts),
                 )
             )
+        quarantine = self._make_quarantine(updates)
         crash_detector = crashes.CrashDetector(
-            updates,
+            quarantine,
             self.timers,
             functools.partial(crashes.has_crashed, dialer),
             self.directory.is_evacuated,
@@ -445,11 +448,29 @@
             runner,
             outcome,
             crash_detector,
+            quarantine,
             self._make_admission(updates),
             self.timers,
             self.paths,
         )
 
+    def _make_quarantine(
+        self, updates: peer_updates.PeerUpdates
+    ) -> quarantines.ExchangeQuarantine:
+        """Returns the quarantine, which shares what it knows with peers."""
+        peers = quarantineupdates.DatagramQuarantinePeers(
+            updates,
+            self.peers,
+            self.settings.instance_id,
+            self.timers,
+            self._rng,
+        )
+        quarantine = quarantines.ExchangeQuarantine(
+            peers, self.timers, self.metrics
+        )
+        quarantineupdates.connect(updates, peers, quarantine, self.timers)
+        return quarantine
+
     def _make_dialer(self) -> dialers.Dialer:
         """Returns the part that connects to endpoints."""
         tunnels = tunnel_client.PeerTunnels(
--- a/rhubarblock/daemon/poisonedpart_test.py
+++ b/rhubarblock/daemon/poisonedpart_test.py
@@ -32,6 +32,17 @@
 MIN_SOUND_SHARE = 1 / 2
 
 
+async def begin_answer(writer):
+    """Writes an answer up to the middle of its first event."""
+    writer.write(
+        f"HTTP/1.1 200 OK\r\n{names.ATTEMPT_ID}: q1\r\n{names.SEAL}: s\r\n"
+        "Content-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n".encode()
+    )
+    fakes.write_chunk(writer, b"id")
+    await writer.drain()
+
+
 class CrashingEndpoint(fakes.ScriptedEndpoint):
     """Crashes when it has begun to write an answer on the poisoned part.
 
@@ -56,7 +67,7 @@
                 self.poisoned += is_poisoned
                 await asyncio.sleep(READ_S)
                 if is_poisoned:
-                    await fakes.events(0, partial=b"id")(head, writer)
+                    await begin_answer(writer)
                     await asyncio.sleep(CRASH_S)
                     self.crash()
                     return
--- a/rhubarblock/exchange/attempts.py
+++ b/rhubarblock/exchange/attempts.py
@@ -41,6 +41,7 @@
     _Reason.SILENT: "the endpoint kept silent",
     _Reason.BUSY: "the engine reads for others for too long",
     _Reason.LOST: "the path to the endpoint was lost",
+    _Reason.QUARANTINED: "requests like this one crash endpoints",
 }
 
 
@@ -188,6 +189,7 @@
                     may_abandon,
                     self._timers,
                 ) as detector:
+                    _let_quarantine_abandon(flow, detector)
                     async with self._leases.hold(placement.held_leases):
                         await self._send_watched(flow, placement, detector)
         except TimeoutError:
@@ -285,6 +287,7 @@
         pause_s = max(MIN_PAUSE_S, PAUSE_RATIO * flow.exchange.route.pause_s)
         is_last = flow.is_last_attempt
         while data := await answer.read_some():
+            flow.note_answering(self._timers.read_monotonic())
             events = flow.cursor.take(data)
             if not is_last:
                 detector.expect_data(pause_s)
@@ -350,6 +353,13 @@
     return b"".join(buffered)
 
 
+def _let_quarantine_abandon(
+    flow: flows.Flow, detector: stalls.StallDetector
+) -> None:
+    if flow.running is not None:
+        flow.running.abandon = lambda: detector.abandon(_Reason.QUARANTINED)
+
+
 def _check_refusal(answer: transports.Answer) -> None:
     """Raises RefusedError if the endpoint states that it did not run it."""
     if answer.fields.refused:
--- a/rhubarblock/exchange/crashes.py
+++ b/rhubarblock/exchange/crashes.py
@@ -1,9 +1,8 @@
-"""Detects endpoint crashes and quarantines the requests that cause them.
+"""Detects endpoint crashes and what may have caused them.
 
 When a connection breaks within an answer, the endpoint is probed once: only one
-that refuses connections has crashed. The requests that ran there are announced
-to all peers, so that every instance attributes crashes to requests in the same
-way. A quarantined request is refused until its quarantine ends.
+that refuses connections has crashed. The requests that ran there are the
+evidence for the quarantine.
 """
 
 import asyncio
@@ -15,17 +14,15 @@
 import logging
 
 from rhubarblock.core import exchange as exchanges
-from rhubarblock.core import failure as failures
 from rhubarblock.core import listed as lists
 from rhubarblock.exchange import dialer as dialers
-from rhubarblock.exchange.peering import updates as peer_updates
+from rhubarblock.exchange import quarantine as quarantines
 from rhubarblock.kernel import timers as timer_service
+from rhubarblock.routing.quarantine import partregistry
 from rhubarblock.routing.quarantine import registry as quarantineregistry
 
 # Timeout of a probe in seconds.
 PROBE_TIMEOUT_S = 0.3
-# Retry-After of a quarantined request in seconds.
-RETRY_AFTER_S = 60.0
 
 _logger = logging.getLogger(__name__)
 
@@ -46,7 +43,11 @@
         async with asyncio.timeout(PROBE_TIMEOUT_S):
             opened = await dialer.connect(address)
     except ConnectionRefusedError:
-        return dialer.paths.find(address).partitioned_s is None
+        paths = dialer.paths.find(address)
+        if paths.partitioned_s is not None:
+            return False
+        paths.note_crashed(address)
+        return True
     except (OSError, TimeoutError):
         # A timeout may be a network fault.
         return False
@@ -54,23 +55,43 @@
     return False
 
 
-@dataclasses.dataclass(slots=True, frozen=True, eq=False)
-class _Running:
-    """A request that runs at an endpoint, and when it was sent."""
+@dataclasses.dataclass(slots=True, eq=False)
+class Running:
+    """A request that runs at an endpoint.
 
+    Attributes:
+      exchange: the request.
+      digest: its shortened digest.
+      sent_s: when it was placed there, in monotonic seconds.
+      begun_s: when its answer began, or None.
+      is_trial: whether it tries quarantined parts.
+      abandon: ends the attempt once it is not to run any more.
+    """
+
+    exchange: exchanges.Exchange
     digest: str
-    prompt_parts: tuple[str, ...]
-    begun_s: float
+    sent_s: float
+    begun_s: float | None = None
+    is_trial: bool = False
+    abandon: Callable[[], object] = lambda: None
+
+    def may_crash(self, now_s: float) -> bool:
+        """Returns whether it has just begun to be answered, or has not yet.
+
+        A request crashes an endpoint when its answer begins.
+        """
+        if self.begun_s is None:
+            return True
+        return now_s - self.begun_s <= quarantineregistry.YOUNG_S
 
 
 class CrashDetector:
-    """Tracks what runs at each endpoint and which requests crash endpoints."""
+    """Tracks what runs at each endpoint and notices which endpoints crash."""
 
     __slots__ = (
-        "_registry",
         "_has_crashed",
         "_is_evacuated",
-        "_updates",
+        "_quarantine",
         "_running",
         "_tasks",
         "_timers",
@@ -78,78 +99,51 @@
 
     def __init__(
         self,
-        updates: peer_updates.PeerUpdates,
+        quarantine: quarantines.ExchangeQuarantine,
         timers: timer_service.Timers,
         probe: Probe,
         is_evacuated: Callable[[str], bool] = lambda data_centre: False,
     ):
-        """Creates a detector with an empty registry.
+        """Creates a detector.
 
         Args:
-          updates: exchanges crash announcements with peers.
-          timers: the clock; its times are not sent to peers.
+          quarantine: gets the evidence; its hook ends what it has come to
+            refuse.
+          timers: the clock.
           probe: returns whether an address refuses connections.
           is_evacuated: returns whether nothing may be sent to a data centre.
         """
-        self._registry = quarantineregistry.QuarantineRegistry()
-        self._updates = updates
+        self._quarantine = quarantine
         self._timers = timers
         self._has_crashed = probe
         self._is_evacuated = is_evacuated
-        self._running: dict[str, list[_Running]] = {}
+        self._running: dict[str, list[Running]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        updates.on_crash = self._record_crash
-
-    def check(self, exchange: exchanges.Exchange) -> None:
-        """Refuses a quarantined exchange.
-
-        Raises:
-          failures.FailureError: it is quarantined; it did not run.
-        """
-        if not self.is_quarantined(exchange):
-            return
-        raise failures.FailureError(
-            failures.Failure(
-                failures.FailureCode.NO_ENDPOINT,
-                "requests like this one crashed endpoints",
-                retry_after_s=RETRY_AFTER_S,
-            )
-        )
-
-    def is_quarantined(self, exchange: exchanges.Exchange) -> bool:
-        """Returns whether an exchange is quarantined."""
-        now_s = self._timers.read_monotonic()
-        digest = quarantineregistry.shorten(exchange.digest)
-        decision = self._registry.decide(digest, now_s)
-        return decision is quarantineregistry.Decision.REFUSE
+        quarantine.on_found = self._abandon_quarantined
 
     @contextlib.contextmanager
     def note_running(
-        self, exchange: exchanges.Exchange, endpoint: lists.ListedEndpoint
-    ) -> Iterator[None]:
+        self,
+        exchange: exchanges.Exchange,
+        endpoint: lists.ListedEndpoint,
+        is_trial: bool = False,
+    ) -> Iterator[Running]:
         """Tracks an exchange as running while the context is open."""
-        running = _Running(
+        running = Running(
+            exchange,
             quarantineregistry.shorten(exchange.digest),
-            exchange.prompt_parts,
             self._timers.read_monotonic(),
+            is_trial=is_trial,
         )
         started = self._running.setdefault(endpoint.endpoint_id, [])
         started.append(running)
         try:
-            yield
+            yield running
         finally:
             started.remove(running)
             if not started:
                 self._running.pop(endpoint.endpoint_id, None)
 
-    def note_served(self, exchange: exchanges.Exchange) -> None:
-        """Clears an exchange of suspicion after it succeeded."""
-        now_s = self._timers.read_monotonic()
-        digest = quarantineregistry.shorten(exchange.digest)
-        allowed = quarantineregistry.Decision.ALLOW
-        if self._registry.decide(digest, now_s) is not allowed:
-            self._registry.clear(digest, now_s)
-
     def note_broken(self, endpoint: lists.ListedEndpoint) -> None:
         """Starts a probe that finds out whether an endpoint crashed.
 
@@ -160,50 +154,50 @@
             return
         now_s = self._timers.read_monotonic()
         started = self._running.get(endpoint.endpoint_id, ())
-        ages = {r.digest: now_s - r.begun_s for r in started}
-        parts = {r.digest: r.prompt_parts for r in started}
+        ages = {r.digest: now_s - r.sent_s for r in started}
+        requests = {
+            r.digest: quarantines.name_parts(r.exchange)
+            for r in started
+            if r.may_crash(now_s) and r.exchange.prompt_parts
+        }
         task = asyncio.ensure_future(
-            self._probe_endpoint(endpoint, ages, parts)
+            self._probe_endpoint(endpoint, ages, requests)
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _abandon_quarantined(self) -> None:
+        """Ends what is quarantined now and has not begun to be answered."""
+        waiting = [
+            running
+            for started in self._running.values()
+            for running in started
+            if running.begun_s is None and not running.is_trial
+        ]
+        for running in waiting:
+            if self._quarantine.is_quarantined(running.exchange):
+                running.abandon()
+
     async def _probe_endpoint(
         self,
         endpoint: lists.ListedEndpoint,
         ages: dict[str, float],
-        parts: dict[str, tuple[str, ...]],
+        requests: dict[str, partregistry.Parts],
     ) -> None:
         if not await self._has_crashed(endpoint.address):
             return
-        self._record_crash(endpoint.endpoint_id, ages)
-        self._log_crash(endpoint.endpoint_id, ages, parts)
-        self._updates.announce_crash(endpoint.endpoint_id, ages)
-
-    def _log_crash(
-        self,
-        endpoint_id: str,
-        ages: dict[str, float],
-        parts: dict[str, tuple[str, ...]],
-    ) -> None:
-        """Logs a crash with the requests that may be its cause."""
-        now_s = self._timers.read_monotonic()
+        self._quarantine.add_crash(endpoint.endpoint_id, ages, requests)
         young = sorted(
             d for d, s in ages.items() if s <= quarantineregistry.YOUNG_S
         )
         _logger.warning(
             "endpoint crashed",
             extra={
-                "endpoint": endpoint_id,
+                "endpoint": endpoint.endpoint_id,
                 "under": young,
-                "parts": [list(parts[digest]) for digest in young],
+                "parts": [sorted(requests.get(digest, ())) for digest in young],
                 "concluded": [
-                    self._registry.decide(digest, now_s).value
-                    for digest in young
+                    self._quarantine.decide_request(digest) for digest in young
                 ],
             },
         )
-
-    def _record_crash(self, endpoint_id: str, ages: dict[str, float]) -> None:
-        now_s = self._timers.read_monotonic()
-        self._registry.add_crash(endpoint_id, ages, now_s)
--- a/rhubarblock/exchange/crashes_test.py
+++ b/rhubarblock/exchange/crashes_test.py
@@ -10,23 +10,43 @@
 from rhubarblock.exchange import dialer as dialers
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.exchange import paths as endpoint_paths
+from rhubarblock.exchange import quarantine as quarantines
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
 
 
-class PeerUpdates:
-    """Delivers crash announcements to all detectors at once."""
+class GroupPeers(quarantines.QuarantinePeers):
+    """Delivers announcements to all other quarantines of a group at once."""
 
     def __init__(self, group):
-        self.on_crash = None
+        self.quarantine = None
         self.group = group
         group.append(self)
 
-    def announce_crash(self, endpoint_id, ages):
-        for other in self.group:
-            if other is not self:
-                other.on_crash(endpoint_id, ages)
+    @property
+    def others(self):
+        return [p.quarantine for p in self.group if p is not self]
+
+    def announce_crash(self, endpoint_id, requests, served_ages, ages):
+        for other in self.others:
+            served = other.receive_part_crash(
+                endpoint_id, requests, served_ages
+            )
+            for listener in self.group:
+                listener.quarantine.receive_served(served)
+            other.receive_request_crash(endpoint_id, ages)
+
+    def announce_served(self, ages):
+        for other in self.others:
+            other.receive_served(ages)
+
+    def announce_records(self, records):
+        for other in self.others:
+            other.receive_records(records)
+
+    def is_first(self, key):
+        return self.group[0] is self
 
 
 async def crash(address):
@@ -37,13 +57,27 @@
     return False
 
 
+class Detector:
+    """A detector with its quarantine."""
+
+    def __init__(self, group, probe, is_evacuated=lambda data_centre: False):
+        timers = timer_service.LoopTimers(0.0)
+        peers = GroupPeers(group)
+        self.quarantine = peers.quarantine = quarantines.ExchangeQuarantine(
+            peers, timers, metric_store.Metrics()
+        )
+        self.detector = crashes.CrashDetector(
+            self.quarantine, timers, probe, is_evacuated
+        )
+        self.note_running = self.detector.note_running
+        self.note_broken = self.detector.note_broken
+        self.check = self.quarantine.check
+        self.note_served = self.quarantine.note_served
+
+
 def make_detectors(count, probe=crash):
-    timers = timer_service.LoopTimers(0.0)
     group = []
-    return [
-        crashes.CrashDetector(PeerUpdates(group), timers, probe)
-        for _ in range(count)
-    ]
+    return [Detector(group, probe) for _ in range(count)]
 
 
 async def run_and_crash(detector, exchange, number):
@@ -82,7 +116,7 @@
     virtualloop.run(main())
     (line,) = [r for r in caplog.records if r.message == "endpoint crashed"]
     assert line.under == ["p" * 32, "q" * 32]
-    assert line.parts == [["5c", "bad"], ["5c"]]
+    assert line.parts == [["desk/5c", "desk/bad"], ["desk/5c"]]
     assert line.concluded == ["isolate", "isolate"]
 
 
@@ -193,12 +227,7 @@
             return True
 
         evacuated = set()
-        detector = crashes.CrashDetector(
-            PeerUpdates([]),
-            timer_service.LoopTimers(0.0),
-            probe,
-            evacuated.__contains__,
-        )
+        detector = Detector([], probe, evacuated.__contains__)
         await run_and_crash(detector, fakes.make_exchange(digest="p" * 32), 1)
         before = len(probed)
         evacuated.add("osu-hall")
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -23,6 +23,7 @@
 from rhubarblock.exchange import outcomes
 from rhubarblock.exchange import paths as endpoint_paths
 from rhubarblock.exchange import placer as placers
+from rhubarblock.exchange import quarantine as quarantines
 from rhubarblock.exchange import relay as relays
 from rhubarblock.exchange import requesthandler
 from rhubarblock.exchange import retrybudgets
@@ -30,6 +31,7 @@
 from rhubarblock.exchange import statements
 from rhubarblock.exchange import transport as transports
 from rhubarblock.exchange.peering import limitupdates
+from rhubarblock.exchange.peering import quarantineupdates
 from rhubarblock.exchange.peering import table as peer_table
 from rhubarblock.exchange.peering import updates as peer_updates
 from rhubarblock.exchange.state import configlease as config_leases
@@ -356,6 +358,15 @@
             self.statements,
             self.timers,
         )
+        peers = quarantineupdates.DatagramQuarantinePeers(
+            self.updates, table, "i1", self.timers, random.Random(1)
+        )
+        self.quarantine = quarantines.ExchangeQuarantine(
+            peers, self.timers, self.metrics
+        )
+        quarantineupdates.connect(
+            self.updates, peers, self.quarantine, self.timers
+        )
         paths = endpoint_paths.EndpointPaths(
             self.directory.find_at,
             self.directory.list_usable,
@@ -381,10 +392,11 @@
                 self.metrics,
             ),
             crashes.CrashDetector(
-                self.updates,
+                self.quarantine,
                 self.timers,
                 functools.partial(crashes.has_crashed, dialers.Dialer(paths)),
             ),
+            self.quarantine,
             admission.ExchangeAdmission(
                 controllers.AdmissionController(random.Random(1)),
                 self.timers,
--- a/rhubarblock/exchange/flow.py
+++ b/rhubarblock/exchange/flow.py
@@ -2,6 +2,7 @@
 
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import verdict as verdicts
+from rhubarblock.exchange import crashes
 from rhubarblock.exchange import eventcursor
 from rhubarblock.exchange import progress
 from rhubarblock.exchange import sink as sinks
@@ -25,6 +26,8 @@
       refused_by: ids of engines that refused it because of another engine.
       denied: whether the retry budget denied a retry.
       is_admitted: whether admission let it in.
+      is_trial: whether it tries prompt parts that are quarantined.
+      running: what is known of the present attempt; None without one.
     """
 
     __slots__ = (
@@ -33,9 +36,11 @@
         "exchange",
         "history",
         "is_admitted",
+        "is_trial",
         "progress",
         "refusals",
         "refused_by",
+        "running",
         "sink",
     )
 
@@ -50,6 +55,13 @@
         self.refused_by: set[str] = set()
         self.denied = False
         self.is_admitted = False
+        self.is_trial = False
+        self.running: crashes.Running | None = None
+
+    def note_answering(self, now_s: float) -> None:
+        """Records that the endpoint has answered something."""
+        if self.running is not None and self.running.begun_s is None:
+            self.running.begun_s = now_s
 
     @property
     def is_last_attempt(self) -> bool:
--- a/rhubarblock/exchange/paths.py
+++ b/rhubarblock/exchange/paths.py
@@ -144,6 +144,11 @@
         self._trial_s = now_s
         self._add_failure(address, reason)
 
+    def note_crashed(self, address: str) -> None:
+        """Records that an endpoint crashed, which speaks for no partition."""
+        self._failed.pop(address, None)
+        self._unreached.discard(address)
+
     def note_direct_failure(self, address: str, reason: str) -> None:
         """Records that a direct connection failed that was opened for a peer.
 
--- a/rhubarblock/exchange/peering/limitupdates.py
+++ b/rhubarblock/exchange/peering/limitupdates.py
@@ -147,8 +147,8 @@
     }
     for code, handler in handlers.items():
         updates.listen(code, _make_listener(handler))
-    updates.on_start = lambda address: limits.send_limits(
-        peer_table.format_address(address)
+    updates.start_listeners.append(
+        lambda address: limits.send_limits(peer_table.format_address(address))
     )
 
 
--- a/rhubarblock/exchange/peering/updates.py
+++ b/rhubarblock/exchange/peering/updates.py
@@ -39,6 +39,9 @@
 LOAN_REQUEST = "rq"
 LOAN_GRANT = "rg"
 ADDRESS_REUSED = "ar"
+PART_CRASH = "pc"
+PART_SERVED = "ps"
+QUARANTINED = "pq"
 _COUNTERS = {
     _PLACED: "placed",
     _ENDED: "ended",
@@ -52,6 +55,9 @@
     LOAN_REQUEST: "loan_request",
     LOAN_GRANT: "loan_grant",
     ADDRESS_REUSED: "address_reused",
+    PART_CRASH: "part_crash",
+    PART_SERVED: "part_served",
+    QUARANTINED: "quarantined",
 }
 # Receives the fields after the code and the address of the sender.
 Listener = Callable[[list[Any], peer_table.Address], None]
@@ -65,7 +71,7 @@
     Attributes:
       on_crash: called with the id of an endpoint that crashed, and the ages in
         seconds of the requests that ran there, by digest.
-      on_start: called with the address of a peer that has just started.
+      start_listeners: called with the address of a peer that has just started.
     """
 
     def __init__(
@@ -117,9 +123,7 @@
         self._peers = peers
         self._transport: asyncio.DatagramTransport | None = None
         self._listeners: dict[str, Listener] = {}
-        self.on_start: Callable[[peer_table.Address], None] = lambda address: (
-            None
-        )
+        self.start_listeners: list[Callable[[peer_table.Address], None]] = []
         self.on_crash: Callable[[str, dict[str, float]], None] = (
             lambda endpoint_id, ages: None
         )
@@ -205,11 +209,7 @@
         """Announces a crash and the ages of the requests that ran there."""
         rounded = {digest: round(age_s, 2) for digest, age_s in ages.items()}
         fields = [_CRASH, endpoint_id, rounded]
-        # Sent twice, as a datagram may be lost and this one matters.
-        self._broadcast(fields, _accepts_all)
-        self._timers.call_later(
-            RESEND_S, lambda: self._broadcast(fields, _accepts_all)
-        )
+        self.send_twice(lambda: fields)
 
     def listen(self, code: str, listener: Listener) -> None:
         """Registers a listener for datagrams with a code.
@@ -218,6 +218,21 @@
         """
         self._listeners[code] = listener
 
+    def send_to_all(self, fields: list[Any]) -> None:
+        """Sends a datagram to all peers."""
+        self._broadcast(fields, _accepts_all)
+
+    def send_twice(self, make_fields: Callable[[], list[Any]]) -> None:
+        """Sends a datagram that matters to all peers, and again soon.
+
+        Args:
+          make_fields: returns the fields with their present ages.
+        """
+        self.send_to_all(make_fields())
+        self._timers.call_later(
+            RESEND_S, lambda: self.send_to_all(make_fields())
+        )
+
     def send_to(self, address: peer_table.Address, fields: list[Any]) -> None:
         """Sends a datagram to one peer."""
         self._send_to((address,), fields)
@@ -295,7 +310,8 @@
         for job, placed_s in self._own_jobs.values():
             left_s = max(0.0, job.parts[0].prefill_s - (now_s - placed_s))
             self._send_to([address], _encode_job(job, left_s))
-        self.on_start(address)
+        for listener in self.start_listeners:
+            listener(address)
 
     def _is_in_own_data_centre(
         self, address: peer_table.Address, peer: peer_table.Peer
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -23,6 +23,7 @@
 from rhubarblock.exchange import permitqueue
 from rhubarblock.exchange import placements
 from rhubarblock.exchange import placer as placers
+from rhubarblock.exchange import quarantine as quarantines
 from rhubarblock.exchange import sink as sinks
 from rhubarblock.exchange import stalls
 from rhubarblock.exchange import statements
@@ -57,6 +58,7 @@
         "_outcomes",
         "_paths",
         "_placer",
+        "_quarantine",
         "_queue",
         "_runner",
         "_timers",
@@ -68,6 +70,7 @@
         runner: attempts.AttemptRunner,
         outcomes_: outcomes.OutcomeRecorder,
         crash_detector: crashes.CrashDetector,
+        quarantine: quarantines.ExchangeQuarantine,
         admission_: admission.ExchangeAdmission,
         timers: timer_service.Timers,
         paths: endpoint_paths.EndpointPaths,
@@ -78,7 +81,8 @@
           placer: chooses endpoints.
           runner: runs attempts.
           outcomes_: records how attempts end and grants retries.
-          crash_detector: refuses exchanges that crash endpoints.
+          crash_detector: notices which endpoints crash.
+          quarantine: refuses exchanges that crash endpoints.
           admission_: lets new exchanges in, or refuses them.
           timers: the clock.
           paths: the network paths to endpoints.
@@ -89,6 +93,7 @@
         self._runner = runner
         self._outcomes = outcomes_
         self._crashes = crash_detector
+        self._quarantine = quarantine
         self._timers = timers
         self._queue = permitqueue.PermitQueue()
 
@@ -101,9 +106,9 @@
           failures.FailureError: the exchange failed; the sink may hold the
             start of an answer.
         """
-        self._crashes.check(exchange)
-        self._outcomes.note_arrival(exchange)
         flow = flows.Flow(exchange, sink)
+        flow.is_trial = self._quarantine.check(exchange)
+        self._outcomes.note_arrival(exchange)
         try:
             async with asyncio.timeout_at(exchange.deadline_s):
                 await self._retry_until_complete(flow)
@@ -127,6 +132,8 @@
             flow.cursor.discard_partial_event()
             if await self._may_retry(flow, error):
                 continue
+            if self._quarantine.is_quarantined(flow.exchange):
+                raise _make_quarantine_error(flow)
             if failed is None or flow.sink.begun:
                 raise _make_final_error(flow, error.failure.message)
             await attempts.send_buffered(flow.sink, failed.answer, failed.body)
@@ -183,6 +190,9 @@
         self, flow: flows.Flow, placement: placements.Placement
     ) -> failures.FailureError | None:
         """Makes an attempt at a placement and returns its error, or None."""
+        if not flow.is_trial and self._quarantine.is_quarantined(flow.exchange):
+            # It was quarantined while it waited.
+            raise _make_quarantine_error(flow)
         self._outcomes.note_placed(flow, placement)
 
         def may_abandon(reason: stalls.Reason) -> bool:
@@ -206,7 +216,7 @@
             self._outcomes.note_failed(flow, placement, error)
             return error
         self._outcomes.note_served(flow, placement)
-        self._crashes.note_served(flow.exchange)
+        self._quarantine.note_served(flow.exchange)
         return None
 
     def _note_refused(
@@ -241,6 +251,8 @@
         reason: stalls.Reason,
     ) -> bool:
         """Takes a retry from the budget if another attempt would help."""
+        if reason is stalls.Reason.QUARANTINED:
+            return True
         if flow.is_last_attempt:
             return False
         is_busy = reason is stalls.Reason.BUSY
@@ -335,7 +347,9 @@
         may_abandon: Callable[[stalls.Reason], bool],
     ) -> None:
         """Runs an attempt and checks for a crash if its connection breaks."""
-        with self._crashes.note_running(flow.exchange, placement.endpoint):
+        with self._crashes.note_running(
+            flow.exchange, placement.endpoint, flow.is_trial
+        ) as flow.running:
             try:
                 await self._runner.run(flow, placement, may_abandon)
             except (attempts.AbandonedError, attempts.FailedAnswerError):
@@ -359,7 +373,7 @@
             return False
         # A peer may have reported meanwhile that this exchange crashes
         # endpoints.
-        if self._crashes.is_quarantined(flow.exchange):
+        if self._quarantine.is_quarantined(flow.exchange):
             return False
         if isinstance(error, attempts.AbandonedError):
             # The attempt was abandoned only after the next one had been
@@ -391,6 +405,19 @@
     return _make_final_error(flow, "no endpoint is in the home regions")
 
 
+def _make_quarantine_error(flow: flows.Flow) -> failures.FailureError:
+    """Returns the error of an exchange that is not sent any more."""
+    return failures.FailureError(
+        failures.Failure(
+            failures.FailureCode.NO_ENDPOINT
+            if flow.history.verdict is verdicts.Verdict.NOT_RUN
+            else failures.FailureCode.ENDPOINT_FAILED,
+            "requests like this one crashed endpoints",
+            flow.history.verdict,
+        )
+    )
+
+
 def _is_unsent(error: failures.FailureError) -> bool:
     """Returns whether a connection failed before anything was sent on it."""
     return (
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -343,7 +343,7 @@
             for number in (1, 2):
                 parts.updates.on_crash(f"gone{number}", {"p" * 32: 0.1})
                 await asyncio.sleep(0.0)
-                parts.relay._crashes._timers = _AheadClock(parts.timers, 3.0)
+                parts.quarantine._timers = _AheadClock(parts.timers, 3.0)
             with pytest.raises(failures.FailureError) as raised:
                 await parts.relay.serve(exchange, fakes.MemorySink())
             return raised.value.failure, endpoint.heads
--- a/rhubarblock/exchange/stalls.py
+++ b/rhubarblock/exchange/stalls.py
@@ -35,6 +35,8 @@
     BUSY = "busy"
     # The path to the endpoint is lost, and peers still reach it.
     LOST = "lost"
+    # Requests with a part of its prompt crash endpoints.
+    QUARANTINED = "quarantined"
 
 
 class StallDetector:
--- a/rhubarblock/routing/quarantine/registry.py
+++ b/rhubarblock/routing/quarantine/registry.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterator
 from collections.abc import Mapping
 import dataclasses
@@ -48,6 +49,9 @@
 MAX_CLEARED = 1024
 MAX_QUARANTINED = 1024
 
+# Cause of a crash that no request is to blame for.
+OTHER_CAUSE = "other"
+
 _KEY_CHARACTERS = 32
 
 
@@ -106,11 +110,13 @@
       digest: shortened digest.
       at_s: start of the quarantine.
       crashes: number of crashes attributed to it.
+      is_own: whether this registry found it by the crashes that it knows.
     """
 
     digest: str
     at_s: float
     crashes: int
+    is_own: bool = dataclasses.field(default=False, compare=False)
 
     @property
     def until_s(self) -> float:
@@ -228,6 +234,25 @@
             return Facts()
         return self.merge(Facts(cleared={key: now_s}), now_s)
 
+    def explain(self, endpoint_ids: Collection[str], now_s: float) -> None:
+        """Clears the requests of crashes that have another cause.
+
+        A request that is in quarantine for such crashes only is released.
+
+        Args:
+          endpoint_ids: the endpoints that crashed.
+          now_s: current time on the caller's clock.
+        """
+        for crash in self._crashes:
+            if crash.endpoint_id in endpoint_ids:
+                crash.cause = OTHER_CAUSE
+        causes = {crash.cause for crash in self._crashes}
+        for digest, quarantine in list(self._quarantined.items()):
+            recent = now_s - quarantine.at_s < SUSPECT_S
+            if recent and quarantine.is_own and digest not in causes:
+                del self._quarantined[digest]
+        self._update_suspicions(now_s)
+
     def reserve(self, service: str, until_s: float) -> Facts:
         """Records that endpoints of a service are reserved for suspects."""
         self._reserved[service] = until_s
@@ -328,7 +353,7 @@
                 return
             crashes = self._suspicions[cause].crashes
             self._quarantined[cause] = QuarantineRecord(
-                cause, now_s, len(crashes)
+                cause, now_s, len(crashes), is_own=True
             )
             for crash in crashes:
                 # The other digests in these crashes are innocent.
