Keep what is quarantined beyond the life of an instance

After all instances are killed, or at one that starts, requests that crash endpoints are new again. The first read and the last of it are awaited for at most 0.3 s.

Tests: a fleet that restarts as a whole, and an instance that starts while the store lacks the object, send no request with the part.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -34,6 +34,7 @@
 from rhubarblock.exchange import pathwatch
 from rhubarblock.exchange import placer as placers
 from rhubarblock.exchange import quarantine as quarantines
+from rhubarblock.exchange import quarantinestore
 from rhubarblock.exchange import relay as relays
 from rhubarblock.exchange import requesthandler
 from rhubarblock.exchange import retrybudgets
@@ -78,6 +79,9 @@
 # then, for heartbeats from them.
 PEER_DISCOVERY_TIMEOUT_S = 0.5
 HEARTBEAT_WAIT_S = 0.05
+# Longest wait in seconds of a start for the stored quarantines, once everything
+# else is known.
+QUARANTINE_WAIT_S = 0.3
 
 _logger = logging.getLogger(__name__)
 
@@ -222,10 +226,22 @@
         await stack.enter_async_context(
             updates.open(settings.peers.host, settings.peers.port)
         )
+        quarantine_peers = self._make_quarantine_peers(updates)
+        quarantine = self._make_quarantine(updates, quarantine_peers)
         relay = await self._open_relay(
-            stack, updates, limits, limit_peers, cold_starts
+            stack, updates, limits, limit_peers, cold_starts, quarantine
         )
         await self._listen(stack, relay, updates)
+        self._quarantine_store = quarantinestore.QuarantineStore(
+            store,
+            quarantine,
+            quarantine_peers,
+            self.eras,
+            self.timers,
+            self._rng,
+        )
+        syncing = asyncio.create_task(self._quarantine_store.run())
+        stack.callback(syncing.cancel)
         follower = self._make_follower(session, store)
         following = asyncio.create_task(self._follow(store, updates, follower))
         stack.callback(following.cancel)
@@ -343,6 +359,7 @@
         limits: endpointlimits.EndpointLimits,
         limit_peers: limitupdates.DatagramLimitPeers,
         cold_starts: coldstarts.ColdStarts | None,
+        quarantine: quarantines.ExchangeQuarantine,
     ) -> relays.ExchangeRelay:
         """Assembles the parts that serve an exchange."""
         bounds = self.settings.bounds
@@ -435,7 +452,6 @@
                     lambda: self._remove_unlisted(cold_starts),
                 )
             )
-        quarantine = self._make_quarantine(updates)
         crash_detector = crashes.CrashDetector(
             quarantine,
             self.timers,
@@ -454,17 +470,23 @@
             self.paths,
         )
 
-    def _make_quarantine(
+    def _make_quarantine_peers(
         self, updates: peer_updates.PeerUpdates
-    ) -> quarantines.ExchangeQuarantine:
-        """Returns the quarantine, which shares what it knows with peers."""
-        peers = quarantineupdates.DatagramQuarantinePeers(
+    ) -> quarantineupdates.DatagramQuarantinePeers:
+        return quarantineupdates.DatagramQuarantinePeers(
             updates,
             self.peers,
             self.settings.instance_id,
             self.timers,
             self._rng,
         )
+
+    def _make_quarantine(
+        self,
+        updates: peer_updates.PeerUpdates,
+        peers: quarantineupdates.DatagramQuarantinePeers,
+    ) -> quarantines.ExchangeQuarantine:
+        """Returns the quarantine, which shares what it knows with peers."""
         quarantine = quarantines.ExchangeQuarantine(
             peers, self.timers, self.metrics
         )
@@ -658,6 +680,9 @@
         await self.state.listed.wait()
         while await self.config_lease.wait_valid(CONFIGURATION_WAIT_S) is None:
             pass
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(QUARANTINE_WAIT_S):
+                await self._quarantine_store.read.wait()
 
     def _log_lifecycle(self, step: Callable[[], None]) -> None:
         lifecycles.log_transition(
--- a/rhubarblock/daemon/exchangeinstance_test.py
+++ b/rhubarblock/daemon/exchangeinstance_test.py
@@ -55,6 +55,7 @@
       objects: decoded values by name.
       eras: trackers that get the era with each call, as from the responses of
         the real store.
+      refused_name: name of an object that can't be written.
     """
 
     def __init__(self, endpoint):
@@ -69,6 +70,7 @@
         self.objects = {"config/main": {}, "servers/e1": entry}
         self.eras = []
         self.era = 0
+        self.refused_name = None
 
     def restore_older_copy(self, objects):
         """Starts a new era with older objects."""
@@ -94,6 +96,8 @@
         )
 
     async def write(self, name, value, expected_version):
+        if name == self.refused_name:
+            raise stores.StoreError(stores.StoreErrorKind.UNAVAILABLE)
         self.objects[name] = json.loads(value)
         return stores.StoredObject(name, self.report_era(), value)
 
--- a/rhubarblock/daemon/partition_test.py
+++ b/rhubarblock/daemon/partition_test.py
@@ -80,6 +80,7 @@
       leases: the client of each instance for memory at engines.
       session: session of the callers.
       endpoints: the endpoints.
+      store: the store.
     """
 
     def __init__(self, session, endpoints, store):
@@ -89,20 +90,27 @@
         self.networks = []
         self.leases = []
         self._contexts = []
-        self._store = store
+        self.store = store
         self._running = []
         self._stops = []
 
-    async def start(self, kind=routes.RouteKind.NON_IDEMPOTENT, centre=None):
-        """Starts one more instance."""
+    async def start(
+        self,
+        kind=routes.RouteKind.NON_IDEMPOTENT,
+        centre=None,
+        peer_count=None,
+    ):
+        """Starts one more instance and waits until it knows its peers."""
         number = len(self.instances)
+        if peer_count is None:
+            peer_count = number
         settings = instancefixtures.make_settings(f"i{number}")
         if centre is not None:
             settings = dataclasses.replace(settings, data_centre=centre)
         instance = exchangeinstance.ExchangeInstance(
             settings,
             KindDialect(kind),
-            lambda session, metrics, eras: self._store,
+            lambda session, metrics, eras: self.store,
             self._make_leases,
             names.ATTEMPT_ID,
             random.Random(number),
@@ -119,7 +127,7 @@
         self._stops.append(stop)
         while (
             await instancefixtures.ask_ready(self.session, settings) != 200
-            or instance.peers.count_instances() <= number
+            or instance.peers.count_instances() <= peer_count
         ):
             assert not running.done(), running
             await asyncio.sleep(0.01)
--- a/rhubarblock/daemon/poisonedpart_test.py
+++ b/rhubarblock/daemon/poisonedpart_test.py
@@ -12,6 +12,7 @@
 from rhubarblock.daemon import partition_test as fleetfixtures
 from rhubarblock.daemon import plannedstop
 from rhubarblock.exchange import fakeparts_test as fakes
+from rhubarblock.exchange import quarantinestore
 from rhubarblock.platform import names
 
 ENDPOINT_COUNT = 12
@@ -25,6 +26,7 @@
 DOWN_S = 0.5
 # Requests of each kind, and seconds between two of them.
 REQUESTS = 40
+QUICK_REQUESTS = 8
 GAP_S = 0.1
 # Most endpoints that may end under one part.
 MAX_CRASHES = 5
@@ -142,6 +144,11 @@
             await asyncio.sleep(gap_s)
         return await asyncio.gather(*asking)
 
+    async def wait_stored(self):
+        """Waits until the store has what is quarantined."""
+        while quarantinestore.OBJECT_NAME not in self.fleet.store.objects:
+            await asyncio.sleep(0.01)
+
 
 @contextlib.asynccontextmanager
 async def open_poisoned_fleet():
@@ -172,3 +179,33 @@
     assert crashes <= MAX_CRASHES
     # Sound requests with the same key and first part are served meanwhile.
     assert sound.count(200) >= MIN_SOUND_SHARE * REQUESTS
+
+
+def test_poisoned_part_is_refused_after_all_instances_have_restarted():
+    async def main():
+        async with open_poisoned_fleet() as fleet:
+            await fleet.ask_often(SHARED, POISONED, count=QUICK_REQUESTS)
+            await fleet.wait_stored()
+            await fleet.fleet.stop_all()
+            await fleet.fleet.start(routes.RouteKind.STREAMING, peer_count=0)
+            before = fleet.poisoned
+            new = len(fleet.fleet.instances) - 1
+            refused = await fleet.ask(SHARED, POISONED, instance=new)
+            served = await fleet.ask(SHARED, instance=new)
+            return fleet.poisoned - before, refused, served
+
+    assert asyncio.run(main()) == (0, 503, 200)
+
+
+def test_instance_that_starts_learns_from_its_peers_what_is_poisoned():
+    async def main():
+        async with open_poisoned_fleet() as fleet:
+            fleet.fleet.store.refused_name = quarantinestore.OBJECT_NAME
+            await fleet.ask_often(SHARED, POISONED, count=QUICK_REQUESTS)
+            await fleet.fleet.start(routes.RouteKind.STREAMING)
+            before = fleet.poisoned
+            new = len(fleet.fleet.instances) - 1
+            refused = await fleet.ask(SHARED, POISONED, instance=new)
+            return fleet.poisoned - before, refused
+
+    assert asyncio.run(main()) == (0, 503)
--- a/rhubarblock/exchange/quarantine.py
+++ b/rhubarblock/exchange/quarantine.py
@@ -76,6 +76,7 @@
 
     Attributes:
       on_found: called when parts have been quarantined.
+      on_changed: called when the quarantines may have changed.
     """
 
     __slots__ = (
@@ -84,6 +85,7 @@
         "_peers",
         "_requests",
         "_timers",
+        "on_changed",
         "on_found",
     )
 
@@ -106,6 +108,7 @@
         self._parts = partregistry.PartRegistry()
         self._requests = quarantineregistry.QuarantineRegistry()
         self.on_found: Callable[[], None] = lambda: None
+        self.on_changed: Callable[[], None] = lambda: None
 
     # Requests.
 
@@ -174,6 +177,7 @@
         self._parts.begin_trial(found, self._timers.read_monotonic())
         _logger.info("quarantined parts are tried", extra=self._describe(found))
         self._share([found])
+        self.on_changed()
 
     def _note_refused(self, found: partregistry.Quarantine) -> None:
         now_s = self._timers.read_monotonic()
@@ -214,6 +218,7 @@
         self._requests.add_crash(endpoint_id, ages, now_s)
         if self._parts.is_explained(endpoint_id, now_s):
             self._requests.explain([endpoint_id], now_s)
+        self.on_changed()
 
     def receive_part_crash(
         self,
@@ -267,6 +272,7 @@
         if findings.found:
             self._share(findings.found)
             self.on_found()
+            self.on_changed()
         if findings.renewed:
             self._share(findings.renewed)
 
@@ -299,6 +305,7 @@
             self._requests.merge(facts, now_s)
         if added:
             self.on_found()
+            self.on_changed()
 
     def _share(self, quarantines: Iterable[partregistry.Quarantine]) -> None:
         now_s = self._timers.read_monotonic()
@@ -308,6 +315,8 @@
         self._peers.announce_records(Records(shared))
 
     def _log_lifted(self, lifted: list[partregistry.Quarantine]) -> None:
+        if lifted:
+            self.on_changed()
         for quarantine in lifted:
             self._metrics.count("quarantine.lifted")
             _logger.warning(
