Take an answer that ends with its connection for whole through a peer

Through a peer each of them failed as cut, because the kernel of a peer that is killed closes its connections regularly as well: the end of a tunnel was no evidence. The request for a tunnel now names an end mark, which the peer sends after the last byte of an endpoint that closed regularly. An answer is whole only with the mark. Peers of the release before send none; behind them such an answer counts as cut, as until now.

--- a/rhubarblock/exchange/connection.py
+++ b/rhubarblock/exchange/connection.py
@@ -21,6 +21,7 @@
       expected_id: id that the answer to the current request echoes.
       was_reset: whether the connection ended with an error.
       is_relayed: whether a peer forwards it.
+      was_closed: whether the endpoint is known to have closed it regularly.
     """
 
     # Parameter of Keep-Alive with an endpoint's idle timeout in seconds.
@@ -34,6 +35,10 @@
         super().__init__(loop)
         self._attempt_header = attempt_header
         self.is_relayed = False
+        self.was_closed = False
+        self._end_mark = b""
+        # Bytes that may be the start of the end mark.
+        self._held = b""
         self._paths: endpoint_paths.ServicePaths | None = None
         self.expected_id = ""
         self.was_reset = False
@@ -55,18 +60,25 @@
         """Reports what the connection receives to the paths that it uses."""
         self._paths = paths
 
-    def set_relayed(self) -> None:
+    def set_relayed(self, end_mark: bytes = b"") -> None:
         """Marks a connection that a peer forwards.
 
         It serves one request: the peer could not stop without closing a kept
         connection on which a request may be on its way.
+
+        Args:
+          end_mark: what the peer sends once the endpoint has closed.
         """
         self.is_relayed = True
+        self._end_mark = end_mark
         self.force_close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         if exc is not None:
             self.was_reset = True
+        if self._held:
+            super().data_received(self._held)
+            self._held = b""
         super().connection_lost(exc)
 
     async def read(self) -> Any:
@@ -84,7 +96,25 @@
         self._used_s = self._loop.time()
         if self._paths is not None:
             self._paths.note_received()
-        super().data_received(data)
+        if self._end_mark:
+            data = self._take_end_mark(self._held + data)
+        if data:
+            super().data_received(data)
+
+    def _take_end_mark(self, data: bytes) -> bytes:
+        """Returns data without the end mark or what may be its start."""
+        mark = self._end_mark
+        if data.endswith(mark):
+            self._held = b""
+            self.was_closed = True
+            return data.removesuffix(mark)
+        size = next(
+            size
+            for size in range(min(len(mark) - 1, len(data)), -1, -1)
+            if data.endswith(mark[:size])
+        )
+        self._held = data[len(data) - size :]
+        return data[: len(data) - size]
 
     def _note_idle_time(self, text: str) -> None:
         found = self._IDLE_TIME.search(text)
--- /dev/null
+++ b/rhubarblock/exchange/connection_test.py
@@ -0,0 +1,60 @@
+import asyncio
+import random
+
+from aiohttp import client_proto
+import pytest
+
+from rhubarblock.exchange import connection as connections
+from rhubarblock.exchange.tunnels import wire
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_end_mark_is_taken_off_however_it_arrives(seed, monkeypatch):
+    rng = random.Random(seed)
+    received = []
+    monkeypatch.setattr(
+        client_proto.ResponseHandler,
+        "data_received",
+        lambda protocol, data: received.append(data),
+    )
+    mark = wire.make_end_mark(rng)
+    # The answer contains starts of the mark itself.
+    body = b"id: 1\n\n" + mark[:5] + rng.randbytes(50) + mark[:1]
+    data = body + mark
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        protocol = connections.EndpointProtocol(loop, "X-Id")
+        protocol.set_relayed(mark)
+        at = 0
+        while at < len(data):
+            size = rng.randint(1, 12)
+            protocol.data_received(data[at : at + size])
+            at += size
+        return protocol.was_closed
+
+    assert asyncio.run(main())
+    assert b"".join(received) == body
+
+
+def test_start_of_an_end_mark_belongs_to_an_answer_that_ends_there(
+    monkeypatch,
+):
+    received = []
+    monkeypatch.setattr(
+        client_proto.ResponseHandler,
+        "data_received",
+        lambda protocol, data: received.append(data),
+    )
+    mark = wire.make_end_mark(random.Random(1))
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        protocol = connections.EndpointProtocol(loop, "X-Id")
+        protocol.set_relayed(mark)
+        protocol.data_received(b"body" + mark[:3])
+        protocol.connection_lost(None)
+        return protocol.was_closed
+
+    assert not asyncio.run(main())
+    assert b"".join(received) == b"body" + mark[:3]
--- a/rhubarblock/exchange/connector.py
+++ b/rhubarblock/exchange/connector.py
@@ -112,7 +112,7 @@
             ) from error
         assert isinstance(protocol, connections.EndpointProtocol)
         if opened.peer:
-            protocol.set_relayed()
+            protocol.set_relayed(opened.end_mark)
             _logger.debug(
                 "connected through a peer",
                 extra={
--- a/rhubarblock/exchange/dialer.py
+++ b/rhubarblock/exchange/dialer.py
@@ -41,10 +41,13 @@
     Attributes:
       sock: socket that leads to the endpoint.
       peer: name of the peer that forwards it; empty if it is direct.
+      end_mark: bytes with which the peer ends a connection that the endpoint
+        closed.
     """
 
     sock: socket.socket
     peer: str = ""
+    end_mark: bytes = b""
 
 
 class Detours(abc.ABC):
--- a/rhubarblock/exchange/transport.py
+++ b/rhubarblock/exchange/transport.py
@@ -156,7 +156,9 @@
         if not isinstance(response, EndpointResponse):
             return False
         protocol = response.endpoint_protocol
-        if protocol is None or not (protocol.was_reset or protocol.is_relayed):
+        if protocol is None or protocol.was_closed:
+            return False
+        if not (protocol.was_reset or protocol.is_relayed):
             return False
         framed = response.content_length is not None or (
             "Transfer-Encoding" in response.headers
--- a/rhubarblock/exchange/tunnels/client.py
+++ b/rhubarblock/exchange/tunnels/client.py
@@ -143,7 +143,8 @@
         sock: socket.socket | None = None
         try:
             sock = await sockets.connect(*peer_address, source=self._source)
-            reply = await _request_tunnel(sock, address)
+            end_mark = wire.make_end_mark(self._rng)
+            reply = await _request_tunnel(sock, address, end_mark)
             if reply is not wire.Reply.OPENED:
                 raise TunnelError(reply is wire.Reply.UNREACHABLE)
         except BaseException as error:
@@ -153,7 +154,8 @@
             raise
         self._backoffs.pop(peer_address, None)
         peer = self._peers.find(peer_address)
-        return dialers.Opened(sock, peer.instance_id if peer else "")
+        name = peer.instance_id if peer else ""
+        return dialers.Opened(sock, name, end_mark)
 
     def _note_error(
         self,
@@ -178,10 +180,12 @@
         backoff.until_s = now_s + backoff.length_s
 
 
-async def _request_tunnel(sock: socket.socket, address: str) -> wire.Reply:
+async def _request_tunnel(
+    sock: socket.socket, address: str, end_mark: bytes
+) -> wire.Reply:
     """Sends the request for a tunnel and returns the answer."""
     loop = asyncio.get_running_loop()
-    await loop.sock_sendall(sock, wire.encode_request(address))
+    await loop.sock_sendall(sock, wire.encode_request(address, end_mark))
     head = b""
     while not head.endswith(wire.HEAD_END):
         data = await loop.sock_recv(sock, wire.MAX_HEAD_BYTES)
--- a/rhubarblock/exchange/tunnels/server.py
+++ b/rhubarblock/exchange/tunnels/server.py
@@ -120,6 +120,7 @@
         """Connects a tunnel to its endpoint."""
         try:
             host, port = wire.decode_request(head)
+            tunnel.end_mark = wire.read_end_mark(head)
         except ValueError:
             return wire.Reply.FORBIDDEN
         address = f"{host}:{port}"
@@ -162,9 +163,10 @@
     Attributes:
       endpoint_end: the connection to the endpoint.
       peer_end: the connection of the peer.
+      end_mark: sent to the peer after the endpoint closed regularly.
     """
 
-    __slots__ = ("_on_end", "endpoint_end", "peer_end")
+    __slots__ = ("_on_end", "end_mark", "endpoint_end", "peer_end")
 
     def __init__(self, on_end: Callable[["Tunnel"], None]):
         """Creates a tunnel whose connections are not open yet.
@@ -173,6 +175,7 @@
           on_end: called with the tunnel when it has closed.
         """
         self._on_end = on_end
+        self.end_mark = b""
         self.endpoint_end = _End(self)
         self.peer_end = _End(self)
 
@@ -197,6 +200,7 @@
         other = self.find_other(end)
         if other.transport is not None:
             if end is self.endpoint_end and error is None:
+                other.transport.write(self.end_mark)
                 other.transport.close()
             else:
                 other.transport.abort()
