Let the soak send requests that share a poisoned prompt part

In the calm time requests with one part, no two alike, come 5 a second for 7 s at all instances and crash each endpoint that answers them. The check is the users' rule.

--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -15,6 +15,7 @@
 from tools.soak import evidence as evidences
 from tools.soak import leavewatch
 from tools.soak import pace as paces
+from tools.soak import poison
 from tools.soak import proxy as proxies
 from tools.soak import ratewatch
 from tools.soak import store as stores
@@ -192,6 +193,13 @@
             answer[names.NOT_EXECUTED] = "1"
             return web.Response(status=503, headers=answer)
         await request.read()
+        return await self._run(request, answer, request_id)
+
+    async def _run(
+        self, request: web.BaseRequest, answer: dict[str, str], request_id: str
+    ) -> web.StreamResponse:
+        if poison.is_poisoned(request.headers.get(names.PROMPT_PREFIX, "")):
+            return await self._crash_under(request, answer)
         self._evidence.note_run(request_id, self.id)
         self._evidence.check_revoked(request_id, self._revoke_s)
         answer[names.SEAL] = self.rate.announcement_id
@@ -204,6 +212,23 @@
             return web.Response()
         return web.Response(text=f"answer to {request_id}", headers=answer)
 
+    async def _crash_under(
+        self, request: web.BaseRequest, answer: dict[str, str]
+    ) -> web.StreamResponse:
+        """Crashes once an answer on a poisoned part has begun."""
+        self._evidence.poison_arrivals_s.append(evidences.read_clock())
+        answer[names.SEAL] = "poisoned"
+        response = web.StreamResponse(headers=answer)
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        await response.write(b"id: ")
+        await asyncio.sleep(poison.CRASH_S)
+        if not self._ended.is_set():
+            self._evidence.poison_crashes_s.append(evidences.read_clock())
+            self.end("crash")
+        self._reset_connection(request)
+        return response
+
     async def _stream(
         self, request: web.BaseRequest, answer: dict[str, str], request_id: str
     ) -> web.StreamResponse:
--- a/tools/soak/evidence.py
+++ b/tools/soak/evidence.py
@@ -52,6 +52,8 @@
     Attributes:
       sent: all requests, by id.
       runs: ids of the endpoints that ran a request, by request id.
+      poison_arrivals_s: when requests with a poisoned part reached endpoints.
+      poison_crashes_s: when endpoints crashed under them.
       key_revoked_s: when the store acknowledged the removal of a key, by key.
       key_refused_s: when a process first refused a key, by process id and key.
       limit_forwarded_s: when a process first forwarded an endpoint's rate
@@ -89,6 +91,8 @@
     calm_since_s: float | None = None
     max_stall_s: float = 0.0
     violations: list[str] = dataclasses.field(default_factory=list)
+    poison_arrivals_s: list[float] = dataclasses.field(default_factory=list)
+    poison_crashes_s: list[float] = dataclasses.field(default_factory=list)
 
     async def watch_stalls(self) -> None:
         """Measures the longest stall of the event loop, until cancelled."""
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -22,6 +22,7 @@
 from tools.soak import keepalivecallers
 from tools.soak import partitions
 from tools.soak import plannedstops
+from tools.soak import poison
 from tools.soak import proxy as proxies
 from tools.soak import restore
 from tools.soak import store as stores
@@ -106,6 +107,9 @@
             async with self.operator.evacuate(chosen):
                 await asyncio.sleep(SETTLE_S)
                 await partitions.run(self.instances, self.evidence, self.rng)
+                await poison.run(
+                    self.instances, self.keys[0], self.evidence, self.rng
+                )
                 self.evidence.calm_since_s = evidences.read_clock()
                 self._start_keep_alive_callers()
                 await self._run_planned_work(SERVICES[0])
@@ -460,8 +464,10 @@
         served = evidence.count(200)
         click.echo(
             f"seed {seed}: {len(evidence.sent)} sent, {served} served, "
-            f"{len(evidence.violations)} violations; the event loop of the "
-            f"soak stalled for {evidence.max_stall_s:.2f} s at most"
+            f"{len(evidence.violations)} violations; "
+            f"{len(evidence.poison_crashes_s)} endpoints poisoned by "
+            f"{len(evidence.poison_arrivals_s)} requests; the event loop of "
+            f"the soak stalled for {evidence.max_stall_s:.2f} s at most"
         )
         for violation in evidence.violations:
             click.echo(f"  {violation}")
