Find what may crash engines sooner, and end it

Cause of what was left: while a part is being found, requests with it were sent again at once, and those at engines ran on. A broken request that may be the cause now waits for the probe, 0.05 s at most, and what is quarantined and has begun less than 0.5 s ago is ended. A quarantine that a peer found explains the crashes known here, so that sound requests which a part cut twice are released.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -231,7 +231,7 @@
         relay = await self._open_relay(
             stack, updates, limits, limit_peers, cold_starts, quarantine
         )
-        await self._listen(stack, relay, updates)
+        await self._listen(stack, relay, updates, quarantine)
         self._quarantine_store = quarantinestore.QuarantineStore(
             store,
             quarantine,
@@ -523,6 +523,7 @@
         stack: contextlib.AsyncExitStack,
         relay: relays.ExchangeRelay,
         updates: peer_updates.PeerUpdates,
+        quarantine: quarantines.ExchangeQuarantine,
     ) -> None:
         """Opens the listeners for callers, readiness, peers and metrics."""
         settings = self.settings
@@ -556,6 +557,7 @@
             self.timers,
             self.metrics,
             self.state.evacuations,
+            quarantine,
         )
         self._callers = await stack.enter_async_context(
             listeners.open_listener(
--- a/rhubarblock/daemon/poisonedpart_test.py
+++ b/rhubarblock/daemon/poisonedpart_test.py
@@ -11,6 +11,7 @@
 from rhubarblock.core import route as routes
 from rhubarblock.daemon import partition_test as fleetfixtures
 from rhubarblock.daemon import plannedstop
+from rhubarblock.daemon import statuspages
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.exchange import quarantinestore
 from rhubarblock.platform import names
@@ -206,6 +207,11 @@
             before = fleet.poisoned
             new = len(fleet.fleet.instances) - 1
             refused = await fleet.ask(SHARED, POISONED, instance=new)
-            return fleet.poisoned - before, refused
-
-    assert asyncio.run(main()) == (0, 503)
+            settings = fleet.fleet.instances[new].settings
+            url = f"http://{settings.metrics}{statuspages.STATUS_PATH}"
+            async with fleet.fleet.session.get(url) as answer:
+                status = await answer.json()
+            listed = [entry["digest"] for entry in status["quarantines"]]
+            return fleet.poisoned - before, refused, listed
+
+    assert asyncio.run(main()) == (0, 503, [f"desk/{POISONED}"])
--- a/rhubarblock/daemon/statuspages.py
+++ b/rhubarblock/daemon/statuspages.py
@@ -3,6 +3,7 @@
 from aiohttp import web
 
 from rhubarblock.admin import status as statuses
+from rhubarblock.exchange import quarantine as quarantines
 from rhubarblock.exchange.state import configlease as config_leases
 from rhubarblock.exchange.state import evacuationreplica
 from rhubarblock.kernel import exposition
@@ -26,6 +27,7 @@
         "_evacuations",
         "_lifecycle",
         "_metrics",
+        "_quarantine",
         "_settings",
         "_timers",
     )
@@ -39,6 +41,7 @@
         timers: timer_service.LoopTimers,
         metrics: metric_store.Metrics,
         evacuations: evacuationreplica.EvacuationReplica | None = None,
+        quarantine: quarantines.ExchangeQuarantine | None = None,
     ):
         """Creates the pages of one instance.
 
@@ -50,7 +53,9 @@
           timers: timer service, for its count of wake-ups.
           metrics: counters to report.
           evacuations: the evacuated data centres, None without evacuations.
+          quarantine: what crashes endpoints, None without it.
         """
+        self._quarantine = quarantine
         self._settings = settings
         self._evacuations = evacuations
         self._lifecycle = lifecycle
@@ -113,6 +118,12 @@
                     self._lifecycle.in_flight,
                 ),
             ),
+            quarantines=tuple(
+                statuses.QuarantineStatus(name, "", crashes, round(left_s, 1))
+                for name, crashes, left_s in (
+                    self._quarantine.describe() if self._quarantine else ()
+                )
+            ),
             evacuations=tuple(
                 statuses.EvacuationStatus(name, age_s)
                 for name, age_s in evacuated.items()
--- a/rhubarblock/exchange/connection.py
+++ b/rhubarblock/exchange/connection.py
@@ -96,10 +96,12 @@
         self._used_s = self._loop.time()
         if self._paths is not None:
             self._paths.note_received()
-        if self._end_mark:
+        if self._end_mark and data:
             data = self._take_end_mark(self._held + data)
-        if data:
-            super().data_received(data)
+            if not data:
+                return
+        # aiohttp passes no data to resume what it has paused.
+        super().data_received(data)
 
     def _take_end_mark(self, data: bytes) -> bytes:
         """Returns data without the end mark or what may be its start."""
--- a/rhubarblock/exchange/connection_test.py
+++ b/rhubarblock/exchange/connection_test.py
@@ -37,6 +37,25 @@
     assert b"".join(received) == body
 
 
+@pytest.mark.parametrize("mark", [b"", b"m" * wire.END_MARK_BYTES])
+def test_resumption_without_data_reaches_aiohttp(mark, monkeypatch):
+    received = []
+    monkeypatch.setattr(
+        client_proto.ResponseHandler,
+        "data_received",
+        lambda protocol, data: received.append(data),
+    )
+
+    async def main():
+        loop = asyncio.get_running_loop()
+        protocol = connections.EndpointProtocol(loop, "X-Id")
+        protocol.set_relayed(mark)
+        protocol.data_received(b"")
+
+    asyncio.run(main())
+    assert received == [b""]
+
+
 def test_start_of_an_end_mark_belongs_to_an_answer_that_ends_there(
     monkeypatch,
 ):
--- a/rhubarblock/exchange/crashes.py
+++ b/rhubarblock/exchange/crashes.py
@@ -23,6 +23,12 @@
 
 # Timeout of a probe in seconds.
 PROBE_TIMEOUT_S = 0.3
+# Longest wait in seconds of a broken request for a probe. A crash shows sooner;
+# an endpoint that is silent must not delay the next attempt.
+CRASH_WAIT_S = 0.05
+# Seconds from the begin of an answer within which the request that causes a
+# crash does so.
+CRASH_LAG_S = 0.5
 
 _logger = logging.getLogger(__name__)
 
@@ -84,6 +90,15 @@
             return True
         return now_s - self.begun_s <= quarantineregistry.YOUNG_S
 
+    def threatens(self, now_s: float) -> bool:
+        """Returns whether it would crash its engine if it were the cause.
+
+        Engines drop a request whose connection closes; plain services may not.
+        """
+        if self.is_trial or not self.exchange.prompt_parts:
+            return False
+        return self.begun_s is None or now_s - self.begun_s <= CRASH_LAG_S
+
 
 class CrashDetector:
     """Tracks what runs at each endpoint and notices which endpoints crash."""
@@ -144,14 +159,30 @@
             if not started:
                 self._running.pop(endpoint.endpoint_id, None)
 
-    def note_broken(self, endpoint: lists.ListedEndpoint) -> None:
+    async def find_crash(
+        self, endpoint: lists.ListedEndpoint, running: Running
+    ) -> None:
         """Starts a probe that finds out whether an endpoint crashed.
 
-        Must be called while the broken exchange is still tracked as running.
-        An endpoint of an evacuated data centre is not probed.
+        Waits for it if the broken exchange may be the cause, so that it is not
+        sent again, here or by its caller, before that is known.
+
+        Args:
+          endpoint: the endpoint; one of an evacuated data centre is not probed.
+          running: the broken exchange, still tracked.
         """
+        now_s = self._timers.read_monotonic()
+        probing = self.note_broken(endpoint)
+        repeatable = running.exchange.route.repeatable
+        if probing is not None and repeatable and running.may_crash(now_s):
+            await asyncio.wait({probing}, timeout=CRASH_WAIT_S)
+
+    def note_broken(
+        self, endpoint: lists.ListedEndpoint
+    ) -> asyncio.Task[None] | None:
+        """Starts a probe and returns its task, None if there is none."""
         if self._is_evacuated(endpoint.data_centre):
-            return
+            return None
         now_s = self._timers.read_monotonic()
         started = self._running.get(endpoint.endpoint_id, ())
         ages = {r.digest: now_s - r.sent_s for r in started}
@@ -165,16 +196,18 @@
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     def _abandon_quarantined(self) -> None:
-        """Ends what is quarantined now and has not begun to be answered."""
-        waiting = [
+        """Ends what is quarantined now, unless its endpoint outlived it."""
+        now_s = self._timers.read_monotonic()
+        threatening = [
             running
             for started in self._running.values()
             for running in started
-            if running.begun_s is None and not running.is_trial
+            if running.threatens(now_s)
         ]
-        for running in waiting:
+        for running in threatening:
             if self._quarantine.is_quarantined(running.exchange):
                 running.abandon()
 
--- a/rhubarblock/exchange/crashes_test.py
+++ b/rhubarblock/exchange/crashes_test.py
@@ -14,6 +14,7 @@
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.kernel import virtualloop
+from rhubarblock.routing.quarantine import partregistry
 
 
 class GroupPeers(quarantines.QuarantinePeers):
@@ -120,6 +121,102 @@
     assert line.concluded == ["isolate", "isolate"]
 
 
+def test_request_cut_by_a_poisoned_part_twice_is_not_quarantined():
+    async def main():
+        first, second, third = make_detectors(3)
+        innocent = fakes.make_exchange(digest="i" * 32)
+        for number, detector in ((1, first), (2, second)):
+            poisoned = fakes.make_exchange(
+                digest=f"{number}" * 32, prompt_parts=("bad",)
+            )
+            endpoint = fakes.make_endpoint(number)
+            with detector.note_running(innocent, endpoint):
+                await run_and_crash(detector, poisoned, number)
+            await asyncio.sleep(3.0)
+        for detector in (first, second, third):
+            detector.check(innocent)
+            with pytest.raises(failures.FailureError) as raised:
+                detector.check(
+                    fakes.make_exchange(
+                        digest="3" * 32, prompt_parts=("bad", "5c")
+                    )
+                )
+        return raised.value.failure
+
+    failure = virtualloop.run(main())
+    assert failure.http_status == 503
+    # No other time would help the caller.
+    assert failure.retry_after_s is None
+
+
+def test_part_that_is_answered_anywhere_is_let_go_everywhere():
+    async def main():
+        first, second, third = make_detectors(3)
+        requests = [
+            fakes.make_exchange(digest=f"{n}" * 32, prompt_parts=("91",))
+            for n in range(4)
+        ]
+        await run_and_crash(first, requests[0], 1)
+        with third.note_running(requests[2], fakes.make_endpoint(3)):
+            await asyncio.sleep(1.0)
+            await run_and_crash(second, requests[1], 2)
+            with pytest.raises(failures.FailureError):
+                first.check(requests[3])
+        third.note_served(requests[2])
+        for detector in (first, second, third):
+            detector.check(requests[3])
+
+    virtualloop.run(main())
+
+
+def test_request_that_waits_is_abandoned_when_its_part_is_quarantined():
+    async def main():
+        first, second = make_detectors(2)
+        requests = [
+            fakes.make_exchange(digest=f"{n}" * 32, prompt_parts=("bad",))
+            for n in range(4)
+        ]
+        abandoned = []
+        with (
+            second.note_running(requests[2], fakes.make_endpoint(3)) as waiting,
+            second.note_running(requests[3], fakes.make_endpoint(4)) as begun,
+        ):
+            waiting.abandon = lambda: abandoned.append("waiting")
+            begun.abandon = lambda: abandoned.append("begun")
+            begun.begun_s = asyncio.get_running_loop().time()
+            await run_and_crash(first, requests[0], 1)
+            await asyncio.sleep(1.0)
+            await run_and_crash(first, requests[1], 2)
+        return abandoned
+
+    assert virtualloop.run(main()) == ["waiting"]
+
+
+def test_quarantined_part_is_tried_once_by_one_instance():
+    async def main():
+        first, second = make_detectors(2)
+        requests = [
+            fakes.make_exchange(digest=f"{n}" * 32, prompt_parts=("bad",))
+            for n in range(5)
+        ]
+        for number in range(2):
+            await run_and_crash(first, requests[number], number)
+            await asyncio.sleep(3.0)
+        await asyncio.sleep(partregistry.TRIAL_S)
+        with pytest.raises(failures.FailureError):
+            second.check(requests[2])
+        assert first.check(requests[2])
+        with pytest.raises(failures.FailureError):
+            first.check(requests[3])
+        await run_and_crash(first, requests[2], 5)
+        await asyncio.sleep(1.5 * partregistry.TRIAL_S)
+        for detector in (first, second):
+            with pytest.raises(failures.FailureError):
+                detector.check(requests[4])
+
+    virtualloop.run(main())
+
+
 def test_innocent_request_at_the_same_endpoint_is_not_quarantined():
     async def main():
         first, second = make_detectors(2)
--- a/rhubarblock/exchange/quarantine.py
+++ b/rhubarblock/exchange/quarantine.py
@@ -75,7 +75,7 @@
     """The quarantine of one instance.
 
     Attributes:
-      on_found: called when parts have been quarantined.
+      on_found: called when requests or parts have been quarantined.
       on_changed: called when the quarantines may have changed.
     """
 
@@ -215,9 +215,11 @@
     ) -> None:
         """Records which requests ran at an endpoint that crashed."""
         now_s = self._timers.read_monotonic()
-        self._requests.add_crash(endpoint_id, ages, now_s)
+        facts = self._requests.add_crash(endpoint_id, ages, now_s)
         if self._parts.is_explained(endpoint_id, now_s):
             self._requests.explain([endpoint_id], now_s)
+        elif facts.quarantined:
+            self.on_found()
         self.on_changed()
 
     def receive_part_crash(
@@ -287,6 +289,24 @@
             tuple(self._requests.list_quarantined(now_s)),
         )
 
+    def describe(self) -> list[tuple[str, int, float]]:
+        """Returns names of the quarantines, crashes, and seconds left of each.
+
+        The time left of quarantined parts is that until they may be tried.
+        """
+        now_s = self._timers.read_monotonic()
+        records = self.list_records()
+        return [
+            *(
+                ("+".join(sorted(q.parts)), q.crashes, q.trial_due_s - now_s)
+                for q in records.parts
+            ),
+            *(
+                (r.digest, r.crashes, r.until_s - now_s)
+                for r in records.requests
+            ),
+        ]
+
     def receive_records(self, records: Records) -> None:
         """Merges quarantines of peers or of the store."""
         now_s = self._timers.read_monotonic()
@@ -296,9 +316,14 @@
             if (merged := self._parts.merge_quarantine(quarantine)) is not None
         ]
         for quarantine in added:
+            endpoint_ids = self._parts.explain(quarantine)
+            self._requests.explain(endpoint_ids, now_s)
             _logger.warning(
                 "prompt parts quarantined by a peer",
-                extra=self._describe(quarantine),
+                extra={
+                    **self._describe(quarantine),
+                    "endpoints": sorted(endpoint_ids),
+                },
             )
         if records.requests:
             facts = quarantineregistry.Facts(quarantined=list(records.requests))
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -356,7 +356,9 @@
                 raise
             except transports.AttemptError as error:
                 if error.failure.verdict is not verdicts.Verdict.NOT_RUN:
-                    self._crashes.note_broken(placement.endpoint)
+                    await self._crashes.find_crash(
+                        placement.endpoint, flow.running
+                    )
                 raise
 
     async def _may_retry(
--- a/rhubarblock/loganalysis/causes.py
+++ b/rhubarblock/loganalysis/causes.py
@@ -52,6 +52,8 @@
     SATURATED: admission refused it, as its placement would cost too much.
     PARTITIONED: neither the instance nor a peer reached an endpoint, or the
       path was lost while the request was under way.
+    CRASHING: it, or a part of its prompt, is quarantined for the endpoints that
+      crashed under it.
     NO_ROOM: no endpoint had room for it; it may have waited for one.
     RATE_LIMITED: the endpoints' rate limits were exhausted.
     STOPPING: the instance was about to stop and might have cut it.
@@ -78,6 +80,7 @@
     TOO_LATE = "it could not be answered in its time"
     SATURATED = "others would have lost more than it gained"
     PARTITIONED = "the instance was partitioned from the endpoints"
+    CRASHING = "it or a part of its prompt crashed endpoints"
     NO_ROOM = "no endpoint had room"
     RATE_LIMITED = "endpoints' rate limits left no room"
     STOPPING = "the instance was about to stop"
@@ -112,6 +115,7 @@
     ("others would lose more", Cause.SATURATED),
     ("of its service is reached", Cause.PARTITIONED),
     ("path to the endpoint was lost", Cause.PARTITIONED),
+    ("this one crash", Cause.CRASHING),
     ("no endpoint has room", Cause.NO_ROOM),
     ("rate limits of endpoints", Cause.RATE_LIMITED),
     ("before this instance stops", Cause.STOPPING),
--- a/rhubarblock/routing/quarantine/partregistry.py
+++ b/rhubarblock/routing/quarantine/partregistry.py
@@ -265,6 +265,21 @@
         known.shared_s = max(known.shared_s, other.shared_s)
         return None
 
+    def explain(self, quarantine: Quarantine) -> frozenset[str]:
+        """Explains earlier crashes by a quarantine that a peer found.
+
+        Returns:
+          The endpoints whose crashes it explains.
+        """
+        endpoint_ids = set()
+        for crash in self._crashes:
+            if any(
+                quarantine.parts <= parts for parts in crash.requests.values()
+            ):
+                crash.is_explained = True
+                endpoint_ids.add(crash.endpoint_id)
+        return frozenset(endpoint_ids)
+
     def begin_trial(self, quarantine: Quarantine, now_s: float) -> None:
         """Records that one request may try quarantined parts now."""
         quarantine.at_s = now_s
--- a/rhubarblock/scripts/measure.py
+++ b/rhubarblock/scripts/measure.py
@@ -14,6 +14,7 @@
 from rhubarblock.experiments import mixed
 from rhubarblock.experiments import neighbour
 from rhubarblock.experiments import quarantine
+from rhubarblock.experiments import quarantineparts
 from rhubarblock.experiments import retrystorm
 from rhubarblock.experiments import simulation
 from rhubarblock.experiments.endpointlimits import fleet as limitfleet
@@ -385,14 +386,25 @@
 
 
 @measure_group.command("quarantine")
+@click.option(
+    "--cause",
+    type=click.Choice(["request", "part"]),
+    default="request",
+    show_default=True,
+    help="What crashes endpoints: a request, or a part that prompts share.",
+)
 @seed_option
 @json_option
-def quarantine_command(seed: int, as_json: bool) -> None:
-    """Measures the quarantine of a request that crashes endpoints.
+def quarantine_command(cause: str, seed: int, as_json: bool) -> None:
+    """Measures the quarantine of what crashes endpoints.
 
-    Its caller retries it at once.
+    The caller of a request retries it at once; requests that share a part come
+    all the time and are all different.
     """
-    print_result(quarantine.measure(seed), as_json)
+    if cause == "part":
+        print_result(quarantineparts.measure(seed), as_json)
+    else:
+        print_result(quarantine.measure(seed), as_json)
 
 
 @measure_group.command("retry-storm")
