--- a/rhubarblock/routing/quarantine/partregistry.py
+++ b/rhubarblock/routing/quarantine/partregistry.py
@@ -72,6 +72,12 @@
     requests: dict[str, Parts]
     is_explained: bool = False
 
+    def falls_under(self, quarantine: "Quarantine") -> bool:
+        """Returns whether quarantined parts may be its cause."""
+        return any(
+            quarantine.parts <= parts for parts in self.requests.values()
+        )
+
 
 @dataclasses.dataclass(slots=True)
 class Quarantine:
@@ -273,9 +279,7 @@
         """
         endpoint_ids = set()
         for crash in self._crashes:
-            if any(
-                quarantine.parts <= parts for parts in crash.requests.values()
-            ):
+            if crash.falls_under(quarantine):
                 crash.is_explained = True
                 endpoint_ids.add(crash.endpoint_id)
         return frozenset(endpoint_ids)
@@ -333,7 +337,12 @@
         }
         for quarantine in causes.values():
             crash.is_explained = True
-            quarantine.crashes += 1
+            if quarantine.trials or crash.at_s - quarantine.at_s > SAME_CRASH_S:
+                quarantine.crashes += 1
+                continue
+            # The peer that found it may have counted this crash already.
+            explained = sum(c.falls_under(quarantine) for c in self._crashes)
+            quarantine.crashes = max(quarantine.crashes, explained)
         return list(causes.values())
 
     def _add_quarantine(self, cause: _Evidence, now_s: float) -> Quarantine:
