--- a/rhubarblock/exchange/dialect.py
+++ b/rhubarblock/exchange/dialect.py
@@ -21,6 +21,10 @@
 # Maximum length of the name of a data centre, in characters; a host name has at
 # most 253.
 MAX_NAME_LENGTH = 255
+# Maximum number of parts of a prompt that are told apart, and of characters of
+# their ids.
+MAX_PROMPT_PARTS = 64
+MAX_PART_ID_LENGTH = 32
 # Characters of an invalid name that an error message shows.
 SHOWN_CHARACTERS = 40
 
@@ -49,6 +53,16 @@
     prompt_parts: tuple[str, ...] = ()
 
 
+def choose_prompt_parts(ids: Iterable[str]) -> tuple[str, ...]:
+    """Returns the parts of a prompt that are told apart, each once.
+
+    Args:
+      ids: ids of the parts as the caller names them.
+    """
+    valid = (part for part in ids if 0 < len(part) <= MAX_PART_ID_LENGTH)
+    return tuple(dict.fromkeys(valid))[:MAX_PROMPT_PARTS]
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Helper:
     """An engine that prefills a part of a prompt.
--- a/rhubarblock/platform/headercodec.py
+++ b/rhubarblock/platform/headercodec.py
@@ -14,11 +14,6 @@
 # Status with which an endpoint rejects a request addressed to another endpoint.
 MISDIRECTED = 421
 
-# Maximum number of parts of a prompt that are told apart, and of characters of
-# their ids.
-MAX_PROMPT_PARTS = 64
-MAX_PART_ID_LENGTH = 32
-
 _MS_PER_S = 1000.0
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 
@@ -216,9 +211,7 @@
         return ()
     wanted = names.PROMPT_PREFIX.lower()
     text = ",".join(v for n, v in fields.items() if n.lower() == wanted)
-    entries = text.split(",")[:-1]
-    ids = (entry.partition(":")[0].strip().lower() for entry in entries)
-    shared = dict.fromkeys(
-        part for part in ids if 0 < len(part) <= MAX_PART_ID_LENGTH
+    return dialects.choose_prompt_parts(
+        entry.partition(":")[0].strip().lower()
+        for entry in text.split(",")[:-1]
     )
-    return tuple(shared)[:MAX_PROMPT_PARTS]
--- a/rhubarblock/platform/headercodec_test.py
+++ b/rhubarblock/platform/headercodec_test.py
@@ -55,7 +55,7 @@
     text = ",".join(f"{number:x}:1" for number in range(1000))
     fields = CIMultiDict({names.PROMPT_PREFIX: text})
     parts = headercodec.read_caller(fields).prompt_parts
-    assert len(parts) == headercodec.MAX_PROMPT_PARTS
+    assert len(parts) == dialects.MAX_PROMPT_PARTS
 
 
 def test_key_and_reserved_fields_of_a_caller_are_not_forwarded():
