--- a/rhubarblock/routing/quarantine/partregistry.py
+++ b/rhubarblock/routing/quarantine/partregistry.py
@@ -152,7 +152,13 @@
 class PartRegistry:
     """Crashes, answered parts and quarantined parts."""
 
-    __slots__ = ("_crashes", "_lifted", "_quarantines", "_served")
+    __slots__ = (
+        "_crashes",
+        "_lifted",
+        "_quarantines",
+        "_served",
+        "_suspects",
+    )
 
     def __init__(self) -> None:
         self._crashes: list[Crash] = []
@@ -161,6 +167,9 @@
         # The same for parts that were quarantined, for longer.
         self._lifted: dict[str, float] = {}
         self._quarantines: dict[Parts, Quarantine] = {}
+        # The parts of crashes without a cause that no answer has cleared, and
+        # the latest such crash of each.
+        self._suspects: dict[str, float] = {}
 
     def find(self, parts: Iterable[str]) -> Quarantine | None:
         """Returns the quarantine that a prompt falls under, or None."""
@@ -178,14 +187,7 @@
 
     def list_suspects(self) -> frozenset[str]:
         """Returns the parts of crashes without a cause, answered ones not."""
-        return frozenset(
-            part
-            for crash in self._crashes
-            if not crash.is_explained
-            for parts in crash.requests.values()
-            for part in parts
-            if self._read_served(part) < crash.at_s
-        )
+        return frozenset(self._suspects)
 
     def find_served(self, parts: Iterable[str]) -> dict[str, float]:
         """Returns when answers on some parts last ended, if any did."""
@@ -214,6 +216,7 @@
         while (cause := self._find_cause(mentioned)) is not None:
             found.append(self._add_quarantine(cause, now_s))
             endpoint_ids |= {c.endpoint_id for c in cause.crashes}
+        self._update_suspects()
         return Findings(found, renewed, frozenset(endpoint_ids))
 
     def is_explained(self, endpoint_id: str, now_s: float) -> bool:
@@ -231,8 +234,7 @@
           quarantines that end.
         """
         present = list(parts)
-        suspects = self.list_suspects() if self._crashes else frozenset()
-        cleared = {part: now_s for part in present if part in suspects}
+        cleared = {part: now_s for part in present if part in self._suspects}
         lifted = self.merge_served(dict.fromkeys(present, now_s))
         for quarantine in lifted:
             cleared |= {p: now_s for p in present if p in quarantine.parts}
@@ -244,6 +246,8 @@
             if at_s >= self._served.get(part, -math.inf):
                 self._served.pop(part, None)
                 self._served[part] = at_s
+            if at_s >= self._suspects.get(part, math.inf):
+                del self._suspects[part]
         _drop_first(self._served, MAX_SERVED)
         return self._lift(served)
 
@@ -282,6 +286,7 @@
             if crash.falls_under(quarantine):
                 crash.is_explained = True
                 endpoint_ids.add(crash.endpoint_id)
+        self._update_suspects()
         return frozenset(endpoint_ids)
 
     def begin_trial(self, quarantine: Quarantine, now_s: float) -> None:
@@ -319,6 +324,16 @@
             dropped = {id(crash) for crash in order[:surplus]}
             self._crashes = [c for c in self._crashes if id(c) not in dropped]
 
+    def _update_suspects(self) -> None:
+        self._suspects = {
+            part: crash.at_s
+            for crash in self._crashes
+            if not crash.is_explained
+            for parts in crash.requests.values()
+            for part in parts
+            if self._read_served(part) < crash.at_s
+        }
+
     def _read_served(self, part: str) -> float:
         """Returns when an answer on a part last ended, or minus infinity."""
         return max(
--- a/rhubarblock/routing/quarantine/partregistry_test.py
+++ b/rhubarblock/routing/quarantine/partregistry_test.py
@@ -113,6 +113,19 @@
     assert registry.find([TOPIC]) is None
 
 
+def test_part_is_suspect_from_a_crash_until_an_answer():
+    registry = Registry()
+    registry.crash(1.0, [SHARED, TOPIC])
+    assert registry.list_suspects() == {SHARED, TOPIC}
+    registry.merge_served({SHARED: 0.5})
+    assert registry.list_suspects() == {SHARED, TOPIC}
+    assert registry.note_served([SHARED], 1.5) == ({SHARED: 1.5}, [])
+    assert registry.list_suspects() == {TOPIC}
+    assert registry.note_served([SHARED], 1.6) == ({}, [])
+    registry.crash(2.0, [SHARED])
+    assert registry.list_suspects() == {SHARED, TOPIC}
+
+
 def test_crash_under_a_quarantined_part_is_explained_at_once():
     registry = Registry()
     registry.crash(1.0, [BAD])
