Leave ended attempts alone when their part is quarantined

While a broken request waited for the probe it was still tracked, and a quarantine that came meanwhile ended its attempt a second time: a RuntimeError in the probe's task, which lost the crash and what it explains. The test of it fails without the reset (the crash is not counted). An endpoint's own answer of failure is delivered also when the request is quarantined by then, as before. Requests that one crash breaks share one probe and one announcement.

--- a/rhubarblock/exchange/attempts.py
+++ b/rhubarblock/exchange/attempts.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 
 from rhubarblock.core import failure as failures
 from rhubarblock.core import listed as lists
@@ -181,15 +183,17 @@
         detector: stalls.StallDetector | None = None
         try:
             async with asyncio.timeout(None) as timeout:
-                with stalls.detect_stalls(
-                    timeout,
-                    lambda: self._placer.predict_prefill_end(
-                        placement, flow.sink.begun
-                    ),
-                    may_abandon,
-                    self._timers,
-                ) as detector:
-                    _let_quarantine_abandon(flow, detector)
+                with (
+                    stalls.detect_stalls(
+                        timeout,
+                        lambda: self._placer.predict_prefill_end(
+                            placement, flow.sink.begun
+                        ),
+                        may_abandon,
+                        self._timers,
+                    ) as detector,
+                    _let_quarantine_abandon(flow, detector),
+                ):
                     async with self._leases.hold(placement.held_leases):
                         await self._send_watched(flow, placement, detector)
         except TimeoutError:
@@ -353,11 +357,21 @@
     return b"".join(buffered)
 
 
+@contextlib.contextmanager
 def _let_quarantine_abandon(
     flow: flows.Flow, detector: stalls.StallDetector
-) -> None:
-    if flow.running is not None:
-        flow.running.abandon = lambda: detector.abandon(_Reason.QUARANTINED)
+) -> Iterator[None]:
+    """Lets a quarantine end the attempt while the context is open."""
+    running = flow.running
+    if running is None:
+        yield
+        return
+    running.abandon = lambda: detector.abandon(_Reason.QUARANTINED)
+    try:
+        yield
+    finally:
+        # It is tracked until it is known why it ended.
+        running.abandon = lambda: None
 
 
 def _check_refusal(answer: transports.Answer) -> None:
--- a/rhubarblock/exchange/crashes.py
+++ b/rhubarblock/exchange/crashes.py
@@ -106,9 +106,9 @@
     __slots__ = (
         "_has_crashed",
         "_is_evacuated",
+        "_probing",
         "_quarantine",
         "_running",
-        "_tasks",
         "_timers",
     )
 
@@ -133,7 +133,7 @@
         self._has_crashed = probe
         self._is_evacuated = is_evacuated
         self._running: dict[str, list[Running]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._probing: dict[str, asyncio.Task[None]] = {}
         quarantine.on_found = self._abandon_quarantined
 
     @contextlib.contextmanager
@@ -180,9 +180,15 @@
     def note_broken(
         self, endpoint: lists.ListedEndpoint
     ) -> asyncio.Task[None] | None:
-        """Starts a probe and returns its task, None if there is none."""
+        """Starts a probe and returns its task, None if there is none.
+
+        The requests that a crash breaks share one probe.
+        """
         if self._is_evacuated(endpoint.data_centre):
             return None
+        probing = self._probing.get(endpoint.endpoint_id)
+        if probing is not None:
+            return probing
         now_s = self._timers.read_monotonic()
         started = self._running.get(endpoint.endpoint_id, ())
         ages = {r.digest: now_s - r.sent_s for r in started}
@@ -194,8 +200,10 @@
         task = asyncio.ensure_future(
             self._probe_endpoint(endpoint, ages, requests)
         )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._probing[endpoint.endpoint_id] = task
+        task.add_done_callback(
+            lambda _: self._probing.pop(endpoint.endpoint_id)
+        )
         return task
 
     def _abandon_quarantined(self) -> None:
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -132,9 +132,9 @@
             flow.cursor.discard_partial_event()
             if await self._may_retry(flow, error):
                 continue
-            if self._quarantine.is_quarantined(flow.exchange):
-                raise _make_quarantine_error(flow)
             if failed is None or flow.sink.begun:
+                if self._quarantine.is_quarantined(flow.exchange):
+                    raise _make_quarantine_error(flow)
                 raise _make_final_error(flow, error.failure.message)
             await attempts.send_buffered(flow.sink, failed.answer, failed.body)
             return
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -12,8 +12,10 @@
 from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.exchange import flow as flows
+from rhubarblock.exchange import quarantine as quarantines
 from rhubarblock.exchange.peering import updates as peer_updates
 from rhubarblock.platform import names
+from rhubarblock.routing.quarantine import partregistry
 from rhubarblock.routing.retrylending import reserve as reserves
 
 ONCE = fakes.make_route(routes.RouteKind.NON_IDEMPOTENT)
@@ -335,6 +337,35 @@
     assert asyncio.run(main()) == 1
 
 
+def test_request_may_be_quarantined_while_its_endpoint_is_probed():
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(fakes.events(end=False))
+        async with fakes.open_parts(endpoint) as parts:
+            exchange = fakes.make_exchange(
+                fakes.make_route(routes.RouteKind.STREAMING),
+                prompt_parts=("bad",),
+            )
+
+            async def probe(address):
+                now_s = parts.timers.read_monotonic()
+                found = partregistry.Quarantine(
+                    frozenset(["desk/bad"]), now_s, 2
+                )
+                parts.quarantine.receive_records(quarantines.Records((found,)))
+                return True
+
+            parts.relay._crashes._has_crashed = probe
+            with pytest.raises(failures.FailureError) as raised:
+                await parts.relay.serve(exchange, fakes.MemorySink())
+            return (
+                raised.value.failure.http_status,
+                parts.metrics.counts["quarantine.crashes"],
+                len(endpoint.heads),
+            )
+
+    assert asyncio.run(main()) == (502, 1, 1)
+
+
 def test_quarantined_exchange_is_refused_without_an_attempt():
     async def main():
         endpoint = fakes.ScriptedEndpoint(fakes.whole())
