Name no prompt parts while nothing is quarantined, and find answers in one place

Each request named its parts with their service twice or more although nothing was quarantined; a check of the registry goes before it now. The two ways in which a crash arrives looked up the answers on its parts with the same lines; they share one function.

--- a/rhubarblock/exchange/dialect.py
+++ b/rhubarblock/exchange/dialect.py
@@ -21,8 +21,8 @@
 # Maximum length of the name of a data centre, in characters; a host name has at
 # most 253.
 MAX_NAME_LENGTH = 255
-# Maximum number of parts of a prompt that are told apart, and of characters of
-# their ids.
+# Maximum number of shared parts of a prompt that are identified, and maximum
+# length of their ids in characters.
 MAX_PROMPT_PARTS = 64
 MAX_PART_ID_LENGTH = 32
 # Characters of an invalid name that an error message shows.
@@ -54,7 +54,7 @@
 
 
 def choose_prompt_parts(ids: Iterable[str]) -> tuple[str, ...]:
-    """Returns the parts of a prompt that are told apart, each once.
+    """Returns the ids of shared parts within the limits, without duplicates.
 
     Args:
       ids: ids of the parts as the caller names them.
--- a/rhubarblock/exchange/peering/quarantineupdates.py
+++ b/rhubarblock/exchange/peering/quarantineupdates.py
@@ -19,7 +19,7 @@
 from rhubarblock.routing.quarantine import partregistry
 from rhubarblock.routing.quarantine import registry as quarantineregistry
 
-# Number of instances that tell a peer that has started what is quarantined.
+# Number of instances that send the quarantines to a peer that has started.
 INFORMANTS = 3
 # Largest number of quarantines in a datagram.
 RECORDS_PER_DATAGRAM = 16
--- a/rhubarblock/exchange/quarantine.py
+++ b/rhubarblock/exchange/quarantine.py
@@ -130,7 +130,7 @@
                     retry_after_s=RETRY_AFTER_S,
                 )
             )
-        found = self._parts.find(name_parts(exchange))
+        found = self._find_parts(exchange)
         if found is None:
             return False
         now_s = self._timers.read_monotonic()
@@ -150,7 +150,7 @@
         """Returns whether an exchange is quarantined."""
         return (
             self._is_quarantined_request(exchange)
-            or self._parts.find(name_parts(exchange)) is not None
+            or self._find_parts(exchange) is not None
         )
 
     def note_served(self, exchange: exchanges.Exchange) -> None:
@@ -163,10 +163,18 @@
         if not exchange.prompt_parts:
             return
         cleared, lifted = self._parts.note_served(name_parts(exchange), now_s)
-        self._log_lifted(lifted)
+        self._note_lifted(lifted)
         if cleared:
             self._peers.announce_served(dict.fromkeys(cleared, 0.0))
 
+    def _find_parts(
+        self, exchange: exchanges.Exchange
+    ) -> partregistry.Quarantine | None:
+        """Returns the quarantine that a prompt falls under, or None."""
+        if self._parts.is_empty:
+            return None
+        return self._parts.find(name_parts(exchange))
+
     def _is_quarantined_request(self, exchange: exchanges.Exchange) -> bool:
         now_s = self._timers.read_monotonic()
         digest = quarantineregistry.shorten(exchange.digest)
@@ -202,10 +210,7 @@
           requests: the named parts of those that may be its cause, by digest.
         """
         self._metrics.count("quarantine.crashes")
-        now_s = self._timers.read_monotonic()
-        mentioned = {part for parts in requests.values() for part in parts}
-        served = self._parts.find_served(mentioned)
-        served_ages = {part: now_s - at_s for part, at_s in served.items()}
+        served_ages = self._find_served_ages(_list_parts(requests))
         self._peers.announce_crash(endpoint_id, requests, served_ages, ages)
         self._merge_crash(endpoint_id, requests)
         self.receive_request_crash(endpoint_id, ages)
@@ -235,21 +240,26 @@
           peer knows of none.
         """
         self.receive_served(served_ages)
-        now_s = self._timers.read_monotonic()
-        mentioned = {part for parts in requests.values() for part in parts}
-        served = self._parts.find_served(mentioned - served_ages.keys())
+        unknown = _list_parts(requests) - served_ages.keys()
+        ages = self._find_served_ages(unknown)
         self._merge_crash(endpoint_id, requests)
-        return {part: now_s - at_s for part, at_s in served.items()}
+        return ages
 
     def receive_served(self, ages: Mapping[str, float]) -> None:
         """Records when answers on parts ended elsewhere, in seconds ago."""
         now_s = self._timers.read_monotonic()
-        self._log_lifted(
+        self._note_lifted(
             self._parts.merge_served(
                 {part: now_s - age_s for part, age_s in ages.items()}
             )
         )
 
+    def _find_served_ages(self, parts: Iterable[str]) -> dict[str, float]:
+        """Returns seconds since answers on some parts ended, if any did."""
+        now_s = self._timers.read_monotonic()
+        served = self._parts.find_served(parts)
+        return {part: now_s - at_s for part, at_s in served.items()}
+
     def decide_request(self, digest: str) -> str:
         """Returns what is concluded of a request, for logs."""
         now_s = self._timers.read_monotonic()
@@ -339,7 +349,7 @@
             quarantine.shared_s = now_s
         self._peers.announce_records(Records(shared))
 
-    def _log_lifted(self, lifted: list[partregistry.Quarantine]) -> None:
+    def _note_lifted(self, lifted: list[partregistry.Quarantine]) -> None:
         if lifted:
             self.on_changed()
         for quarantine in lifted:
@@ -371,5 +381,9 @@
     return frozenset(f"{service}/{part}" for part in exchange.prompt_parts)
 
 
+def _list_parts(requests: Mapping[str, partregistry.Parts]) -> set[str]:
+    return {part for parts in requests.values() for part in parts}
+
+
 def _name(quarantine: partregistry.Quarantine) -> str:
     return "quarantine/" + ",".join(sorted(quarantine.parts))
--- a/rhubarblock/exchange/quarantinestore_test.py
+++ b/rhubarblock/exchange/quarantinestore_test.py
@@ -112,7 +112,7 @@
     writes, parts, described = virtualloop.run(main())
     assert writes == 1
     assert parts == {"s/bad"}
-    # The age survives, so that a trial does not come later.
+    # The age is stored, and the time until a trial counts from it.
     ((_, crashes, left_s),) = described
     assert crashes == 2
     assert 3400.0 < left_s < 3500.0
--- a/rhubarblock/routing/quarantine/partregistry.py
+++ b/rhubarblock/routing/quarantine/partregistry.py
@@ -40,8 +40,8 @@
 SAME_CRASH_S = 2.0
 # Seconds for which a crash counts.
 CRASH_S = 3600.0
-# Seconds after which a quarantined part may be tried once, in the whole fleet;
-# they double with each trial that fails, up to the bound.
+# Seconds until a quarantined part may be tried once in the whole fleet, doubled
+# after each failed trial, and their maximum.
 TRIAL_S = 3600.0
 MAX_TRIAL_S = 24 * 3600.0
 # Seconds without a request after which a quarantine is forgotten.
@@ -171,10 +171,13 @@
         # the latest such crash of each.
         self._suspects: dict[str, float] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is quarantined."""
+        return not self._quarantines
+
     def find(self, parts: Iterable[str]) -> Quarantine | None:
         """Returns the quarantine that a prompt falls under, or None."""
-        if not self._quarantines:
-            return None
         present = frozenset(parts)
         for quarantine in self._quarantines.values():
             if quarantine.parts <= present:
