--- a/rhubarblock/exchange/crashes_test.py
+++ b/rhubarblock/exchange/crashes_test.py
@@ -81,6 +81,14 @@
     return [Detector(group, probe) for _ in range(count)]
 
 
+def make_requests(count, part):
+    """Returns different requests that share a prompt part."""
+    return [
+        fakes.make_exchange(digest=f"{n}" * 32, prompt_parts=(part,))
+        for n in range(count)
+    ]
+
+
 async def run_and_crash(detector, exchange, number):
     endpoint = fakes.make_endpoint(number)
     with detector.note_running(exchange, endpoint):
@@ -152,10 +160,7 @@
 def test_part_that_is_answered_anywhere_is_let_go_everywhere():
     async def main():
         first, second, third = make_detectors(3)
-        requests = [
-            fakes.make_exchange(digest=f"{n}" * 32, prompt_parts=("91",))
-            for n in range(4)
-        ]
+        requests = make_requests(4, "91")
         await run_and_crash(first, requests[0], 1)
         with third.note_running(requests[2], fakes.make_endpoint(3)):
             await asyncio.sleep(1.0)
@@ -172,10 +177,7 @@
 def test_request_that_waits_is_abandoned_when_its_part_is_quarantined():
     async def main():
         first, second = make_detectors(2)
-        requests = [
-            fakes.make_exchange(digest=f"{n}" * 32, prompt_parts=("bad",))
-            for n in range(4)
-        ]
+        requests = make_requests(4, "bad")
         abandoned = []
         with (
             second.note_running(requests[2], fakes.make_endpoint(3)) as waiting,
@@ -195,10 +197,7 @@
 def test_quarantined_part_is_tried_once_by_one_instance():
     async def main():
         first, second = make_detectors(2)
-        requests = [
-            fakes.make_exchange(digest=f"{n}" * 32, prompt_parts=("bad",))
-            for n in range(5)
-        ]
+        requests = make_requests(5, "bad")
         for number in range(2):
             await run_and_crash(first, requests[number], number)
             await asyncio.sleep(3.0)
