Show the event loop's lag, and refusals without a search

While most new connections go to one instance, its lines cannot tell an instance that is too slow from a fleet that is full: nothing says how far the event loop is behind, and an exchange that was refused because another one had just been refused looks like one for which no engine had room.

The histogram loop.lag and the counter loop.late have the delay of the loop's timers; 'admission refused' says whether endpoints were searched (looked_for) and how many exchanges wait.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -58,6 +58,7 @@
 from rhubarblock.exchange.tunnels import server as tunnel_server
 from rhubarblock.kernel import countlog
 from rhubarblock.kernel import lifecycle as lifecycles
+from rhubarblock.kernel import looplag
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.routing import cooldowns
@@ -119,6 +120,7 @@
         self.lifecycle = lifecycles.InstanceLifecycle()
         self.metrics = metric_store.Metrics()
         self.timers = timer_service.LoopTimers()
+        self.loop_lag = looplag.LoopLag(self.timers, self.metrics)
         self.config_lease = config_leases.ConfigurationLease(
             settings.bounds.revoke_s
         )
@@ -202,6 +204,7 @@
                 self.metrics, lambda: self.timers.wakeups, self.timers
             )
         )
+        stack.enter_context(self.loop_lag.measure())
         session = await stack.enter_async_context(aiohttp.ClientSession())
         store = self._make_store(session, self.metrics, self.eras)
         start_id = f"{self._rng.getrandbits(32):08x}"
--- a/rhubarblock/exchange/admission.py
+++ b/rhubarblock/exchange/admission.py
@@ -157,6 +157,7 @@
         "_exchange",
         "_is_returning",
         "_key",
+        "_was_looked_for",
         "decision",
     )
 
@@ -171,6 +172,7 @@
         self._cost_s = compute_cost(exchange)
         self._is_returning = is_returning
         self._key = (exchange.priority, exchange.arrived_s)
+        self._was_looked_for = False
         self.decision = _NOT_DECIDED
 
     @property
@@ -184,6 +186,11 @@
         It isn't if an exchange of its rank that costs less found none just now.
         """
         self.decision = _NOT_DECIDED
+        is_worth = self._is_worth_looking()
+        self._was_looked_for |= is_worth
+        return is_worth
+
+    def _is_worth_looking(self) -> bool:
         refusal = self._admission._refusals.get(self._name_class())
         if refusal is None or self._cost_s < refusal.cost_s:
             return True
@@ -280,6 +287,8 @@
                 else None,
                 "waited_s": round(now_s - exchange.arrived_s, 3),
                 "returning": self._is_returning,
+                "looked_for": self._was_looked_for,
+                "waiting": len(self._find_waiting()),
                 "retry_after_s": round(decision.retry_after_s, 2),
             },
         )
