--- a/rhubarblock/daemon/partition_test.py
+++ b/rhubarblock/daemon/partition_test.py
@@ -24,6 +24,8 @@
 from rhubarblock.exchange import paths as endpoint_paths
 from rhubarblock.platform import leaseclient
 from rhubarblock.platform import names
+from rhubarblock.platform import objectstore
+from rhubarblock.store import store as stores
 
 ENDPOINT_COUNT = 3
 # First tries per instance before and after the partition counts.
@@ -40,15 +42,17 @@
 
 
 class Network:
-    """The network between one instance and all endpoints.
+    """The network between one instance and all others.
 
     Attributes:
       refusal: how connections to endpoints fail: "hang" or an exception; None
         while the network is whole.
+      is_isolated: whether the store and all peers are cut off.
     """
 
     def __init__(self):
         self.refusal = None
+        self.is_isolated = False
 
     async def cross(self):
         """Returns once a connection may be opened."""
@@ -57,6 +61,22 @@
         if self.refusal is not None:
             raise self.refusal
 
+    async def cross_to_peer(self):
+        """Returns once a connection to a peer may be opened."""
+        if self.is_isolated:
+            await asyncio.Event().wait()
+
+
+class IsolatingStore(fleetfixtures.FleetStore):
+    """Fails at instances that are isolated."""
+
+    async def read(self, name):
+        network = _network.get()
+        if network is not None and network.is_isolated:
+            await asyncio.sleep(objectstore.CALL_TIMEOUT_S)
+            raise stores.StoreError(stores.StoreErrorKind.UNAVAILABLE)
+        return await super().read(name)
+
 
 class KindDialect(instancefixtures.FakeDialect):
     """Has a single route of one kind."""
@@ -99,12 +119,13 @@
         kind=routes.RouteKind.NON_IDEMPOTENT,
         centre=None,
         peer_count=None,
+        bounds=fakes.BOUNDS,
     ):
         """Starts one more instance and waits until it knows its peers."""
         number = len(self.instances)
         if peer_count is None:
             peer_count = number
-        settings = instancefixtures.make_settings(f"i{number}")
+        settings = instancefixtures.make_settings(f"i{number}", bounds)
         if centre is not None:
             settings = dataclasses.replace(settings, data_centre=centre)
         instance = exchangeinstance.ExchangeInstance(
@@ -226,13 +247,15 @@
 
         async def connect_over_network(sock, address):
             network = _network.get()
-            if network is not None and address[1] in ports:
-                await network.cross()
+            if network is not None:
+                is_endpoint = address[1] in ports
+                cross = network.cross if is_endpoint else network.cross_to_peer
+                await cross()
             await connect(sock, address)
 
         loop.sock_connect = connect_over_network
         session = await stack.enter_async_context(aiohttp.ClientSession())
-        fleet = Fleet(session, endpoints, fleetfixtures.FleetStore(*endpoints))
+        fleet = Fleet(session, endpoints, IsolatingStore(*endpoints))
         stack.push_async_callback(fleet.stop_all)
         for _ in range(count):
             await fleet.start(kind)
--- a/rhubarblock/kernel/looplag_test.py
+++ b/rhubarblock/kernel/looplag_test.py
@@ -25,15 +25,15 @@
     async def main():
         lag = make_lag()
 
-        async def work():
-            while True:
-                time.sleep(0.06)
-                await asyncio.sleep(0)
+        loop = asyncio.get_running_loop()
+
+        def work():
+            time.sleep(0.06)
+            loop.call_soon(work)
 
         with lag.measure():
-            busy = asyncio.create_task(work())
+            work()
             await asyncio.sleep(2.0)
-            busy.cancel()
         return lag.standing_s
 
     assert asyncio.run(main()) > 0.0
