Sum up the answers at an engine once for all plans of a prompt

Callers of an instance with a slow processor got no answer in time while it had most connections. They are summed up once for each view now.

Costs are equal but for rounding (a test compares them with the plain sum).

--- a/rhubarblock/routing/placement/engineview.py
+++ b/rhubarblock/routing/placement/engineview.py
@@ -70,6 +70,24 @@
         )
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Answers:
+    """The answers of an engine that a pause may cost something.
+
+    Many plans are compared for one prompt, and each asks what its part costs
+    here, so the answers are summed up once.
+
+    Attributes:
+      decoding: total value of those that are decoded, in short prompts, by the
+        longest pause in seconds that counts as on time.
+      waiting: seconds until the prefill is done, that pause, and the value of
+        each of the others.
+    """
+
+    decoding: dict[float, float]
+    waiting: list[tuple[float, float, float]]
+
+
 @dataclasses.dataclass(slots=True)
 class EngineView:
     """An engine that may prefill a part.
@@ -107,6 +125,7 @@
     free_tokens: int
     prefill_factor: float = 1.0
     doubt: int = 0
+    _answers: _Answers | None = None
 
     def predict_end(self, prefill_s: float) -> float:
         """Returns the seconds until a part that is placed now is prefilled."""
@@ -140,19 +159,37 @@
         """
         cost = 0.0
         prefill_s *= self.prefill_factor
+        answers = self._answers
+        if answers is None:
+            answers = self._answers = self._sum_up_answers()
         pass_s = self.decode_pass_s + self.same_pass_s
+        for pause_s, value in answers.decoding.items():
+            loss = latencycost.compute_pause_loss(pass_s + prefill_s, pause_s)
+            loss -= latencycost.compute_pause_loss(pass_s, pause_s)
+            cost += loss * value
+        for finish_s, pause_s, value in answers.waiting:
+            if finish_s < prefill_s:
+                before_s = self.decode_pass_s
+                after_s = before_s + prefill_s - finish_s
+                loss = latencycost.compute_pause_loss(after_s, pause_s)
+                loss -= latencycost.compute_pause_loss(before_s, pause_s)
+                cost += loss * value
+        return cost
+
+    def _sum_up_answers(self) -> _Answers:
+        decoding: dict[float, float] = {}
+        waiting = []
         for placed in self.load.jobs.values():
+            job = placed.job
+            if not job.pause_s:
+                continue
+            value = latencycost.compute_value(job.prompt_tokens)
             if placed.is_decoding:
-                before_s, after_s = pass_s, pass_s + prefill_s
+                decoding[job.pause_s] = decoding.get(job.pause_s, 0.0) + value
             else:
                 finish_s = self.forecast.predict_finish(placed)
-                before_s = self.decode_pass_s
-                after_s = before_s + max(0.0, prefill_s - finish_s)
-            pause_s = placed.job.pause_s
-            loss = latencycost.compute_pause_loss(after_s, pause_s)
-            loss -= latencycost.compute_pause_loss(before_s, pause_s)
-            cost += loss * latencycost.compute_value(placed.job.prompt_tokens)
-        return cost
+                waiting.append((finish_s, job.pause_s, value))
+        return _Answers(decoding, waiting)
 
     def list_delayed(
         self, prefill_s: float
--- a/rhubarblock/routing/placement/engineview_test.py
+++ b/rhubarblock/routing/placement/engineview_test.py
@@ -1,11 +1,14 @@
 """Tests of what a further part costs the jobs at an engine."""
 
+import random
+
 import pytest
 
 from rhubarblock.core import listed
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.routing.placement import engineview
 from rhubarblock.routing.placement import jobtracker
+from rhubarblock.routing.placement import latencycost
 
 ENGINE = listed.ListedEndpoint("a", "10.0.0.1:1", "osu", "pool", 8, False)
 
@@ -100,3 +103,36 @@
     decoding = view(tracker, 0.1)
     assert decoding.predict_end(0.2) > 1.7 + 0.2
     assert decoding.predict_pause(0.2, 2.0) < 0.1
+
+
+def compute_naive_pause_cost(busy, prefill_s):
+    """Sums up what each answer loses, one after the other."""
+    cost = 0.0
+    for placed in busy.load.jobs.values():
+        before_s = busy.decode_pass_s + busy.same_pass_s
+        after_s = before_s + prefill_s
+        if not placed.is_decoding:
+            finish_s = busy.forecast.predict_finish(placed)
+            before_s = busy.decode_pass_s
+            after_s = before_s + max(0.0, prefill_s - finish_s)
+        job = placed.job
+        loss = latencycost.compute_pause_loss(after_s, job.pause_s)
+        loss -= latencycost.compute_pause_loss(before_s, job.pause_s)
+        cost += loss * latencycost.compute_value(job.prompt_tokens)
+    return cost
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_pause_cost_is_the_sum_of_what_each_answer_loses(seed):
+    rng = random.Random(seed)
+    tracker = jobtracker.JobTracker()
+    for number in range(12):
+        names = ("a", "b") if rng.random() < 0.3 else ("a",)
+        prefill_s = rng.choice((0.02, 0.3, 2.0))
+        pause_s = rng.choice((0.0, 0.2, 0.8))
+        placed_s = rng.random()
+        add(tracker, f"{number}", prefill_s, names, pause_s, 0.3, placed_s)
+    busy = view(tracker, 1.0)
+    for prefill_s in (0.01, 0.1, 0.5, 3.0):
+        naive = compute_naive_pause_cost(busy, prefill_s)
+        assert busy.compute_pause_cost(prefill_s) == pytest.approx(naive)
