Refuse no exchange for want of room without a search for it

The instance that gets most connections refused exchanges of which no placement was looked for: another one had been refused within 10 ms each time that they were tried. The last try searches now; the test fails before.

--- a/rhubarblock/exchange/admission.py
+++ b/rhubarblock/exchange/admission.py
@@ -183,7 +183,9 @@
     def begin_try(self) -> bool:
         """Begins a try and says whether it is worth looking for a placement.
 
-        It isn't if an exchange of its rank that costs less found none just now.
+        It isn't if an exchange of its rank that costs less found none just now,
+        unless this is the last try: with many exchanges one has always just
+        been refused.
         """
         self.decision = _NOT_DECIDED
         is_worth = self._is_worth_looking()
@@ -195,7 +197,10 @@
         if refusal is None or self._cost_s < refusal.cost_s:
             return True
         now_s = self._admission._timers.read_monotonic()
-        return now_s - refusal.at_s >= REFUSAL_TTL_S
+        if now_s - refusal.at_s >= REFUSAL_TTL_S:
+            return True
+        candidate = self._describe(now_s)
+        return candidate.waited_s >= candidate.max_wait_s
 
     def check(self, outlook: controllers.Outlook | None) -> bool:
         """Returns whether the exchange is let in at a placement.
--- a/rhubarblock/exchange/admission_test.py
+++ b/rhubarblock/exchange/admission_test.py
@@ -260,3 +260,23 @@
         return len(controller.candidates)
 
     assert asyncio.run(main()) == 8
+
+
+def test_exchange_is_not_refused_without_a_search():
+    async def step():
+        admission_ = make_admission()
+        gate = admission_.open_gate(make_exchange())
+        others = admission_.open_gate(make_exchange())
+        tries = []
+        while not tries or gate.is_waiting:
+            # Another exchange of the class finds nothing right before each try.
+            others.check(None)
+            tries.append(gate.begin_try())
+            gate.check(None)
+            if gate.is_waiting:
+                await gate.wait()
+        return tries
+
+    tries = run(step)
+    assert tries[0] is False
+    assert tries[-1] is True
