Leave the load balancer before the configuration can't be confirmed

An instance that is cut off from the store and most peers counted as ready till the lease of its configuration ended, and then refused what it had read until two more probes were missed. Its callers got 503.

While a read of the store takes long, peers are asked at once, also ones that were not seen for long, as a partition hides those on its other side. If most give no answer, the instance is isolated: it reports itself not ready and goes on serving until the lease ends, which is two to three seconds later. While the store is away from all, peers answer, and nothing changes.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -52,6 +52,7 @@
 from rhubarblock.exchange.state import evacuationreplica
 from rhubarblock.exchange.state import feed as statefeed
 from rhubarblock.exchange.state import follower as followers
+from rhubarblock.exchange.state import isolation as isolations
 from rhubarblock.exchange.state import replica as replicas
 from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.exchange.tunnels import client as tunnel_client
@@ -124,6 +125,7 @@
         self.config_lease = config_leases.ConfigurationLease(
             settings.bounds.revoke_s
         )
+        self.isolation = isolations.Isolation()
         self.directory = directories.Directory(
             self.timers, settings.bounds.drain_s
         )
@@ -559,6 +561,7 @@
             self.eras,
             self.timers,
             self.metrics,
+            self.isolation,
             self.state.evacuations,
             quarantine,
         )
@@ -610,6 +613,7 @@
             self.timers,
             self._rng,
             self.eras,
+            self.isolation,
             self._make_evacuation_follower(store),
         )
 
--- a/rhubarblock/daemon/statuspages.py
+++ b/rhubarblock/daemon/statuspages.py
@@ -6,6 +6,7 @@
 from rhubarblock.exchange import quarantine as quarantines
 from rhubarblock.exchange.state import configlease as config_leases
 from rhubarblock.exchange.state import evacuationreplica
+from rhubarblock.exchange.state import isolation as isolations
 from rhubarblock.kernel import exposition
 from rhubarblock.kernel import lifecycle as lifecycles
 from rhubarblock.kernel import metrics as metric_store
@@ -25,6 +26,7 @@
         "_config_lease",
         "_eras",
         "_evacuations",
+        "_isolation",
         "_lifecycle",
         "_metrics",
         "_quarantine",
@@ -40,6 +42,7 @@
         eras: era_lib.EraTracker,
         timers: timer_service.LoopTimers,
         metrics: metric_store.Metrics,
+        isolation: isolations.Isolation,
         evacuations: evacuationreplica.EvacuationReplica | None = None,
         quarantine: quarantines.ExchangeQuarantine | None = None,
     ):
@@ -52,6 +55,7 @@
           eras: the store's era.
           timers: timer service, for its count of wake-ups.
           metrics: counters to report.
+          isolation: whether the instance is isolated.
           evacuations: the evacuated data centres, None without evacuations.
           quarantine: what crashes endpoints, None without it.
         """
@@ -63,14 +67,20 @@
         self._eras = eras
         self._timers = timers
         self._metrics = metrics
+        self._isolation = isolation
 
     async def answer_readiness(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
-        """Answers 200 while the instance can serve new requests, else 503."""
+        """Answers 200 while the instance can serve new requests, else 503.
+
+        An isolated one serves until its lease ends, which load balancers have
+        to know before.
+        """
         del request
         ready = (
             self._lifecycle.state is lifecycles.LifecycleState.READY
+            and not self._isolation.is_isolated
             and self._config_lease.find_valid() is not None
         )
         return web.Response(status=200 if ready else 503)
--- a/rhubarblock/exchange/peering/table.py
+++ b/rhubarblock/exchange/peering/table.py
@@ -26,8 +26,9 @@
 # reader.
 BACKOFF_S = 3.0
 # Largest number of peers that are polled for state while the store is
-# unreachable.
-MAX_POLLED_PEERS = 4
+# unreachable, and how many of them are in other data centres.
+MAX_POLLED_PEERS = 6
+MAX_POLLED_FAR = 4
 # Heartbeat interval in seconds to peers that may choose this instance as their
 # reader. Other peers only need to know that it exists and get one in
 # FAR_HEARTBEATS heartbeats.
@@ -204,17 +205,21 @@
     def list_peers(self) -> list[str]:
         """Returns the addresses of live peers to poll for state.
 
-        Peers of this data centre come first, then the most recently seen.
+        Those of this data centre come first, which may all be cut off as it
+        is. Of the others, half are the most recently seen ones, which are
+        likely to answer, and half the ones that were not seen for longest, as
+        a partition hides the peers on its other side.
         """
-        alive = [
-            (
-                peer.data_centre != self._data_centre,
-                -peer.last_seen_s,
-                format_address(address),
-            )
-            for address, peer in self.list_alive()
-        ]
-        return [address for _, _, address in sorted(alive)][:MAX_POLLED_PEERS]
+        alive = sorted(self.list_alive(), key=lambda item: -item[1].last_seen_s)
+        near: list[str] = []
+        far: list[str] = []
+        for address, peer in alive:
+            is_near = peer.data_centre == self._data_centre
+            (near if is_near else far).append(format_address(address))
+        if len(far) > MAX_POLLED_FAR:
+            half = MAX_POLLED_FAR // 2
+            far = far[:half] + far[-half:]
+        return near[: MAX_POLLED_PEERS - len(far)] + far
 
     def list_alive(self) -> list[tuple[Address, Peer]]:
         """Returns the live peers with their addresses."""
--- a/rhubarblock/exchange/peering/table_test.py
+++ b/rhubarblock/exchange/peering/table_test.py
@@ -140,3 +140,22 @@
         return table.find_reader()
 
     assert run(step) == "10.0.0.1:7"
+
+
+def test_peers_beyond_a_partition_are_polled_too():
+    async def step():
+        table = make_table()
+        for number in range(1, 9):
+            table.add(f"10.0.1.{number}", 7, f"far{number}", "tema")
+            table.add(f"10.0.0.{number}", 7, f"near{number}", "osu")
+            await asyncio.sleep(1.0)
+        return table.list_peers()
+
+    assert run(step) == [
+        "10.0.0.8:7",
+        "10.0.0.7:7",
+        "10.0.1.8:7",
+        "10.0.1.7:7",
+        "10.0.1.2:7",
+        "10.0.1.1:7",
+    ]
--- a/rhubarblock/exchange/state/configlease.py
+++ b/rhubarblock/exchange/state/configlease.py
@@ -66,6 +66,11 @@
         """Seconds since the read that confirmed the table was sent."""
         return self._read_clock() - self._confirmed_s
 
+    @property
+    def left_s(self) -> float:
+        """Seconds until the lease ends; negative once it has ended."""
+        return self._lease_s - self.age_s
+
     def find_service(self, name: str) -> routes.ServiceSpec | None:
         """Returns a service of the latest table, even if its lease ended."""
         return self._table.services.get(name) if self._table else None
@@ -118,7 +123,7 @@
 
     def find_valid(self) -> routes.RoutingTable | None:
         """Returns the table if its lease is valid now."""
-        if self.age_s > self._lease_s:
+        if self.left_s < 0.0:
             return None
         return self._table
 
--- a/rhubarblock/exchange/state/evacuationfleet_test.py
+++ b/rhubarblock/exchange/state/evacuationfleet_test.py
@@ -15,6 +15,7 @@
 from rhubarblock.exchange.state import feed as statefeed
 from rhubarblock.exchange.state import feed_test as fakes
 from rhubarblock.exchange.state import follower as followers
+from rhubarblock.exchange.state import isolation as isolations
 from rhubarblock.exchange.state import replica as replicas
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import virtualloop
@@ -220,6 +221,7 @@
             self.timers,
             rng,
             self.eras,
+            isolations.Isolation(),
             reads,
         ).run():
             await asyncio.Event().wait()
--- a/rhubarblock/exchange/state/follower.py
+++ b/rhubarblock/exchange/state/follower.py
@@ -21,6 +21,7 @@
 from rhubarblock.exchange.state import configlease as config_leases
 from rhubarblock.exchange.state import evacuationfollower
 from rhubarblock.exchange.state import feed as statefeed
+from rhubarblock.exchange.state import isolation as isolations
 from rhubarblock.exchange.state import replica as replicas
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.store import backoff as backoffs
@@ -57,6 +58,8 @@
 # to the store is charged. Polling an instance that is down takes a quarter of a
 # second.
 MAX_READERS_POLLED = 3
+# Seconds after which peers are asked while a read of the store goes on.
+SLOW_READ_S = 0.5
 # Backoff after failed calls.
 BACKOFF = backoffs.BackoffSettings(first_s=0.1, max_s=1.0)
 
@@ -121,6 +124,7 @@
         "_peers",
         "_intervals",
         "_has_new_era",
+        "_isolation",
         "_may_list",
         "_reachable",
         "_reads_store",
@@ -141,6 +145,7 @@
         timers: timer_service.Timers,
         rng: random.Random,
         eras: era_lib.EraTracker,
+        isolation: isolations.Isolation,
         evacuations: evacuationfollower.EvacuationFollower | None = None,
     ):
         """Creates a follower; ``run`` starts it.
@@ -156,9 +161,11 @@
           timers: the clock, and sleeps.
           rng: jitter of backoffs.
           eras: reports when the store was restored from an older copy.
+          isolation: learns who answers.
           evacuations: reads the evacuations, None without evacuations.
         """
         self._eras = eras
+        self._isolation = isolation
         self._evacuations = evacuations
         # Set when the list must be read again.
         self._has_new_era = asyncio.Event()
@@ -199,12 +206,14 @@
         while True:
             result = await self._poll_readers()
             if result.answer is _Answer.YOUNG:
+                self._isolation.note_confirmed()
                 self._set_role(False)
                 continue
             # This instance reads for its data centre, or no reader has fresh
             # state.
             self._set_role(True)
-            if await self._read_store():
+            if await self._read_store_or_ask():
+                self._isolation.note_confirmed()
                 if result.answer is _Answer.OLD:
                     # The reader lost the store, which this instance reaches.
                     # Until the backoff ends, the next candidate is the reader.
@@ -258,16 +267,45 @@
             return _Answer.NONE
         return _Answer.YOUNG
 
+    async def _read_store_or_ask(self) -> bool:
+        """Reads the store, and asks peers meanwhile if it takes long.
+
+        Returns:
+          Whether the store answered.
+        """
+        reading = asyncio.create_task(self._read_store())
+        try:
+            await asyncio.wait({reading}, timeout=SLOW_READ_S)
+            if not reading.done():
+                await self._poll_any_peer()
+            return await reading
+        finally:
+            reading.cancel()
+
     async def _poll_any_peer(self) -> None:
-        """Polls peers, near ones first, until one has fresher state."""
-        before_s = self._config_lease.age_s
-        for address in self._peers.list_peers():
-            with contextlib.suppress(statefeed.FeedError):
-                await self._client.poll(address, 0.0)
-                if self._config_lease.age_s < min(
-                    before_s, self._intervals.max_age_s
-                ):
-                    return
+        """Polls some peers; state fresher than that held here is applied."""
+        age_s = self._config_lease.age_s
+        replies = await asyncio.gather(
+            *(
+                self._ask_peer(address, age_s)
+                for address in self._peers.list_peers()
+            )
+        )
+        if self._config_lease.age_s < min(age_s, self._intervals.max_age_s):
+            self._isolation.note_confirmed()
+        elif self._config_lease.table is not None:
+            # At a start peers may not listen yet.
+            self._isolation.note_replies(len(replies), sum(replies))
+
+    async def _ask_peer(self, address: str, max_age_s: float) -> bool:
+        """Polls a peer and returns whether it answered."""
+        try:
+            await self._client.poll(address, 0.0, max_age_s)
+        except statefeed.StaleStateError:
+            return True
+        except statefeed.FeedError:
+            return False
+        return True
 
     async def _ask_for_evacuations(self) -> None:
         """Asks peers for evacuations that the store did not give at a start."""
--- a/rhubarblock/exchange/state/follower_test.py
+++ b/rhubarblock/exchange/state/follower_test.py
@@ -11,6 +11,7 @@
 from rhubarblock.exchange.state import feed as statefeed
 from rhubarblock.exchange.state import feed_test as fakes
 from rhubarblock.exchange.state import follower as followers
+from rhubarblock.exchange.state import isolation as isolations
 from rhubarblock.exchange.state import tombstones
 from rhubarblock.kernel import virtualloop
 from rhubarblock.store import store as stores
@@ -161,6 +162,7 @@
             instance.timers,
             random.Random(1),
             instance.eras,
+            isolations.Isolation(),
         )
         store.eras = instance.eras
         async with follower.run():
