Take no connection whose request can't be served

Callers of an instance that got most new connections got no answer in time, or 503: all that came was accepted and read, at any lag of the event loop and without a configuration that could be confirmed. What is read and not served costs its caller time, and a request that may run only once can't be sent again.

A connection is closed unread, which sends its caller to another instance at once, while the event loop is behind and the requests in progress reach a limit that follows its lag, and while an isolated instance has no lease; its idle connections are closed then, too. One connection each half second is taken in any case, as the instance counts as ready. Both ways in have the first of these. A caller that leaves before its answer begins is no unexpected error any more.

--- a/rhubarblock/daemon/callerserver.py
+++ b/rhubarblock/daemon/callerserver.py
@@ -20,6 +20,7 @@
 from rhubarblock.core import failure as failures
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.daemon import connections
+from rhubarblock.daemon import intake as intakes
 from rhubarblock.kernel import lifecycle as lifecycles
 from rhubarblock.relay import apierrors
 from rhubarblock.relay import completionsapi
@@ -169,7 +170,10 @@
 
 @contextlib.asynccontextmanager
 async def run_server(
-    app: web.Application, listen: kinds.Address, bounds: ServerBounds
+    app: web.Application,
+    listen: kinds.Address,
+    bounds: ServerBounds,
+    intake: intakes.Intake | None = None,
 ) -> AsyncIterator[str]:
     """Serves an application while the context is open.
 
@@ -177,6 +181,7 @@
       app: application to serve.
       listen: address to listen on; port 0 takes a free one.
       bounds: limits of the listener.
+      intake: decides which connections are taken; None to take all.
 
     Yields:
       The bound ``host:port``.
@@ -192,9 +197,9 @@
         shutdown_timeout=bounds.shutdown_s,
     )
     await runner.setup()
-    registry = connections.Registry()
+    registry = connections.Registry() if intake is None else intake.registry
     try:
-        listener = await _listen(runner, registry, listen, bounds)
+        listener = await _listen(runner, registry, listen, bounds, intake)
         try:
             host, port = listener.sockets[0].getsockname()[:2]
             yield f"{host}:{port}"
@@ -210,12 +215,15 @@
     registry: connections.Registry,
     listen: kinds.Address,
     bounds: ServerBounds,
+    intake: intakes.Intake | None,
 ) -> asyncio.Server:
     loop = asyncio.get_running_loop()
     server = runner.server
     assert server is not None
 
-    def connect() -> CallerConnection:
+    def connect() -> asyncio.Protocol:
+        if intake is not None and not intake.take_connection():
+            return connections.UnreadConnection()
         return CallerConnection(
             server,
             registry,
--- a/rhubarblock/daemon/connections.py
+++ b/rhubarblock/daemon/connections.py
@@ -15,6 +15,9 @@
 from aiohttp import streams
 from aiohttp import web
 
+# Seconds for which a new connection counts as one that will send a request.
+FRESH_S = 1.0
+
 
 class ConnectionState(enum.Enum):
     """Progress of the oldest unanswered request of a connection.
@@ -39,6 +42,16 @@
     answering: int = 0
 
 
+class UnreadConnection(asyncio.Protocol):
+    """Closes a connection without reading from it."""
+
+    __slots__ = ()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        transport.abort()
+
+
 class Registry:
     """The open connections of one server.
 
@@ -49,10 +62,13 @@
       is_draining: whether connections are closed once they are idle.
     """
 
-    __slots__ = ("_connections", "_empty", "is_draining")
+    __slots__ = ("_connections", "_empty", "_fresh", "is_draining")
 
     def __init__(self) -> None:
         self._connections: set[TrackedConnection] = set()
+        # Connections from which nothing has been read yet, the oldest first,
+        # with the monotonic seconds since when they are open.
+        self._fresh: dict[TrackedConnection, float] = {}
         self._empty = asyncio.Event()
         self._empty.set()
         self.is_draining = False
@@ -62,9 +78,28 @@
         self._connections.add(connection)
         self._empty.clear()
 
+    def note_accepted(self, connection: "TrackedConnection") -> None:
+        """Records a connection that will be opened, and added, soon."""
+        self._fresh[connection] = asyncio.get_running_loop().time()
+
+    def note_read(self, connection: "TrackedConnection") -> None:
+        """Records that something was read from a connection."""
+        self._fresh.pop(connection, None)
+
+    def count_fresh(self) -> int:
+        """Returns the number of new connections that will send a request."""
+        oldest_s = asyncio.get_running_loop().time() - FRESH_S
+        while self._fresh:
+            connection = next(iter(self._fresh))
+            if self._fresh[connection] >= oldest_s:
+                break
+            del self._fresh[connection]
+        return len(self._fresh)
+
     def remove(self, connection: "TrackedConnection") -> None:
         """Removes a connection that was closed or lost."""
         self._connections.discard(connection)
+        self._fresh.pop(connection, None)
         if not self._connections:
             self._empty.set()
 
@@ -91,6 +126,12 @@
         for connection in self.list_connections():
             connection.drain()
 
+    def close_idle(self) -> None:
+        """Closes the connections on which no request is unanswered."""
+        for connection in self.list_connections():
+            if connection.state is ConnectionState.IDLE:
+                connection.drain()
+
     async def wait_empty(self) -> None:
         """Waits until all connections are closed."""
         await self._empty.wait()
@@ -133,6 +174,7 @@
         """
         super().__init__(server, **options)
         self._registry = registry
+        registry.note_accepted(self)
         # Bodies of the unanswered requests, oldest first.
         self._pending_bodies: list[streams.StreamReader] = []
         # Whether a part of the next request's head has been read.
@@ -185,6 +227,7 @@
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
+        self._registry.note_read(self)
         dispatched = self._pending_bodies[
             : len(self._pending_bodies) - len(self._messages)
         ]
--- a/rhubarblock/daemon/connectionwave_test.py
+++ b/rhubarblock/daemon/connectionwave_test.py
@@ -52,11 +52,13 @@
       served: served there.
       unread: closed there without an answer.
       failed: answered with a failure there, or not in time.
+      failures: statuses of these answers, None for those not in time.
     """
 
     served: int = 0
     unread: int = 0
     failed: int = 0
+    failures: list[int | None] = dataclasses.field(default_factory=list)
 
     async def send(self, session, settings):
         """Sends a request on a connection of its own; returns its status."""
@@ -75,6 +77,7 @@
             self.served += 1
         else:
             self.failed += 1
+            self.failures.append(status)
         return status
 
 
--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 
+from rhubarblock.daemon import intake as intakes
 from rhubarblock.daemon import listener as listeners
 from rhubarblock.daemon import peerdiscovery
 from rhubarblock.daemon import plannedstop
@@ -75,6 +76,9 @@
 CONFIGURATION_WAIT_S = 10.0
 # Seconds for which an idle connection is kept open.
 KEEPALIVE_S = 20.0
+# Seconds from the accept of a connection until its request is checked against
+# the configuration, at most.
+REQUEST_START_S = 0.25
 # Seconds between two removals of the state of unlisted endpoints.
 CLEANUP_INTERVAL_S = 30.0
 # Seconds that a start waits for the list of its peers and, if there is none by
@@ -565,6 +569,14 @@
             self.state.evacuations,
             quarantine,
         )
+        intake = intakes.Intake(
+            self.lifecycle,
+            self.loop_lag,
+            self.timers,
+            self.metrics,
+            lambda: self.isolation.is_isolated,
+            lambda: self.config_lease.left_s > REQUEST_START_S,
+        )
         self._callers = await stack.enter_async_context(
             listeners.open_listener(
                 request_handler.handle,
@@ -573,6 +585,7 @@
                 memoryaccount.READ_BYTES
                 if settings.capacity.memory_mb
                 else listeners.READ_BYTES,
+                intake=intake,
             )
         )
         for handler, address, wrap in (
--- a/rhubarblock/daemon/listener.py
+++ b/rhubarblock/daemon/listener.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from rhubarblock.daemon import connections
+from rhubarblock.daemon import intake as intakes
 from rhubarblock.settings import exchange as settings_lib
 
 # Length of the queue of connections to accept.
@@ -35,10 +36,15 @@
 
     __slots__ = ("_keepalive_s", "_read_bytes", "_registry", "listener")
 
-    def __init__(self, keepalive_s: float, read_bytes: int = READ_BYTES):
+    def __init__(
+        self,
+        keepalive_s: float,
+        read_bytes: int,
+        registry: connections.Registry,
+    ):
         self._keepalive_s = keepalive_s
         self._read_bytes = read_bytes
-        self._registry = connections.Registry()
+        self._registry = registry
         self.listener: asyncio.Server
 
     def connect(self, server: web.Server) -> connections.TrackedConnection:
@@ -85,6 +91,7 @@
     keepalive_s: float,
     read_bytes: int = READ_BYTES,
     wrap: ProtocolWrapper | None = None,
+    intake: intakes.Intake | None = None,
 ) -> AsyncIterator[Listener]:
     """Serves HTTP at an address while the context is open.
 
@@ -95,6 +102,7 @@
       read_bytes: bytes of a body that a connection may receive before its
         handler reads it; up to twice as many, and one read of the socket more.
       wrap: chooses between HTTP and another protocol; None for HTTP alone.
+      intake: decides which connections are taken; None to take all.
 
     Yields:
       The listener.
@@ -102,11 +110,14 @@
     Raises:
       OSError: the address cannot be listened on.
     """
-    http_listener = Listener(keepalive_s, read_bytes)
+    registry = connections.Registry() if intake is None else intake.registry
+    http_listener = Listener(keepalive_s, read_bytes, registry)
     server = web.Server(handler, handler_cancellation=True)
     loop = asyncio.get_running_loop()
 
     def connect() -> asyncio.Protocol:
+        if intake is not None and not intake.take_connection():
+            return connections.UnreadConnection()
         return http_listener.connect(server)
 
     http_listener.listener = await loop.create_server(
--- a/rhubarblock/daemon/server.py
+++ b/rhubarblock/daemon/server.py
@@ -15,9 +15,11 @@
 from rhubarblock.daemon import callerserver
 from rhubarblock.daemon import fleetstatus
 from rhubarblock.daemon import instance as instances
+from rhubarblock.daemon import intake as intakes
 from rhubarblock.daemon import sockets
 from rhubarblock.fleet import grpcpeers
 from rhubarblock.fleet import peertls
+from rhubarblock.kernel import looplag
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.relay import callcontext
@@ -130,6 +132,10 @@
     instance: instances.Instance, stack: contextlib.AsyncExitStack
 ) -> Server:
     bounds = instance.settings.limits
+    timers = instance.clients.timers
+    lag = looplag.LoopLag(timers, instance.metrics)
+    stack.enter_context(lag.measure())
+    intake = intakes.Intake(instance.lifecycle, lag, timers, instance.metrics)
     app = callerserver.create_app(
         _make_apis(instance), instance.lifecycle, bounds.body_bytes
     )
@@ -142,6 +148,7 @@
                 bounds.slow_reader_bytes,
                 instance.settings.drain.deadline_s,
             ),
+            intake,
         )
     )
     admin_address = await stack.enter_async_context(
--- a/rhubarblock/exchange/requesthandler.py
+++ b/rhubarblock/exchange/requesthandler.py
@@ -379,7 +379,8 @@
         if _closes_connection(self._request, self._lifecycle):
             response.force_close()
         self.response = response
-        await response.prepare(self._request)
+        with _cancel_on_disconnect():
+            await response.prepare(self._request)
 
     async def write(self, data: bytes) -> None:
         assert self.response is not None
@@ -418,7 +419,10 @@
 
     A pipelined request that has already been read is answered first.
     """
-    if lifecycle.state is not lifecycles.LifecycleState.DRAINING:
+    if not (
+        lifecycle.closes_connections
+        or lifecycle.state is lifecycles.LifecycleState.DRAINING
+    ):
         return False
     return not request.protocol._messages
 
--- a/rhubarblock/kernel/lifecycle.py
+++ b/rhubarblock/kernel/lifecycle.py
@@ -54,11 +54,21 @@
     Attributes:
       drain_ends_s: when a drain cuts what is still in flight, in monotonic
         seconds; infinite before a drain with an end.
+      closes_connections: whether connections close after the answer that is
+        sent on them, so that their callers come back to other instances.
     """
 
-    __slots__ = ("_hooks", "_in_flight", "_idle", "_machine", "drain_ends_s")
+    __slots__ = (
+        "_hooks",
+        "_in_flight",
+        "_idle",
+        "_machine",
+        "closes_connections",
+        "drain_ends_s",
+    )
 
     def __init__(self) -> None:
+        self.closes_connections = False
         self.drain_ends_s = math.inf
         self._hooks: list[Hook] = []
         self._in_flight = 0
--- a/rhubarblock/kernel/looplag.py
+++ b/rhubarblock/kernel/looplag.py
@@ -3,7 +3,7 @@
 A loop that has more work than its processor can do takes ever longer for one
 pass over what is ready, and everything in it is late by that time. Single long
 passes, as for a large configuration or after the process was suspended, mean
-nothing, so the smallest delay of a few measurements counts.
+nothing, so the smallest delay of consecutive measurements counts.
 """
 
 import collections
@@ -17,7 +17,7 @@
 # Seconds between two measurements.
 INTERVAL_S = 0.1
 # Measurements that must all be late.
-SAMPLES = 3
+SAMPLES = 2
 # Standing delay in seconds from which a measurement counts as late: an answer
 # takes about ten passes of the loop.
 LATE_S = 0.02
--- a/rhubarblock/kernel/looplag_test.py
+++ b/rhubarblock/kernel/looplag_test.py
@@ -18,7 +18,7 @@
     lag.add_listener(heard.append)
     for delay_s in (0.5, 0.0, 0.5, 0.5, 0.4):
         lag.note(delay_s)
-    assert heard == [0.0, 0.0, 0.0, 0.0, 0.4]
+    assert heard == [0.0, 0.0, 0.0, 0.5, 0.4]
 
 
 def test_busy_loop_is_measured_late():
