Count new connections until a loop that is behind has read them

New connections counted for a second, and a loop that is behind by more than that reads them later, so they were in no count meanwhile. They count for ten measurements of the lag now, each of which takes a pass of the loop.

--- a/rhubarblock/daemon/connections.py
+++ b/rhubarblock/daemon/connections.py
@@ -15,8 +15,9 @@
 from aiohttp import streams
 from aiohttp import web
 
-# Seconds for which a new connection counts as one that will send a request.
-FRESH_S = 1.0
+# Periods for which a new connection counts as one that will send a request.
+# They are counted instead of seconds, as a loop that is behind reads late.
+FRESH_PERIODS = 10
 
 
 class ConnectionState(enum.Enum):
@@ -62,13 +63,20 @@
       is_draining: whether connections are closed once they are idle.
     """
 
-    __slots__ = ("_connections", "_empty", "_fresh", "is_draining")
+    __slots__ = (
+        "_connections",
+        "_empty",
+        "_fresh",
+        "_period",
+        "is_draining",
+    )
 
     def __init__(self) -> None:
         self._connections: set[TrackedConnection] = set()
         # Connections from which nothing has been read yet, the oldest first,
-        # with the monotonic seconds since when they are open.
-        self._fresh: dict[TrackedConnection, float] = {}
+        # with the number of the period in which they were accepted.
+        self._fresh: dict[TrackedConnection, int] = {}
+        self._period = 0
         self._empty = asyncio.Event()
         self._empty.set()
         self.is_draining = False
@@ -80,20 +88,24 @@
 
     def note_accepted(self, connection: "TrackedConnection") -> None:
         """Records a connection that will be opened, and added, soon."""
-        self._fresh[connection] = asyncio.get_running_loop().time()
+        self._fresh[connection] = self._period
 
     def note_read(self, connection: "TrackedConnection") -> None:
         """Records that something was read from a connection."""
         self._fresh.pop(connection, None)
 
-    def count_fresh(self) -> int:
-        """Returns the number of new connections that will send a request."""
-        oldest_s = asyncio.get_running_loop().time() - FRESH_S
+    def begin_period(self) -> None:
+        """Begins a period, which takes a pass of the event loop or more."""
+        self._period += 1
+        oldest = self._period - FRESH_PERIODS
         while self._fresh:
             connection = next(iter(self._fresh))
-            if self._fresh[connection] >= oldest_s:
+            if self._fresh[connection] >= oldest:
                 break
             del self._fresh[connection]
+
+    def count_fresh(self) -> int:
+        """Returns the number of new connections that will send a request."""
         return len(self._fresh)
 
     def remove(self, connection: "TrackedConnection") -> None:
--- a/rhubarblock/daemon/intake.py
+++ b/rhubarblock/daemon/intake.py
@@ -117,6 +117,7 @@
         return self._lifecycle.in_flight + self.registry.count_fresh()
 
     def _note_lag(self, standing_s: float) -> None:
+        self.registry.begin_period()
         in_progress = self._count_in_progress()
         now_s = self._timers.read_monotonic()
         self._limit.note_lag(standing_s, in_progress, now_s)
--- a/rhubarblock/daemon/intake_test.py
+++ b/rhubarblock/daemon/intake_test.py
@@ -87,6 +87,21 @@
     assert counts["connections.unread.processor"] == 100 - taken
 
 
+def test_connections_that_a_loop_far_behind_has_not_read_are_counted():
+    async def step(instance):
+        registry = instance.intake.registry
+        for _ in range(50):
+            registry.note_accepted(object())
+        for _ in range(looplag.SAMPLES):
+            await asyncio.sleep(5.0)
+            instance.lag.note(4.9)
+        behind = registry.count_fresh(), instance.intake.refusal
+        await instance.measure(0.0, connections.FRESH_PERIODS)
+        return behind, registry.count_fresh()
+
+    assert run(step) == ((50, intakes.Refusal.PROCESSOR), 0)
+
+
 def test_one_long_pass_of_the_loop_limits_nothing():
     async def step(instance):
         instance.begin_requests(50)
