--- a/rhubarblock/daemon/listener.py
+++ b/rhubarblock/daemon/listener.py
@@ -39,12 +39,12 @@
     def __init__(
         self,
         keepalive_s: float,
-        read_bytes: int,
-        registry: connections.Registry,
+        read_bytes: int = READ_BYTES,
+        registry: connections.Registry | None = None,
     ):
         self._keepalive_s = keepalive_s
         self._read_bytes = read_bytes
-        self._registry = registry
+        self._registry = registry or connections.Registry()
         self.listener: asyncio.Server
 
     def connect(self, server: web.Server) -> connections.TrackedConnection:
@@ -110,8 +110,9 @@
     Raises:
       OSError: the address cannot be listened on.
     """
-    registry = connections.Registry() if intake is None else intake.registry
-    http_listener = Listener(keepalive_s, read_bytes, registry)
+    http_listener = Listener(
+        keepalive_s, read_bytes, None if intake is None else intake.registry
+    )
     server = web.Server(handler, handler_cancellation=True)
     loop = asyncio.get_running_loop()
 
