--- a/review/common/scene.py
+++ b/review/common/scene.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import random
+import socket
 import sys
 import tempfile
 
@@ -18,6 +19,7 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = ("halle-steyr", "halle-liezen", "halle-admont")
+METRICS_PORT = 9464
 STABILITY_S = 3.0
 DRAIN_S = 2.0
 # A script ends itself before the limit of two minutes.
@@ -40,7 +42,7 @@
     """
 
     def __init__(self, record: pathlib.Path, folder: pathlib.Path):
-        self.network = f"127.{random.SystemRandom().randrange(20, 220)}.3"
+        self.network = find_network()
         self.store = platform.Store()
         self.relays: list[relay.Relay] = []
         self.nodes: list[fleet.Node] = []
@@ -100,6 +102,18 @@
                 path.write_text(node.read_log())
 
 
+def find_network() -> str:
+    """Returns the first parts of loopback addresses that nobody uses.
+
+    The port of the metrics is fixed, so that two runs must not share them.
+    """
+    while True:
+        network = f"127.{random.SystemRandom().randrange(20, 220)}.3"
+        with contextlib.suppress(OSError), socket.socket() as probe:
+            probe.bind((f"{network}.1", METRICS_PORT))
+            return network
+
+
 def make_configuration(
     version: int,
     routes: list[dict[str, object]],
@@ -175,7 +189,7 @@
 
     try:
         held = asyncio.run(limit())
-    except (CaseError, OSError, TimeoutError) as error:
+    except Exception as error:
         print(f"the case could not run: {error!r}", file=sys.stderr)
         sys.exit(2)
     sys.exit(0 if held else 1)
--- a/review/common/servers.py
+++ b/review/common/servers.py
@@ -42,11 +42,15 @@
     async def start(self) -> None:
         """Starts with a new id and registers."""
         self.id = f"i-{random.getrandbits(40):010x}"
+        await self.listen()
+        self.write_entry("ready")
+
+    async def listen(self) -> None:
+        """Listens on its port, or on a free one at first."""
         self._server = await asyncio.start_server(
             self._serve, self.host, self.port
         )
         self.port = self._server.sockets[0].getsockname()[1]
-        self.write_entry("ready")
 
     @property
     def address(self) -> str:
