--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,20 +18,20 @@
 OTHER_SERVICE = "lager-archive"
 PREFIX = "/puxa403/"
 NODES = 6
-SERVERS = 150
+SERVERS = 225
 # Servers of another service, to which no request goes. All together are about
-# half of the size that the users design for, and six pages of the list.
-OTHERS = 2500
+# two thirds of the size that the users design for, and nine pages of the list.
+OTHERS = 4000
 # Requests a second at each node, and the seconds that one takes.
 RATE = 40.0
 WORK_S = 0.09
-# The release: half of the servers, 8 in each second.
-STEP_SERVERS = 8
+# The release: a third of the servers, 10 in each second.
+STEP_SERVERS = 10
 STEP_S = 1.0
 REPLACED = 75
-# There are two releases with time to settle before, the second one only if the
-# rule held in the first.
-RELEASES = 2
+# There are three releases with time to settle before, the next one only if the
+# rule held so far.
+RELEASES = 3
 REST_S = 6.0
 # What a server serves beyond its announced time: many seconds.
 LINGER_S = 6.0
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -171,10 +171,13 @@
             while not await self.is_ready():
                 await asyncio.sleep(0.1)
 
+    def kill(self) -> None:
+        """Kills the process."""
+        self.send(signal.SIGKILL)
+
     async def end(self) -> None:
         """Kills the process and waits for it."""
-        self.send(signal.SIGCONT)
-        self.send(signal.SIGKILL)
+        self.kill()
         if self.process is not None:
             await self.process.wait()
 
--- a/review/common/scene.py
+++ b/review/common/scene.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import random
+import signal
 import socket
 import sys
 import tempfile
@@ -93,6 +94,8 @@
 
     async def end(self) -> None:
         """Ends all processes."""
+        for node in self.nodes:
+            node.kill()
         for node in self.nodes:
             await node.end()
         logs = os.environ.get("KEEP_LOGS")
@@ -184,12 +187,17 @@
     """
 
     async def limit() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        # Ends the processes also when the script itself is stopped.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(LIMIT_S):
             return bool(await play())  # type: ignore[misc]
 
     try:
         held = asyncio.run(limit())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}", file=sys.stderr)
         sys.exit(2)
     sys.exit(0 if held else 1)
