Name the connection of an attempt in its log lines

An attempt that ended with 421 looked alike whether the endpoint had refused it or a late copy of an earlier refusal had been read for its answer. The lines now name the connection, the number of the request on it and the answers that were skipped; a skipped answer has a line and a count.

--- a/rhubarblock/exchange/attempts.py
+++ b/rhubarblock/exchange/attempts.py
@@ -181,6 +181,7 @@
           transports.AttemptError: the attempt failed.
         """
         detector: stalls.StallDetector | None = None
+        flow.sends.latest = None
         try:
             async with asyncio.timeout(None) as timeout:
                 with (
@@ -235,6 +236,7 @@
                 options,
                 lambda: detector.abandon(_Reason.LOST),
                 lambda: self._check(placement),
+                flow.sends,
             ) as answer:
                 self._note_health(placement.endpoint, answer)
                 self._statements.note_answer(
--- a/rhubarblock/exchange/connection.py
+++ b/rhubarblock/exchange/connection.py
@@ -1,6 +1,7 @@
 """A connection to an endpoint."""
 
 import asyncio
+import logging
 import math
 import re
 from typing import Any
@@ -8,10 +9,15 @@
 from aiohttp import client_proto
 
 from rhubarblock.exchange import paths as endpoint_paths
+from rhubarblock.exchange import sends
 
 # Seconds before an endpoint's own idle timeout from which a connection is not
 # reused: a request must arrive before the endpoint closes it.
 KEEPALIVE_MARGIN_S = 0.5
+# Longest part of an unknown id, in characters, that is logged.
+SHOWN_CHARACTERS = 40
+
+_logger = logging.getLogger(__name__)
 
 
 class EndpointProtocol(client_proto.ResponseHandler):
@@ -41,6 +47,7 @@
         self._held = b""
         self._paths: endpoint_paths.ServicePaths | None = None
         self.expected_id = ""
+        self._send = sends.Send(0, 0, False)
         self.was_reset = False
         self._idle_s = math.inf
         self._used_s = loop.time()
@@ -56,6 +63,22 @@
             <= self._used_s + self._idle_s - KEEPALIVE_MARGIN_S
         )
 
+    def begin_send(self, request_id: str) -> sends.Send:
+        """Begins to expect the answer to the next request.
+
+        Args:
+          request_id: id that the answer echoes; empty if it echoes none.
+
+        Returns:
+          The description of this send, which is updated until its answer.
+        """
+        self.expected_id = request_id
+        port = 0
+        if self.transport is not None:
+            port = (self.transport.get_extra_info("sockname") or (0, 0))[1]
+        self._send = sends.Send(port, self._send.position + 1, self.is_relayed)
+        return self._send
+
     def set_direct(self, paths: endpoint_paths.ServicePaths) -> None:
         """Reports what the connection receives to the paths that it uses."""
         self._paths = paths
@@ -90,8 +113,22 @@
             if echoed is None or echoed == self.expected_id:
                 return message, payload
             # A late answer to an abandoned request.
+            self._note_skipped(message.code, echoed)
             await payload.read()
 
+    def _note_skipped(self, status: int, echoed: str) -> None:
+        self._send.skipped += 1
+        _logger.info(
+            "answer skipped",
+            extra={
+                "request": self.expected_id,
+                "answer_to": echoed[:SHOWN_CHARACTERS],
+                "status": status,
+                "local_port": self._send.local_port,
+                "position": self._send.position,
+            },
+        )
+
     def data_received(self, data: bytes) -> None:
         self._used_s = self._loop.time()
         if self._paths is not None:
--- a/rhubarblock/exchange/flow.py
+++ b/rhubarblock/exchange/flow.py
@@ -5,6 +5,7 @@
 from rhubarblock.exchange import crashes
 from rhubarblock.exchange import eventcursor
 from rhubarblock.exchange import progress
+from rhubarblock.exchange import sends
 from rhubarblock.exchange import sink as sinks
 from rhubarblock.relay import retries
 
@@ -28,6 +29,7 @@
       is_admitted: whether admission let it in.
       is_trial: whether it tries prompt parts that are quarantined.
       running: what is known of the present attempt; None without one.
+      sends: the connections on which it was sent.
     """
 
     __slots__ = (
@@ -41,6 +43,7 @@
         "refusals",
         "refused_by",
         "running",
+        "sends",
         "sink",
     )
 
@@ -57,6 +60,7 @@
         self.is_admitted = False
         self.is_trial = False
         self.running: crashes.Running | None = None
+        self.sends = sends.SendHistory()
 
     def note_answering(self, now_s: float) -> None:
         """Records that the endpoint has answered something."""
--- a/rhubarblock/exchange/loglines_test.py
+++ b/rhubarblock/exchange/loglines_test.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import failure as failures
 from rhubarblock.core import route as routes
 from rhubarblock.exchange import fakeparts_test as fakes
@@ -77,6 +78,50 @@
     ]
 
 
+def test_lines_of_an_attempt_tell_its_connection(lines):
+    async def main():
+        endpoint = fakes.ScriptedEndpoint(
+            fakes.whole(b"first", request_id="q0"), late_then_own
+        )
+        async with fakes.open_parts(endpoint) as parts:
+            for name in ("q0", "q1"):
+                exchange = fakes.make_exchange(
+                    request_id=name,
+                    headers=(exchanges.Header(fakes.ATTEMPT, name),),
+                )
+                await parts.relay.serve(exchange, fakes.MemorySink())
+            return parts.metrics.snapshot()
+
+    async def late_then_own(head, writer):
+        await fakes.whole(b"first", request_id="q0")(head, writer)
+        await fakes.whole(b"own")(head, writer)
+
+    counters = asyncio.run(main())
+    first, second = [x for x in lines if x.msg == "served"]
+    assert (first.connection, first.position, first.skipped) == ("new", 1, 0)
+    assert (second.connection, second.position) == ("kept", 2)
+    assert second.local_port == first.local_port
+    assert second.skipped == counters["exchange.answers_skipped"] == 1
+    skipped = next(x for x in lines if x.msg == "answer skipped")
+    assert (skipped.request, skipped.answer_to) == ("q1", "q0")
+    assert (skipped.status, skipped.position) == (200, 2)
+
+
+def test_attempt_that_was_not_sent_names_no_connection(lines):
+    async def main():
+        endpoint = fakes.ScriptedEndpoint()
+        async with fakes.open_parts(endpoint) as parts:
+            endpoint.server.close()
+            with pytest.raises(failures.FailureError):
+                await parts.relay.serve(
+                    fakes.make_exchange(), fakes.MemorySink()
+                )
+
+    asyncio.run(main())
+    ended = next(x for x in lines if x.msg == "attempt ended")
+    assert ended.connection == "none"
+
+
 def test_exchange_without_an_endpoint_is_not_logged_as_placed(lines):
     with pytest.raises(failures.FailureError):
         serve()
--- a/rhubarblock/exchange/outcomes.py
+++ b/rhubarblock/exchange/outcomes.py
@@ -193,6 +193,7 @@
     ) -> None:
         """Records a complete answer."""
         exchange = flow.exchange
+        self._count_skipped(flow)
         self._budgets.record_success(exchange.service.name)
         self._metrics.count("exchange.served")
         first_s = flow.progress.first_s or 0.0
@@ -205,6 +206,7 @@
             "served late" if is_late else "served",
             extra={
                 **self._describe(flow, placement),
+                **_describe_send(flow),
                 "prompt_tokens": exchange.prompt_tokens,
                 "first_s": round(first_s, 3),
                 "longest_pause_s": round(flow.progress.longest_pause_s, 3),
@@ -318,10 +320,12 @@
         cooldown_s: float | None = None,
     ) -> None:
         """Logs why an attempt ended without its answer."""
+        self._count_skipped(flow)
         _logger.info(
             "attempt ended",
             extra={
                 **self._describe(flow, placement),
+                **_describe_send(flow),
                 "outcome": outcome,
                 "blamed": blamed_id or placement.endpoint.endpoint_id,
                 "verdict": failure.verdict.value,
@@ -330,6 +334,13 @@
             },
         )
 
+    def _count_skipped(self, flow: flows.Flow) -> None:
+        """Counts answers to other requests that arrived in an attempt."""
+        if flow.sends.latest is not None and flow.sends.latest.skipped:
+            self._metrics.count(
+                "exchange.answers_skipped", flow.sends.latest.skipped
+            )
+
     def _describe(
         self, flow: flows.Flow, placement: placements.Placement
     ) -> dict[str, object]:
@@ -356,6 +367,20 @@
     }
 
 
+def _describe_send(flow: flows.Flow) -> dict[str, object]:
+    """Returns the log fields that identify the connection of an attempt."""
+    send = flow.sends.latest
+    if send is None:
+        return {"connection": "none"}
+    kind = "kept" if send.position > 1 else "new"
+    return {
+        "connection": "peer" if send.is_relayed else kind,
+        "local_port": send.local_port,
+        "position": send.position,
+        "skipped": send.skipped,
+    }
+
+
 def _name_kind(exchange: exchanges.Exchange) -> str:
     """Returns the route kind, with the band of the prompt's length."""
     kind = exchange.route.kind.value
--- a/rhubarblock/exchange/pathwatch.py
+++ b/rhubarblock/exchange/pathwatch.py
@@ -17,6 +17,7 @@
 
 from rhubarblock.exchange import dialer as dialers
 from rhubarblock.exchange import paths as endpoint_paths
+from rhubarblock.exchange import sends
 from rhubarblock.kernel import timers as timer_service
 
 # Seconds without data from any endpoint of a service, while requests are under
@@ -39,18 +40,21 @@
       on_lost: called when the path is known to be lost.
       check: called once a connection is open, right before the request is
         sent; raises an error if it must not be sent any more.
+      history: the sends of its exchange.
     """
 
-    __slots__ = ("address", "check", "is_direct", "on_lost")
+    __slots__ = ("address", "check", "history", "is_direct", "on_lost")
 
     def __init__(
         self,
         address: str,
         on_lost: Callable[[], object],
         check: Callable[[], None] = lambda: None,
+        history: sends.SendHistory | None = None,
     ):
         self.address = address
         self.check = check
+        self.history = history or sends.SendHistory()
         self.is_direct = False
         self.on_lost = on_lost
 
--- a/rhubarblock/exchange/transport.py
+++ b/rhubarblock/exchange/transport.py
@@ -27,6 +27,7 @@
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import dialer as dialers
 from rhubarblock.exchange import pathwatch
+from rhubarblock.exchange import sends
 from rhubarblock.exchange import sockets
 from rhubarblock.store import sendonce
 
@@ -75,7 +76,11 @@
         if sending is not None:
             sending.check()
             sending.is_direct = not conn.protocol.is_relayed
-        conn.protocol.expected_id = self.headers.get(self.ATTEMPT_HEADER, "")
+        send = conn.protocol.begin_send(
+            self.headers.get(self.ATTEMPT_HEADER, "")
+        )
+        if sending is not None:
+            sending.history.note(conn.protocol, send)
         return await super().send(conn)
 
 
@@ -215,6 +220,7 @@
         options: dialects.SendOptions,
         on_lost: Callable[[], object] = lambda: None,
         check: Callable[[], None] = lambda: None,
+        history: sends.SendHistory | None = None,
     ) -> AsyncIterator[Answer]:
         """Sends an exchange once; the answer is open within the context.
 
@@ -225,6 +231,7 @@
           on_lost: called if its path is lost while it is under way.
           check: called right before it is sent, once a connection is open; its
             error ends the attempt.
+          history: the earlier sends of the exchange; None if there are none.
 
         Yields:
           The answer; its connection is closed unless it was read to the end.
@@ -232,7 +239,7 @@
         Raises:
           AttemptError: it could not be sent, or no valid answer arrived.
         """
-        sending = pathwatch.Sending(address, on_lost, check)
+        sending = pathwatch.Sending(address, on_lost, check, history)
         with (
             self._watch.watch(sending)
             if self._watch is not None
