Test that a late copy of a refusal is not taken for an answer

A call that is sent twice on one connection, to two ids at one address or twice to one engine, gets the late copy of its first refusal for the answer to its second send. Calls ran at two endpoints, and a stream that ran was called not run.

--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -78,6 +78,56 @@
     assert failure.retry_after_s > 0.0
 
 
+class LateCopies:
+    """Scripts that repeat a refusal before the next answer on a connection.
+
+    Attributes:
+      runs: heads of the requests that were run.
+    """
+
+    # Seconds between a copy and the answer that follows it.
+    AHEAD_S = 0.05
+
+    def __init__(self, refusal):
+        self.runs = []
+        self._refusal = refusal
+        self._refused = set()
+
+    async def refuse(self, head, writer):
+        self._refused.add(writer)
+        await self._refusal(head, writer)
+
+    async def run(self, head, writer):
+        self.runs.append(head)
+        if writer in self._refused:
+            await self._refusal(head, writer)
+            await writer.drain()
+        await asyncio.sleep(self.AHEAD_S)
+        await fakes.whole(b"ok")(head, writer)
+
+
+@pytest.mark.parametrize(
+    "refusal", [SHED, MISDIRECTED], ids=["full", "misdirected"]
+)
+def test_late_copy_of_a_refusal_does_not_make_a_call_run_twice(refusal):
+    copies = LateCopies(refusal)
+
+    async def main():
+        restarted = fakes.ScriptedEndpoint(copies.refuse, copies.run)
+        other = fakes.ScriptedEndpoint(copies.run)
+        async with fakes.open_parts(restarted, other) as parts:
+            # The present start of the first endpoint, at the same address.
+            parts.directory.update(fakes.make_endpoint(2, restarted.address))
+            parts.directory.update(fakes.make_endpoint(3, other.address))
+            sink = fakes.MemorySink()
+            await parts.relay.serve(fakes.make_exchange(ONCE), sink)
+            return sink
+
+    sink = asyncio.run(main())
+    assert (sink.status, sink.body) == (200, b"ok")
+    assert len(copies.runs) == 1
+
+
 def test_refusals_do_not_use_up_the_attempts_of_the_route():
     sink, failure, heads = run(*[SHED] * 6, fakes.whole(), route=ONCE)
     assert failure is None
--- a/rhubarblock/exchange/relayengines_test.py
+++ b/rhubarblock/exchange/relayengines_test.py
@@ -86,6 +86,42 @@
     assert len(asked) == len(set(asked)) == 3
 
 
+def test_late_copy_of_a_refusal_does_not_end_a_stream_that_runs():
+    refuse = refuse_for_helper([])
+    refused = {}
+    runs = []
+
+    async def refuse_split(head, writer):
+        if names.HELPERS in head:
+            refused[writer] = head
+            await refuse(head, writer)
+            return
+        runs.append(head)
+        if writer in refused:
+            await refuse(refused[writer], writer)
+            await writer.drain()
+        await asyncio.sleep(shared.LateCopies.AHEAD_S)
+        await fakes.events(1)(head, writer)
+
+    async def main():
+        endpoints = [
+            fakes.ScriptedEndpoint(*[refuse_split] * 2) for _ in range(2)
+        ]
+        async with fakes.open_parts(*endpoints, service="pool") as parts:
+            exchange = fakes.make_exchange(
+                fakes.make_route(routes.RouteKind.STREAMING, resumable=False),
+                fakes.ENGINES,
+                prompt_tokens=60_000,
+                answer_tokens=800,
+            )
+            sink = fakes.MemorySink()
+            await parts.relay.serve(exchange, sink)
+            return sink
+
+    assert asyncio.run(main()).finished
+    assert len(refused) == len(runs) == 1
+
+
 def test_engine_that_refused_is_asked_again_if_no_other_one_can_serve():
     async def main():
         endpoints = [
--- a/rhubarblock/exchange/transport_test.py
+++ b/rhubarblock/exchange/transport_test.py
@@ -10,6 +10,7 @@
 from rhubarblock.exchange import connector as connectors
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import fakeparts_test as fakes
+from rhubarblock.exchange import sends
 from rhubarblock.exchange import transport as transports
 from rhubarblock.platform import dialect as platform_dialect
 from rhubarblock.platform import names
@@ -74,6 +75,24 @@
     assert results == [(200, b"own")]
 
 
+def test_exchange_is_never_sent_twice_on_one_connection():
+    history = sends.SendHistory()
+
+    async def send_again(parts, endpoint):
+        async with parts.transport.send(
+            fakes.make_exchange(), endpoint.address, OPTIONS, history=history
+        ) as answer:
+            await read_all(answer)
+        return endpoint.connections
+
+    # Connections that carried it stay open for other exchanges.
+    results, endpoint = run(
+        [fakes.whole()] * 5, send_again, send_again, send_again, call, call
+    )
+    assert results == [1, 2, 3, (200, b"ok"), (200, b"ok")]
+    assert endpoint.connections == 3
+
+
 def test_connection_with_unexpected_data_is_not_reused():
     async def with_extra(head, writer):
         await fakes.whole(b"own")(head, writer)
