Never send a request twice on one connection

Callers saw calls that must run once run at two endpoints, or got 503 for a call that ran. Cause: an answer is matched by the id that it echoes, which names the caller's attempt and is the same for all sends of it. A process that took over the address of an endpoint refused the call with 421; the call went to the new id there on the same connection, and the late copy of the 421 was read as its answer, so that it was sent to a third endpoint while the second one ran it.

The connections that carried an exchange are kept with it and are not used for it again; they stay open for others. A copy of an answer cannot change its connection, so it cannot reach a later send.

--- a/rhubarblock/exchange/connector.py
+++ b/rhubarblock/exchange/connector.py
@@ -1,13 +1,16 @@
 """Lets aiohttp open connections to endpoints within a connect timeout."""
 
 import asyncio
+import collections
 import logging
 from typing import Any
 
 import aiohttp
+from aiohttp import connector as aiohttp_connector
 
 from rhubarblock.exchange import connection as connections
 from rhubarblock.exchange import dialer as dialers
+from rhubarblock.exchange import pathwatch
 from rhubarblock.exchange import sockets
 
 # Longest connect timeout in seconds: a hundred times the latency between two
@@ -63,7 +66,10 @@
 
 
 class EndpointConnector(aiohttp.TCPConnector):
-    """Opens connections within the connect timeout.
+    """Opens connections within the connect timeout, and keeps them for reuse.
+
+    A request is never sent twice on one connection: a late copy of the answer
+    to its first send would pass for the answer to the second one.
 
     Attributes:
       attempt_header: name of the header with the id of a request.
@@ -75,6 +81,24 @@
     dialer: dialers.Dialer | None = None
     make_socket: sockets.SocketFactory = staticmethod(sockets.make_socket)
 
+    async def _get(
+        self, key: Any, traces: list[Any]
+    ) -> aiohttp_connector.Connection | None:
+        # aiohttp has no public way to choose among idle connections.
+        sending = pathwatch.current.get()
+        idle = self._conns.get(key, ())
+        if sending is None or not any(
+            sending.history.has_used(protocol) for protocol, _ in idle
+        ):
+            return await super()._get(key, traces)
+        used = [x for x in idle if sending.history.has_used(x[0])]
+        unused = [x for x in idle if not sending.history.has_used(x[0])]
+        self._conns[key] = collections.deque(unused)
+        try:
+            return await super()._get(key, traces)
+        finally:
+            self._conns[key].extendleft(reversed(used))
+
     async def _wrap_create_connection(
         self,
         *args: Any,
--- a/rhubarblock/exchange/pathwatch.py
+++ b/rhubarblock/exchange/pathwatch.py
@@ -11,6 +11,7 @@
 from collections.abc import Coroutine
 from collections.abc import Iterator
 import contextlib
+import contextvars
 import logging
 import math
 from typing import Any
@@ -59,6 +60,12 @@
         self.on_lost = on_lost
 
 
+# The request that the running task sends.
+current: contextvars.ContextVar[Sending | None] = contextvars.ContextVar(
+    "current", default=None
+)
+
+
 class _ServiceWatch:
     """The requests that are under way at one service, oldest first.
 
--- a/rhubarblock/exchange/transport.py
+++ b/rhubarblock/exchange/transport.py
@@ -10,7 +10,6 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
-import contextvars
 import dataclasses
 import functools
 from typing import Any
@@ -56,12 +55,6 @@
 _SKIPPED_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 
 
-# The request that the running task sends.
-_sending: contextvars.ContextVar[pathwatch.Sending | None] = (
-    contextvars.ContextVar("sending", default=None)
-)
-
-
 class AttemptError(failures.FailureError):
     """An attempt failed; its verdict says whether it may have run."""
 
@@ -72,7 +65,7 @@
     ATTEMPT_HEADER = ""
 
     async def send(self, conn: Any) -> aiohttp.ClientResponse:
-        sending = _sending.get()
+        sending = pathwatch.current.get()
         if sending is not None:
             sending.check()
             sending.is_direct = not conn.protocol.is_relayed
@@ -263,7 +256,7 @@
         """Sends a request and returns the answer's head."""
         sessions = self._sessions
         session = sessions.probed if options.holds_memory else sessions.unprobed
-        token = _sending.set(sending)
+        token = pathwatch.current.set(sending)
         try:
             with translate_errors():
                 return await session.request(
@@ -279,7 +272,7 @@
                     timeout=_make_timeout(exchange.route.objective_s),
                 )
         finally:
-            _sending.reset(token)
+            pathwatch.current.reset(token)
 
     def _make_body(self, body: bytes) -> bytes | PiecewiseBody | None:
         """Returns a body as aiohttp takes it; None if it is empty."""
