Soak: restart endpoints at their address and repeat answers late

The soak could not show that calls ran twice: endpoints got a new port at each start and answered once.

So the first request of a connection may be cut while the log of its instance says so, if it never ran; all others count as before.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections.abc import Mapping
+from collections.abc import Sequence
 import random
+from typing import Any
 
 import aiohttp
 
@@ -30,17 +32,19 @@
         keys: list[str],
         evidence: evidences.Evidence,
         rng: random.Random,
+        kinds: Sequence[str] = tuple(PATHS),
     ):
         self._name = name
         self._instances = instances
         self._keys = keys
         self._evidence = evidence
         self._rng = rng
+        self._kinds = kinds
         self._count = 0
 
     async def run(self, stop: asyncio.Event) -> None:
         """Sends requests until `stop` is set; connections are reused."""
-        async with aiohttp.ClientSession() as session:
+        async with open_session() as session:
             while not stop.is_set():
                 await self.send_request(session)
                 await asyncio.sleep(
@@ -52,7 +56,7 @@
     ) -> evidences.SentRequest:
         """Sends one request, and returns it with its outcome."""
         self._count += 1
-        kind = self._rng.choice(list(PATHS))
+        kind = self._rng.choice(self._kinds)
         sent = evidences.SentRequest(
             f"{self._name}-{self._count}",
             kind,
@@ -62,12 +66,15 @@
         self._evidence.sent[sent.request_id] = sent
         instance = self._rng.choice(self._choose_instances())
         sent.process_id = instance.process_id
+        sent.address = instance.ip
+        sent.is_first = True
         try:
             async with session.post(
                 f"http://{instance.ip}:{instance.front}{PATHS[kind]}",
                 headers=make_headers(sent, self._rng),
                 data=b"body",
                 timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S),
+                trace_request_ctx=sent,
             ) as answer:
                 note_endpoint_headers(
                     self._evidence, answer.headers, sent.process_id
@@ -94,6 +101,20 @@
         return ready or self._instances
 
 
+def open_session() -> aiohttp.ClientSession:
+    """Returns a session that notes which requests reuse a connection."""
+
+    async def note_reused(
+        session: aiohttp.ClientSession, context: Any, params: Any
+    ) -> None:
+        del session, params
+        context.trace_request_ctx.is_first = False
+
+    tracing = aiohttp.TraceConfig()
+    tracing.on_connection_reuseconn.append(note_reused)
+    return aiohttp.ClientSession(trace_configs=[tracing])
+
+
 def make_headers(
     sent: evidences.SentRequest, rng: random.Random
 ) -> dict[str, str]:
--- a/tools/soak/engines.py
+++ b/tools/soak/engines.py
@@ -13,6 +13,7 @@
 from tools.soak import cooldownwatch
 from tools.soak import evacuationwatch
 from tools.soak import evidence as evidences
+from tools.soak import latecopies
 from tools.soak import leavewatch
 from tools.soak import pace as paces
 from tools.soak import poison
@@ -38,6 +39,8 @@
 COLD_REMAINING = "X-Rhubarblock-Cold-Remaining"
 # Share of the restarts after a crash that get a new id; the others keep the id.
 NEW_ID_SHARE = 0.5
+# Seconds for which the entry of an id that has crashed stays in the list.
+EXPIRY_S = 3.0
 
 
 class SoakEndpoint:
@@ -52,6 +55,7 @@
       retry_after_s: the cool-down in seconds that it asks for in the mode
         ``rest``.
       proxy: the proxy through which instances reach it.
+      copies: answers that come a second time.
       rate: its announced rate limit, checked against the requests that arrive.
     """
 
@@ -79,20 +83,22 @@
         self._evacuations = evacuations
         self._revoke_s = revoke_s
         self._rng = rng
+        self.copies = latecopies.LateCopies(rng)
         self._pace = paces.Pace(rng)
         self._leases: dict[str, float] = {}
         self._started_ms = 0
         # The state in its entry; empty while it has none.
         self._state = ""
-        # Whether the last run announced that it leaves; its id is then never
-        # used again. True at first, so that the first run gets an id.
-        self._announced_leaving = True
+        self._announced_leaving = False
+        # The id of a run that announced that it leaves is never used again.
+        self._gets_new_id = True
 
     async def run(self, stop: asyncio.Event) -> None:
         """Runs the endpoint again and again until `stop` is set."""
         while not stop.is_set():
-            if self._rng.random() < NEW_ID_SHARE or self._announced_leaving:
+            if self._rng.random() < NEW_ID_SHARE or self._gets_new_id:
                 self.id = f"i-{self._rng.getrandbits(32):08x}"
+            self._gets_new_id = False
             self._announced_leaving = False
             self._started_ms = round(time.time() * 1e3)
             self._pace = paces.Pace(self._rng)
@@ -113,7 +119,7 @@
                 if self.mode == "drain":
                     await self._drain()
                 self._state = ""
-                self._store.remove(f"servers/{self.id}")
+                self._remove_entry(EXPIRY_S if self.mode == "crash" else 0.0)
             self.mode = ""
             await asyncio.sleep(0.5)
 
@@ -130,12 +136,29 @@
         self.mode = mode
         self._ended.set()
 
+    def _remove_entry(self, delay_s: float) -> None:
+        """Removes the entry of the present run unless its id runs again."""
+        ended_id = self.id
+
+        def remove() -> None:
+            if self.id != ended_id or not self._state:
+                self._store.remove(f"servers/{ended_id}")
+
+        asyncio.get_running_loop().call_later(delay_s, remove)
+
+    def restart(self) -> None:
+        """Crashes, and comes back with a new id, unless it is not running."""
+        if self._state == "ready" and not self.mode:
+            self._gets_new_id = True
+            self.end("crash")
+
     async def _drain(self) -> None:
         """Announces that it leaves, and continues to serve for a while.
 
         Its answers announce it first, its entry later.
         """
         self._announced_leaving = True
+        self._gets_new_id = True
         await asyncio.sleep(self._rng.uniform(0.0, MAX_LISTING_DELAY_S))
         while self._store.is_down or self._store.is_read_only:
             await asyncio.sleep(LISTING_RETRY_S)
@@ -166,6 +189,12 @@
         )
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.copies.send(request)
+        response = await self._answer(request)
+        self.copies.note(request, response)
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == "/order":
             return self._handle_order(json.loads(await request.text()))
         if coldwatch.IS_ON and request.path == "/":
--- a/tools/soak/evidence.py
+++ b/tools/soak/evidence.py
@@ -10,6 +10,9 @@
 DRAIN_NOTICE_S = 2.0
 # Seconds after a freeze for which a process is exempt from rate limit checks.
 RECOVERY_S = 4.0
+# Seconds by which an instance may log too late that it closes connections
+# unread.
+UNREAD_LOG_S = 0.5
 # Seconds between two checks of whether the event loop of the soak stalls.
 STALL_CHECK_S = 0.05
 
@@ -31,6 +34,8 @@
         None without one.
       may_be_unread: whether it was sent while a stopping instance closed the
         idle connection, so that the instance may not have read it.
+      address: address of the instance that it was sent to.
+      is_first: whether it was the first request on its connection.
     """
 
     request_id: str
@@ -43,6 +48,8 @@
     has_timed_out: bool = False
     retry_after_s: float | None = None
     may_be_unread: bool = False
+    address: str = ""
+    is_first: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,6 +77,10 @@
         before everything has recovered from them.
       max_stall_s: longest stall of the soak's own event loop in seconds, which
         delays its callers and endpoints by as much.
+      unread_s: begins and ends of the times in which an instance closed new
+        connections unread, by its address.
+      cuts: first requests on connections that were cut, with the time and a
+        message.
       violations: a message for each violated invariant.
     """
 
@@ -90,6 +101,12 @@
     drain_listed_s: dict[str, float] = dataclasses.field(default_factory=dict)
     calm_since_s: float | None = None
     max_stall_s: float = 0.0
+    unread_s: dict[str, list[tuple[float, float]]] = dataclasses.field(
+        default_factory=dict
+    )
+    cuts: list[tuple[SentRequest, float, str]] = dataclasses.field(
+        default_factory=list
+    )
     violations: list[str] = dataclasses.field(default_factory=list)
     poison_arrivals_s: list[float] = dataclasses.field(default_factory=list)
     poison_crashes_s: list[float] = dataclasses.field(default_factory=list)
@@ -130,9 +147,11 @@
             )
         is_cut = not (sent.status or sent.has_timed_out or sent.may_be_unread)
         if is_cut and self._was_calm(sent.at_s):
-            self.violations.append(
-                f"{sent.request_id} was cut {self._describe_cut(sent)}"
-            )
+            message = f"{sent.request_id} was cut {self._describe_cut(sent)}"
+            if sent.is_first and not self.runs.get(sent.request_id):
+                self.cuts.append((sent, read_clock(), message))
+            else:
+                self.violations.append(message)
 
     def _was_calm(self, since_s: float) -> bool:
         return self.calm_since_s is not None and self.calm_since_s <= since_s
@@ -214,8 +233,22 @@
                 f"{request_id} ran with a key removed {late_s:.2f} s before"
             )
 
+    def _was_left_unread(self, sent: SentRequest, cut_s: float) -> bool:
+        """Whether its instance said that it closed connections unread then."""
+        if self.runs.get(sent.request_id):
+            return False
+        return any(
+            begin_s - UNREAD_LOG_S <= cut_s and sent.at_s <= end_s
+            for begin_s, end_s in self.unread_s.get(sent.address, ())
+        )
+
     def check_outcomes(self) -> None:
         """Checks the invariants on the final outcome of requests."""
+        self.violations += [
+            message
+            for sent, cut_s, message in self.cuts
+            if not self._was_left_unread(sent, cut_s)
+        ]
         for sent in self.sent.values():
             ran = bool(self.runs.get(sent.request_id))
             if sent.kind == "once" and sent.status in (429, 503) and ran:
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -127,10 +127,13 @@
         """Cuts the instance from all endpoints; ends it if `kind` is empty."""
         self._partition.write_text(kind)
 
+    def read_log(self) -> str:
+        """Returns what the program wrote, at all its starts."""
+        return self._log.read_text()
+
     def read_last_log(self) -> str:
         """Returns the last lines that the program wrote."""
-        lines = self._log.read_text().splitlines()[-LAST_LINES:]
-        return "\n".join(lines)
+        return "\n".join(self.read_log().splitlines()[-LAST_LINES:])
 
     @property
     def process_id(self) -> int:
--- a/tools/soak/keepalivecallers.py
+++ b/tools/soak/keepalivecallers.py
@@ -95,6 +95,8 @@
             self._rng.choice(self._keys),
             evidences.read_clock(),
             process_id,
+            address=self._instance.ip,
+            is_first=connection.served == 0,
         )
         self._evidence.sent[sent.request_id] = sent
         answer = None
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -23,10 +23,12 @@
         requests; ``slow`` delays both directions.
       healed_s: when it last resumed forwarding after a fault.
       target: port that connections are forwarded to.
+      port: port that it listens on, the same each time; 0 before the first.
     """
 
     def __init__(self, target: int = 0):
         self.mode = ""
+        self.port = 0
         self.healed_s = 0.0
         self.target = target
 
@@ -43,9 +45,12 @@
     @contextlib.asynccontextmanager
     async def open(self):  # type: ignore[no-untyped-def]
         """Listens while the context is open; yields its port."""
-        server = await asyncio.start_server(self._forward, "127.0.0.1", 0)
+        server = await asyncio.start_server(
+            self._forward, "127.0.0.1", self.port
+        )
+        self.port = server.sockets[0].getsockname()[1]
         try:
-            yield server.sockets[0].getsockname()[1]
+            yield self.port
         finally:
             server.close()
 
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -5,6 +5,7 @@
 import math
 import pathlib
 import random
+import shutil
 import signal
 import sys
 import tempfile
@@ -24,9 +25,11 @@
 from tools.soak import plannedstops
 from tools.soak import poison
 from tools.soak import proxy as proxies
+from tools.soak import restarts
 from tools.soak import restore
 from tools.soak import store as stores
 from tools.soak import storms
+from tools.soak import unread
 
 # Seconds within which a revoked key must be refused everywhere.
 REVOKE_S = 3.0
@@ -110,6 +113,13 @@
                 await poison.run(
                     self.instances, self.keys[0], self.evidence, self.rng
                 )
+                await restarts.run(
+                    self.instances,
+                    self._list_endpoints(SERVICES[1]),
+                    self.keys,
+                    self.evidence,
+                    self.rng,
+                )
                 self.evidence.calm_since_s = evidences.read_clock()
                 self._start_keep_alive_callers()
                 await self._run_planned_work(SERVICES[0])
@@ -127,6 +137,10 @@
             self.stop.set()
             for instance in self.instances:
                 instance.send(signal.SIGKILL)
+        for instance in self.instances:
+            self.evidence.unread_s[instance.ip] = unread.read_windows(
+                instance.read_log()
+            )
         self.evidence.check_outcomes()
         return self.evidence
 
@@ -424,10 +438,24 @@
         await asyncio.sleep(0.1)
 
 
-async def run_seed(seed: int, length_s: float) -> evidences.Evidence:
-    """Runs one seed in a temporary folder of its own."""
-    with tempfile.TemporaryDirectory() as folder:
-        return await Soak(seed, pathlib.Path(folder)).run(length_s)
+async def run_seed(
+    seed: int, length_s: float, logs: pathlib.Path | None = None
+) -> evidences.Evidence:
+    """Runs one seed in a temporary folder of its own.
+
+    Args:
+      seed: determines the run.
+      length_s: seconds of faults.
+      logs: folder for the logs of the instances; None keeps none.
+    """
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        try:
+            return await Soak(seed, folder).run(length_s)
+        finally:
+            if logs is not None:
+                for path in folder.glob("*.log"):
+                    shutil.copy(path, logs / f"{seed}-{path.name}")
 
 
 def parse_seeds(text: str) -> range:
@@ -454,13 +482,23 @@
     help="file of seeds that once violated an invariant; they run first",
 )
 @click.option("--seconds", default=12.0, help="length of the faults")
-def main(seeds: str, again: pathlib.Path | None, seconds: float) -> None:
+@click.option(
+    "--logs",
+    type=click.Path(path_type=pathlib.Path, exists=True, file_okay=False),
+    help="folder for the logs of the instances",
+)
+def main(
+    seeds: str,
+    again: pathlib.Path | None,
+    seconds: float,
+    logs: pathlib.Path | None,
+) -> None:
     """Runs seeds and prints the violations of each."""
     # SIGTERM acts as an interrupt, so that the soak ends all its processes.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     failed_seeds = 0
     for seed in [*read_seeds(again), *parse_seeds(seeds)]:
-        evidence = asyncio.run(run_seed(seed, seconds))
+        evidence = asyncio.run(run_seed(seed, seconds, logs))
         served = evidence.count(200)
         click.echo(
             f"seed {seed}: {len(evidence.sent)} sent, {served} served, "
--- a/tools/soak/storms.py
+++ b/tools/soak/storms.py
@@ -40,7 +40,7 @@
     """
     until_s = evidences.read_clock() + rng.uniform(*LENGTHS_S)
     async with (
-        aiohttp.ClientSession() as session,
+        callers.open_session() as session,
         asyncio.TaskGroup() as group,
     ):
         for number in range(CALLERS):
