Watch a list from the position of its first page

A list of several pages was watched from the position of its last page. The watch goes on from the first page; a removal older than the listed entry is ignored, as other older changes were before. No call is added.

--- a/rhubarblock/exchange/state/follower_test.py
+++ b/rhubarblock/exchange/state/follower_test.py
@@ -271,6 +271,21 @@
     assert run(step) == (["a"], 2, ["a", "b"])
 
 
+def test_removal_before_a_listed_entry_does_not_remove_it():
+    """A watch may repeat changes that a listing of several pages contains."""
+
+    async def step(instance, store, client):
+        await asyncio.sleep(1.0)
+        store.put("a")
+        await asyncio.sleep(1.0)
+        older = store.revision - 1
+        store.events.put_nowait(fakes.entry("a", b"", True, older))
+        await asyncio.sleep(1.0)
+        return instance.usable()
+
+    assert run(step) == ["a", "b"]
+
+
 def test_burst_of_changes_takes_few_calls():
     async def step(instance, store, client):
         await asyncio.sleep(1.0)
--- a/rhubarblock/exchange/state/replica.py
+++ b/rhubarblock/exchange/state/replica.py
@@ -372,12 +372,13 @@
 
     def _is_outdated(self, stored: stores.StoredObject) -> bool:
         """Returns whether a later version of an entry is known."""
-        if stored.deleted:
+        if stored.deleted and not stored.version:
+            # A peer found it missing from a list, at an unknown position.
             return False
-        if self._tombstones.is_outdated(stored):
-            return True
         known = self._entries.get(stored.name)
-        return known is not None and stored.version < known.version
+        if known is not None and stored.version < known.version:
+            return True
+        return not stored.deleted and self._tombstones.is_outdated(stored)
 
     def list_changes(self, after: int) -> ListChanges:
         """Returns the changes of the list after a known one.
--- a/rhubarblock/platform/objectstore.py
+++ b/rhubarblock/platform/objectstore.py
@@ -77,19 +77,21 @@
         kind = prefix.partition("/")[0]
         objects: list[stores.StoredObject] = []
         query: dict[str, str] = {}
-        era: int | None = None
+        first: positions.Position | None = None
         while True:
             page = await self._call("GET", kind, query)
-            if era not in (None, page.era):
+            era = page.era
+            # Changes between two pages may be in neither of them.
+            first = first or page.position
+            if era != first.era:
                 raise stores.StoreError(
                     _Kind.CONFLICT, "the era changed within a listing"
                 )
-            era = page.era
             found = page.fields["items"]
             items = [_decode_object(kind, item, era) for item in found]
             objects += items
             if not page.fields.get("hasMore") or not items:
-                return stores.Page(tuple(objects), page.position)
+                return stores.Page(tuple(objects), first)
             query = {"after": items[-1].name.partition("/")[2]}
 
     async def write(
--- a/rhubarblock/platform/objectstore_test.py
+++ b/rhubarblock/platform/objectstore_test.py
@@ -103,6 +103,28 @@
     assert calls[1][1] == "/objects/servers?after=a"
 
 
+def test_change_between_two_pages_of_a_listing_is_not_missed():
+    """An entry of the first page changes before the second one is read."""
+
+    def answer(number, *call):
+        if number == 1:
+            items = [make_item("a", 3, {"state": "ready"})]
+            return 200, {"items": items, "hasMore": True, "storeRevision": 9}
+        if number == 2:
+            items = [make_item("b", 12, {})]
+            return 200, {"items": items, "hasMore": False, "storeRevision": 12}
+        event = {"removed": False, "object": make_item("a", 11, {})}
+        return 200, {"events": [event], "storeRevision": 12}
+
+    async def step(store):
+        page = await store.list_objects("servers/")
+        return await anext(store.watch("servers/", page.version))
+
+    stored, calls = run(answer, step)
+    assert (stored.name, stored.version) == ("servers/a", at(11))
+    assert calls[2][1] == "/objects/servers?watch=9&waitMs=4000"
+
+
 def test_watch_continues_from_the_stores_revision():
     def answer(number, *call):
         events = [
--- a/rhubarblock/store/store.py
+++ b/rhubarblock/store/store.py
@@ -59,7 +59,13 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Page:
-    """Objects of one listing and the position at which it was taken."""
+    """Objects of one listing.
+
+    Attributes:
+      objects: the objects; they may contain some of the changes after the
+        position, and a watch from there repeats these.
+      version: the position up to which they contain all changes.
+    """
 
     objects: tuple[StoredObject, ...]
     version: positions.Position
