Apply all changes of one answer of the store at once

A watch now yields what arrived with one answer together; its changes are applied in slices of 3 ms, between which requests are served, and the pause comes after them. No call is added.

The test of a burst put each change into an answer of its own, which the store does not; it has a stream of changes now, with the calls counted, and a test beside it has 700 changes in one answer (0.2 s late before).

--- a/rhubarblock/exchange/state/evacuationfleet_test.py
+++ b/rhubarblock/exchange/state/evacuationfleet_test.py
@@ -145,9 +145,9 @@
                         await store.changed.wait()
             if after.era != store.era:
                 raise stores.StoreError(stores.StoreErrorKind.CONFLICT)
-            for stored in self._find(prefix, after):
-                after = stored.version
-                yield stored
+            found = tuple(self._find(prefix, after))
+            after = found[-1].version if found else after
+            yield found
 
     def _find(self, prefix, after):
         return [
--- a/rhubarblock/exchange/state/evacuationfollower.py
+++ b/rhubarblock/exchange/state/evacuationfollower.py
@@ -148,8 +148,9 @@
         changes = self._store.watch(
             self._dialect.evacuation_prefix, after, self._wait_s
         )
-        async for stored in changes:
-            self._replica.apply_change(stored)
+        async for answer in changes:
+            for stored in answer:
+                self._replica.apply_change(stored)
 
 
 def _log_failure(error: Exception) -> None:
--- a/rhubarblock/exchange/state/follower.py
+++ b/rhubarblock/exchange/state/follower.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Iterable
 import contextlib
 import dataclasses
 import enum
@@ -50,9 +51,9 @@
 # start, a rolling replacement changes some entries each second, and each answer
 # of the store is charged.
 CHANGES_FRACTION = 0.1
-# Longest time in seconds in which the changes of one answer are applied: a
-# further request and its answer take longer.
-SAME_ANSWER_S = 0.003
+# Longest time in seconds in which changes are applied without a pause: callers'
+# requests wait meanwhile.
+SLICE_S = 0.003
 # Number of readers that are polled in turn before the store is read: after a
 # restart of all instances the preferred ones may not be up yet, and each call
 # to the store is charged. Polling an instance that is down takes a quarter of a
@@ -420,12 +421,17 @@
             await asyncio.gather(watch, new_era, return_exceptions=True)
 
     async def _watch(self, after: positions.Position) -> None:
-        changes = self._store.watch(self._dialect.endpoint_prefix, after)
-        resumed_s = float("-inf")
-        async for stored in changes:
+        answers = self._store.watch(self._dialect.endpoint_prefix, after)
+        async for changes in answers:
+            await self._apply(changes)
+            # Changes during the pause arrive with the next answer.
+            await self._timers.sleep(self._intervals.changes_s)
+
+    async def _apply(self, changes: Iterable[stores.StoredObject]) -> None:
+        """Applies the changes of one answer in slices."""
+        begun_s = self._timers.read_monotonic()
+        for stored in changes:
             self._replica.apply_change(stored)
-            # Changes during the pause arrive with the next answer. The changes
-            # of one answer are applied without a pause.
-            if self._timers.read_monotonic() - resumed_s > SAME_ANSWER_S:
-                await self._timers.sleep(self._intervals.changes_s)
-                resumed_s = self._timers.read_monotonic()
+            if self._timers.read_monotonic() - begun_s > SLICE_S:
+                await self._timers.sleep(0.0)
+                begun_s = self._timers.read_monotonic()
--- a/rhubarblock/exchange/state/follower_test.py
+++ b/rhubarblock/exchange/state/follower_test.py
@@ -45,6 +45,8 @@
         self.lists = 0
         self.version = 1
         self.events = asyncio.Queue()
+        # Answers to watches.
+        self.answers = 0
 
     def at(self):
         era = self.eras.validate(self.era or None) if self.eras else 0
@@ -96,10 +98,14 @@
 
     async def watch(self, prefix, after, wait_s=None):
         while True:
-            event = await self.events.get()
-            if event is None:
+            # All that has been written is in the next answer.
+            answer = [await self.events.get()]
+            while not self.events.empty():
+                answer.append(self.events.get_nowait())
+            if None in answer:
                 raise stores.StoreError(stores.StoreErrorKind.CONFLICT)
-            yield event
+            self.answers += 1
+            yield tuple(answer)
 
 
 class Client:
@@ -286,23 +292,37 @@
     assert run(step) == ["a", "b"]
 
 
-def test_burst_of_changes_takes_few_calls():
+def test_stream_of_changes_takes_few_calls():
     async def step(instance, store, client):
         await asyncio.sleep(1.0)
         taken = []
         for number in range(40):
             store.events.put_nowait(fakes.entry(f"e{number}"))
-        begun_s = asyncio.get_running_loop().time()
-        while len(instance.usable()) < 42:
+            await asyncio.sleep(0.01)
             taken.append(len(instance.usable()))
+        written_s = asyncio.get_running_loop().time()
+        while len(instance.usable()) < 42:
             await asyncio.sleep(0.01)
-        return taken[0], asyncio.get_running_loop().time() - begun_s
+        late_s = asyncio.get_running_loop().time() - written_s
+        return taken[0], store.answers, late_s
 
-    first, took_s = run(step)
+    first, answers, late_s = run(step)
     # The first change is applied at once, the others with the next answers.
-    assert first <= 3
+    assert first == 3
     # A tenth of the 2 s within which a configuration must be in force.
-    assert 0.2 <= round(took_s, 6) <= 0.6
+    assert late_s <= 0.2
+    assert answers <= 1 + 0.4 / 0.2 + 1
+
+
+def test_all_changes_of_one_answer_are_applied_at_once():
+    async def step(instance, store, client):
+        await asyncio.sleep(1.0)
+        for number in range(700):
+            store.events.put_nowait(fakes.entry(f"e{number}"))
+        await asyncio.sleep(0.01)
+        return len(instance.usable()), store.answers
+
+    assert run(step) == (702, 1)
 
 
 def test_older_version_from_the_store_is_rejected():
--- a/rhubarblock/fleet/distribution.py
+++ b/rhubarblock/fleet/distribution.py
@@ -260,9 +260,11 @@
             await self._timers.sleep(retry_delay.take_delay())
 
     async def _read_events(self, version: positions.Position) -> None:
-        async for stored in self._store.watch(archive.CURRENT_OBJECT, version):
-            if not stored.deleted and self._apply_content(stored.value):
-                self._start(self._start_broadcast())
+        name = archive.CURRENT_OBJECT
+        async for changes in self._store.watch(name, version):
+            for stored in changes:
+                if not stored.deleted and self._apply_content(stored.value):
+                    self._start(self._start_broadcast())
 
     async def _read_platform(self) -> None:
         try:
--- a/rhubarblock/platform/objectstore.py
+++ b/rhubarblock/platform/objectstore.py
@@ -80,15 +80,14 @@
         first: positions.Position | None = None
         while True:
             page = await self._call("GET", kind, query)
-            era = page.era
             # Changes between two pages may be in neither of them.
             first = first or page.position
-            if era != first.era:
+            if page.era != first.era:
                 raise stores.StoreError(
                     _Kind.CONFLICT, "the era changed within a listing"
                 )
             found = page.fields["items"]
-            items = [_decode_object(kind, item, era) for item in found]
+            items = [_decode_object(kind, x, first.era) for x in found]
             objects += items
             if not page.fields.get("hasMore") or not items:
                 return stores.Page(tuple(objects), first)
@@ -130,7 +129,7 @@
         prefix: str,
         after: positions.Position,
         wait_s: float | None = None,
-    ) -> AsyncIterator[stores.StoredObject]:
+    ) -> AsyncIterator[tuple[stores.StoredObject, ...]]:
         kind = prefix.partition("/")[0]
         wait_ms = WATCH_WAIT_MS if wait_s is None else round(wait_s * 1e3)
         while True:
@@ -143,9 +142,13 @@
                 raise stores.StoreError(
                     _Kind.CONFLICT, "the era changed under a watch"
                 )
-            for event in page.fields["events"]:
-                removed = bool(event.get("removed"))
-                yield _decode_object(kind, event["object"], page.era, removed)
+            if events := page.fields["events"]:
+                yield tuple(
+                    _decode_object(
+                        kind, e["object"], page.era, bool(e.get("removed"))
+                    )
+                    for e in events
+                )
             after = page.position
 
     async def _call(
@@ -252,10 +255,7 @@
 def _decode_object(
     kind: str, fields: Mapping[str, Any], era: int, removed: bool = False
 ) -> stores.StoredObject:
-    value = json.dumps(fields.get("specification")).encode()
-    return stores.StoredObject(
-        f"{kind}/{fields['metadata']['name']}",
-        _read_version(fields, era),
-        b"" if removed else value,
-        removed,
-    )
+    name = f"{kind}/{fields['metadata']['name']}"
+    version = _read_version(fields, era)
+    value = b"" if removed else json.dumps(fields.get("specification")).encode()
+    return stores.StoredObject(name, version, value, removed)
--- a/rhubarblock/platform/objectstore_test.py
+++ b/rhubarblock/platform/objectstore_test.py
@@ -120,7 +120,7 @@
         page = await store.list_objects("servers/")
         return await anext(store.watch("servers/", page.version))
 
-    stored, calls = run(answer, step)
+    (stored,), calls = run(answer, step)
     assert (stored.name, stored.version) == ("servers/a", at(11))
     assert calls[2][1] == "/objects/servers?watch=9&waitMs=4000"
 
@@ -138,8 +138,8 @@
     async def step(store):
         seen = []
         with contextlib.suppress(stores.StoreError):
-            async for stored in store.watch("servers/", at(10)):
-                seen.append((stored.name, stored.deleted))
+            async for answer in store.watch("servers/", at(10)):
+                seen += [(o.name, o.deleted) for o in answer]
         return seen
 
     seen, calls = run(answer, step)
@@ -351,8 +351,8 @@
     async def step(store):
         seen = []
         with contextlib.suppress(stores.StoreError):
-            async for stored in store.watch("evacuations/", at(10), 1.5):
-                seen.append((stored.name, stored.deleted))
+            async for answer in store.watch("evacuations/", at(10), 1.5):
+                seen += [(o.name, o.deleted) for o in answer]
         return seen
 
     seen, calls = run(answer, step)
--- a/rhubarblock/standins/platform/server.py
+++ b/rhubarblock/standins/platform/server.py
@@ -132,7 +132,7 @@
         self,
         request: web.Request,
         response: web.StreamResponse,
-        events: AsyncGenerator[stores.StoredObject, None],
+        events: AsyncGenerator[tuple[stores.StoredObject, ...], None],
     ) -> None:
         # The response starts with the first event or after a short time
         # without one, so that an error at the start of the watch still
@@ -143,10 +143,11 @@
             if first.done():
                 first.result()
             await response.prepare(request)
-            stored = await first
-            while stored is not None:
-                await response.write(storewire.encode_event(stored))
-                stored = await anext(events, None)
+            answer = await first
+            while answer is not None:
+                for stored in answer:
+                    await response.write(storewire.encode_event(stored))
+                answer = await anext(events, None)
         finally:
             first.cancel()
 
--- a/rhubarblock/standins/platform/store.py
+++ b/rhubarblock/standins/platform/store.py
@@ -137,7 +137,7 @@
         prefix: str,
         after: positions.Position,
         wait_s: float | None = None,
-    ) -> AsyncIterator[stores.StoredObject]:
+    ) -> AsyncIterator[tuple[stores.StoredObject, ...]]:
         return self._local.watch(prefix, after, wait_s)
 
 
@@ -234,7 +234,7 @@
         prefix: str,
         after: positions.Position,
         wait_s: float | None = None,
-    ) -> AsyncGenerator[stores.StoredObject, None]:
+    ) -> AsyncGenerator[tuple[stores.StoredObject, ...], None]:
         store = self._store
         await self._begin_read("watch")
         opened = platformwatch.Watch(
@@ -248,7 +248,7 @@
             async with contextlib.aclosing(events):
                 async for stored in events:
                     self._count("watch.event")
-                    yield stored
+                    yield (stored,)
         finally:
             store.reserve_watch_reads(-reserved_per_s)
 
--- a/rhubarblock/standins/platform/store_test.py
+++ b/rhubarblock/standins/platform/store_test.py
@@ -36,8 +36,8 @@
     events, count: int
 ) -> list[tuple[str, positions.Position]]:
     taken = []
-    async for stored in events:
-        taken.append((stored.name, stored.version))
+    async for answer in events:
+        taken += [(stored.name, stored.version) for stored in answer]
         if len(taken) == count:
             break
     return taken
--- a/rhubarblock/store/httpstore.py
+++ b/rhubarblock/store/httpstore.py
@@ -97,7 +97,7 @@
         prefix: str,
         after: positions.Position,
         wait_s: float | None = None,
-    ) -> AsyncIterator[stores.StoredObject]:
+    ) -> AsyncIterator[tuple[stores.StoredObject, ...]]:
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
         )
@@ -111,7 +111,7 @@
             ) as response:
                 _check_status(response)
                 async for line in _read_lines(response):
-                    yield storewire.decode_event(line)
+                    yield (storewire.decode_event(line),)
 
     def _format_url(self, name: str) -> str:
         quoted = urllib.parse.quote(name, safe="/")
--- a/rhubarblock/store/store.py
+++ b/rhubarblock/store/store.py
@@ -133,9 +133,11 @@
         prefix: str,
         after: positions.Position,
         wait_s: float | None = None,
-    ) -> AsyncIterator[StoredObject]:
+    ) -> AsyncIterator[tuple[StoredObject, ...]]:
         """Yields the states that are written after a position.
 
+        States that arrived with one answer are yielded together.
+
         Args:
           prefix: prefix of the names to watch.
           after: position of the listing or state from which to go on.
