Read the list of endpoints again after a failed read of the store

A failed read now ends the watch, and the list is read again as soon as the store answers. Idle connections to the store are reused for 1.6 s instead of 15 s, as the next call would meet another silent one.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -79,6 +79,10 @@
 # Seconds from the accept of a connection until its request is checked against
 # the configuration, at most.
 REQUEST_START_S = 0.25
+# Time in seconds for which an idle connection to the store or a peer is reused:
+# connections may go silent, and a call that meets one takes its whole timeout.
+# The reads of the configuration follow one another faster.
+STORE_IDLE_S = 1.6
 # Seconds between two removals of the state of unlisted endpoints.
 CLEANUP_INTERVAL_S = 30.0
 # Seconds that a start waits for the list of its peers and, if there is none by
@@ -211,7 +215,11 @@
             )
         )
         stack.enter_context(self.loop_lag.measure())
-        session = await stack.enter_async_context(aiohttp.ClientSession())
+        session = await stack.enter_async_context(
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(keepalive_timeout=STORE_IDLE_S)
+            )
+        )
         store = self._make_store(session, self.metrics, self.eras)
         start_id = f"{self._rng.getrandbits(32):08x}"
         updates = peer_updates.PeerUpdates(
--- a/rhubarblock/exchange/state/follower.py
+++ b/rhubarblock/exchange/state/follower.py
@@ -124,9 +124,9 @@
         "_evacuations",
         "_peers",
         "_intervals",
-        "_has_new_era",
         "_isolation",
         "_may_list",
+        "_must_list",
         "_reachable",
         "_reads_store",
         "_rng",
@@ -168,8 +168,9 @@
         self._eras = eras
         self._isolation = isolation
         self._evacuations = evacuations
-        # Set when the list must be read again.
-        self._has_new_era = asyncio.Event()
+        # Set when the list must be read again: the store came back older, or a
+        # read failed, after which the connection of the watch may be silent.
+        self._must_list = asyncio.Event()
         eras.add_listener(self._begin_era)
         self._store = store
         self._dialect = dialect
@@ -329,6 +330,7 @@
         except (stores.StoreError, ValueError) as error:
             if self._reachable:
                 self._reachable = False
+                self._must_list.set()
                 self._update_may_list()
                 _logger.warning("store lost", extra={"reason": str(error)})
             return False
@@ -354,7 +356,7 @@
         """Keeps the state in force and reads everything again."""
         self._replica.begin_era()
         self._client.forget()
-        self._has_new_era.set()
+        self._must_list.set()
 
     def _set_role(self, reads_store: bool) -> None:
         self._update_evacuations(reads_store)
@@ -390,7 +392,7 @@
                 page = await self._store.list_objects(
                     self._dialect.endpoint_prefix
                 )
-                self._has_new_era.clear()
+                self._must_list.clear()
                 if page.version.era != self._eras.current:
                     continue
                 self._replica.apply_listing(page.objects, at=page.version)
@@ -405,20 +407,20 @@
     async def _watch_while_reading(self, after: positions.Position) -> None:
         """Watches the list until it must be read again or the role changes."""
         watch = asyncio.create_task(self._watch(after))
-        new_era = asyncio.create_task(self._has_new_era.wait())
+        outdated = asyncio.create_task(self._must_list.wait())
         try:
-            while self._reads_store and not watch.done() | new_era.done():
+            while self._reads_store and not watch.done() | outdated.done():
                 await asyncio.wait(
-                    {watch, new_era},
+                    {watch, outdated},
                     timeout=ROLE_INTERVAL_S,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
             if watch.done():
                 watch.result()
         finally:
-            for task in (watch, new_era):
+            for task in (watch, outdated):
                 task.cancel()
-            await asyncio.gather(watch, new_era, return_exceptions=True)
+            await asyncio.gather(watch, outdated, return_exceptions=True)
 
     async def _watch(self, after: positions.Position) -> None:
         answers = self._store.watch(self._dialect.endpoint_prefix, after)
--- a/rhubarblock/exchange/state/follower_test.py
+++ b/rhubarblock/exchange/state/follower_test.py
@@ -292,6 +292,21 @@
     assert run(step) == ["a", "b"]
 
 
+def test_list_is_read_again_after_a_failed_read():
+    """The connection of the watch may be silent, too."""
+
+    async def step(instance, store, client):
+        await asyncio.sleep(1.0)
+        del store.listed["a"]
+        store.fails = True
+        await asyncio.sleep(0.8)
+        store.fails = False
+        await asyncio.sleep(1.0)
+        return store.lists, instance.usable()
+
+    assert run(step) == (2, ["b"])
+
+
 def test_stream_of_changes_takes_few_calls():
     async def step(instance, store, client):
         await asyncio.sleep(1.0)
