--- a/rhubarblock/exchange/state/evacuationfollower.py
+++ b/rhubarblock/exchange/state/evacuationfollower.py
@@ -145,11 +145,11 @@
             await asyncio.gather(watch, interrupted, return_exceptions=True)
 
     async def _watch(self, after: positions.Position) -> None:
-        changes = self._store.watch(
+        answers = self._store.watch(
             self._dialect.evacuation_prefix, after, self._wait_s
         )
-        async for answer in changes:
-            for stored in answer:
+        async for changes in answers:
+            for stored in changes:
                 self._replica.apply_change(stored)
 
 
