--- a/rhubarblock/daemon/listener.py
+++ b/rhubarblock/daemon/listener.py
@@ -56,6 +56,7 @@
             keepalive_timeout=self._keepalive_s,
             access_log=None,
             read_bufsize=self._read_bytes,
+            auto_decompress=False,
         )
 
     def count_connections(self) -> connections.ConnectionCounts:
