--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 
+from rhubarblock.core import route as routes
 from rhubarblock.daemon import intake as intakes
 from rhubarblock.daemon import listener as listeners
 from rhubarblock.daemon import peerdiscovery
@@ -594,6 +595,7 @@
                 if settings.capacity.memory_mb
                 else listeners.READ_BYTES,
                 intake=intake,
+                read_head_bound=self._read_head_bound,
             )
         )
         for handler, address, wrap in (
@@ -607,6 +609,11 @@
                 )
             )
 
+    def _read_head_bound(self) -> int:
+        """Returns the longest line of a request's head in bytes."""
+        table = self.config_lease.table
+        return (table.bounds if table else routes.CallerBounds()).header_bytes
+
     def _make_follower(
         self,
         session: aiohttp.ClientSession,
--- a/rhubarblock/daemon/listener.py
+++ b/rhubarblock/daemon/listener.py
@@ -18,6 +18,8 @@
 # Bytes of a body that are received before its handler reads it, as aiohttp has
 # them by default.
 READ_BYTES = 1 << 18
+# Longest request line or header field in bytes, as aiohttp has it by default.
+MAX_HEAD_BYTES = 8_190
 # Seconds for the last responses to end when the server is closed.
 SHUTDOWN_S = 0.3
 
@@ -34,21 +36,30 @@
       listener: server of the listening socket.
     """
 
-    __slots__ = ("_keepalive_s", "_read_bytes", "_registry", "listener")
+    __slots__ = (
+        "_keepalive_s",
+        "_read_bytes",
+        "_read_head_bound",
+        "_registry",
+        "listener",
+    )
 
     def __init__(
         self,
         keepalive_s: float,
         read_bytes: int = READ_BYTES,
         registry: connections.Registry | None = None,
+        read_head_bound: Callable[[], int] = lambda: MAX_HEAD_BYTES,
     ):
         self._keepalive_s = keepalive_s
+        self._read_head_bound = read_head_bound
         self._read_bytes = read_bytes
         self._registry = registry or connections.Registry()
         self.listener: asyncio.Server
 
     def connect(self, server: web.Server) -> connections.TrackedConnection:
         """Creates the protocol of a new connection."""
+        head_bytes = self._read_head_bound()
         return connections.TrackedConnection(
             server,
             self._registry,
@@ -57,6 +68,8 @@
             access_log=None,
             read_bufsize=self._read_bytes,
             auto_decompress=False,
+            max_line_size=head_bytes,
+            max_field_size=head_bytes,
         )
 
     def count_connections(self) -> connections.ConnectionCounts:
@@ -93,6 +106,7 @@
     read_bytes: int = READ_BYTES,
     wrap: ProtocolWrapper | None = None,
     intake: intakes.Intake | None = None,
+    read_head_bound: Callable[[], int] = lambda: MAX_HEAD_BYTES,
 ) -> AsyncIterator[Listener]:
     """Serves HTTP at an address while the context is open.
 
@@ -104,6 +118,8 @@
         handler reads it; up to twice as many, and one read of the socket more.
       wrap: chooses between HTTP and another protocol; None for HTTP alone.
       intake: decides which connections are taken; None to take all.
+      read_head_bound: returns the longest request line or header field in
+        bytes that a new connection may send.
 
     Yields:
       The listener.
@@ -112,7 +128,10 @@
       OSError: the address cannot be listened on.
     """
     http_listener = Listener(
-        keepalive_s, read_bytes, None if intake is None else intake.registry
+        keepalive_s,
+        read_bytes,
+        None if intake is None else intake.registry,
+        read_head_bound,
     )
     server = web.Server(handler, handler_cancellation=True)
     loop = asyncio.get_running_loop()
--- a/rhubarblock/daemon/listener_test.py
+++ b/rhubarblock/daemon/listener_test.py
@@ -4,6 +4,7 @@
 import gzip
 
 from aiohttp import web
+import pytest
 
 from rhubarblock.daemon import listener as listeners
 from rhubarblock.settings import exchange as settings_lib
@@ -45,3 +46,21 @@
     line, bodies = exchange(head.encode() + body)
     assert line == "HTTP/1.1 200 OK"
     assert bodies == [body]
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        "GET /a HTTP/1.1\r\nHost: h\r\nX: {0}\r\n\r\n",
+        "GET /a?{0} HTTP/1.1\r\nHost: h\r\n\r\n",
+    ],
+    ids=["field", "line"],
+)
+@pytest.mark.parametrize(
+    ("size", "status"), [(12_000, "200 OK"), (17_000, "400 Bad Request")]
+)
+def test_head_is_read_up_to_its_bound(head, size, status):
+    line, _ = exchange(
+        head.format("x" * size).encode(), read_head_bound=lambda: 16_384
+    )
+    assert line.partition(" ")[2] == status
