Derive the bounds of requests in one place, and scan idle connections once

Found by reading the change again: the request handler and the listener both chose between the table's bounds and the defaults, which the configuration's lease now does; the search for idle connections that carried an exchange ran twice; the soak checked twice whether a cut request had run; the length of ids in log lines had a third constant. Behaviour, tests and checks stay as they were.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -13,7 +13,6 @@
 
 import aiohttp
 
-from rhubarblock.core import route as routes
 from rhubarblock.daemon import intake as intakes
 from rhubarblock.daemon import listener as listeners
 from rhubarblock.daemon import peerdiscovery
@@ -595,7 +594,7 @@
                 if settings.capacity.memory_mb
                 else listeners.READ_BYTES,
                 intake=intake,
-                read_head_bound=self._read_head_bound,
+                read_head_bound=lambda: self.config_lease.bounds.header_bytes,
             )
         )
         for handler, address, wrap in (
@@ -609,11 +608,6 @@
                 )
             )
 
-    def _read_head_bound(self) -> int:
-        """Returns the longest line of a request's head in bytes."""
-        table = self.config_lease.table
-        return (table.bounds if table else routes.CallerBounds()).header_bytes
-
     def _make_follower(
         self,
         session: aiohttp.ClientSession,
--- a/rhubarblock/exchange/connection.py
+++ b/rhubarblock/exchange/connection.py
@@ -8,14 +8,13 @@
 
 from aiohttp import client_proto
 
+from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import paths as endpoint_paths
 from rhubarblock.exchange import sends
 
 # Seconds before an endpoint's own idle timeout from which a connection is not
 # reused: a request must arrive before the endpoint closes it.
 KEEPALIVE_MARGIN_S = 0.5
-# Longest part of an unknown id, in characters, that is logged.
-SHOWN_CHARACTERS = 40
 
 _logger = logging.getLogger(__name__)
 
@@ -122,7 +121,7 @@
             "answer skipped",
             extra={
                 "request": self.expected_id,
-                "answer_to": echoed[:SHOWN_CHARACTERS],
+                "answer_to": echoed[: dialects.SHOWN_CHARACTERS],
                 "status": status,
                 "local_port": self._send.local_port,
                 "position": self._send.position,
--- a/rhubarblock/exchange/connector.py
+++ b/rhubarblock/exchange/connector.py
@@ -86,14 +86,13 @@
     ) -> aiohttp_connector.Connection | None:
         # aiohttp has no public way to choose among idle connections.
         sending = pathwatch.current.get()
-        idle = self._conns.get(key, ())
-        if sending is None or not any(
-            sending.history.has_used(protocol) for protocol, _ in idle
-        ):
+        idle = self._conns.get(key)
+        if sending is None or idle is None:
             return await super()._get(key, traces)
         used = [x for x in idle if sending.history.has_used(x[0])]
-        unused = [x for x in idle if not sending.history.has_used(x[0])]
-        self._conns[key] = collections.deque(unused)
+        if not used:
+            return await super()._get(key, traces)
+        self._conns[key] = collections.deque(x for x in idle if x not in used)
         try:
             return await super()._get(key, traces)
         finally:
--- a/rhubarblock/exchange/requesthandler.py
+++ b/rhubarblock/exchange/requesthandler.py
@@ -287,7 +287,7 @@
           failures.FailureError: the request is refused.
         """
         table = self._config_lease.table
-        bounds = table.bounds if table else routes.CallerBounds()
+        bounds = self._config_lease.bounds
         body = await self._read_body(request, bounds, share)
         wait_s = START_WAIT_S if table is None else LEASE_WAIT_S
         table = await self._config_lease.wait_valid(wait_s)
--- a/rhubarblock/exchange/state/configlease.py
+++ b/rhubarblock/exchange/state/configlease.py
@@ -56,6 +56,11 @@
         """The latest table, whether or not its lease is valid."""
         return self._table
 
+    @property
+    def bounds(self) -> routes.CallerBounds:
+        """Bounds on requests by the latest table; defaults without one."""
+        return self._table.bounds if self._table else routes.CallerBounds()
+
     @property
     def version(self) -> int:
         """Version of the latest table; 0 without one."""
--- a/tools/soak/evidence.py
+++ b/tools/soak/evidence.py
@@ -148,7 +148,7 @@
         is_cut = not (sent.status or sent.has_timed_out or sent.may_be_unread)
         if is_cut and self._was_calm(sent.at_s):
             message = f"{sent.request_id} was cut {self._describe_cut(sent)}"
-            if sent.is_first and not self.runs.get(sent.request_id):
+            if sent.is_first:
                 self.cuts.append((sent, read_clock(), message))
             else:
                 self.violations.append(message)
