Give each listener of the instances under test a port of its own

Cause: the tests drew the ports of an instance at random and closed each probe before the next draw, so that two listeners of one instance could get the same port. Ruled out: the kernel giving the port to a connection (27176 is below its range). The listener that failed came after the one for callers, and an instance whose metrics address is set to its readiness address fails with the same error at the same line.

Change: each draw of a process gives another port.

--- a/rhubarblock/daemon/exchangeinstance_test.py
+++ b/rhubarblock/daemon/exchangeinstance_test.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import io
+import itertools
 import json
 import random
 import socket
@@ -109,15 +110,20 @@
         yield
 
 
+# Below the ports that the kernel gives to outgoing connections and to
+# listeners without a port, which could take one before an instance listens.
+PORTS = range(10_000, 32_000)
+_ports = itertools.cycle(random.SystemRandom().sample(PORTS, len(PORTS)))
+
+
 def find_port():
-    """Returns an address with a free port.
+    """Returns an address with a free port, another one at each call.
 
-    The port is below the ones that the kernel gives to outgoing connections
-    and to listeners without a port, which could take it before the instance
-    listens on it.
+    A port is free until its instance listens, so that two draws of the same
+    port would both find it free.
     """
     while True:
-        port = random.SystemRandom().randrange(10_000, 32_000)
+        port = next(_ports)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
             return settings_lib.SocketAddress("127.0.0.1", port)
@@ -182,6 +188,11 @@
         return None
 
 
+def test_two_listeners_never_get_the_same_port():
+    drawn = [find_port().port for _ in range(2000)]
+    assert len(set(drawn)) == len(drawn)
+
+
 def test_planned_stop_finishes_requests_and_closes_idle_connections(
     monkeypatch,
 ):
