Measure how fast an instance follows a changing list of endpoints

Change: the scenario `measure list-changes` runs the parts of a reader against a list in memory on the real clock, with an idle task beside them.

--- a/rhubarblock/scripts/measure.py
+++ b/rhubarblock/scripts/measure.py
@@ -11,6 +11,7 @@
 from rhubarblock.experiments import admission
 from rhubarblock.experiments import fleet
 from rhubarblock.experiments import fleetsockets
+from rhubarblock.experiments import listchanges
 from rhubarblock.experiments import mixed
 from rhubarblock.experiments import neighbour
 from rhubarblock.experiments import quarantine
@@ -445,6 +446,34 @@
     print_result(figures, as_json)
 
 
+@measure_group.command("list-changes")
+@click.option(
+    "--endpoints",
+    type=click.IntRange(min=1),
+    default=listchanges.SIZES[0],
+    show_default=True,
+)
+@click.option(
+    "--changes",
+    "changes_per_s",
+    type=click.FloatRange(min=0.0, min_open=True),
+    default=5_000.0,
+    show_default=True,
+    help="Changes of the list in a second.",
+)
+@seed_option
+@json_option
+def list_changes_command(
+    endpoints: int, changes_per_s: float, seed: int, as_json: bool
+) -> None:
+    """Measures how fast an instance follows a list of endpoints.
+
+    Also measured: for how long requests would be held up. Real time.
+    """
+    measured = asyncio.run(listchanges.measure(endpoints, seed, changes_per_s))
+    print_result(measured, as_json)
+
+
 measure_group.add_command(measurecosts.overhead_command, "overhead")
 measure_group.add_command(measurecosts.capacity_measure_command, "capacity")
 
