Let the end of an evacuation reach instances that don't read the store

Cause: the set of evacuated data centres has a position, which peers compare to learn whether a reader's set is newer. It advanced by the positions of the changed entries only. Ruled out: the partition (paths, peers; the requests never got so far), a lost era, the lease of the configuration.

Change: a watch yields the answer's position with its objects, and the set is valid at that position once the objects have been applied.

The test of a fleet whose store removes at the position of the last write failed before: the reader used both data centres again, its peers one, for ever. It passes now, as do the tests of the store's clients and stand-ins.

--- a/rhubarblock/exchange/state/evacuationfleet_test.py
+++ b/rhubarblock/exchange/state/evacuationfleet_test.py
@@ -42,6 +42,8 @@
       fails_evacuations: whether calls for evacuations fail.
       is_silent: whether watches of evacuations get no answer.
       is_gone: whether the next watch lacks history.
+      removes_at_last_write: whether a removed object keeps the position of its
+        last write.
       calls: names of the calls for evacuations.
     """
 
@@ -55,6 +57,7 @@
         self.latency_s = 0.003
         self.is_silent = False
         self.is_gone = False
+        self.removes_at_last_write = False
         self.calls = []
         self.changed = asyncio.Event()
         for centre in CENTRES:
@@ -72,8 +75,9 @@
 
     def remove(self, name):
         self.revision += 1
-        del self.objects[name]
-        self._note(stores.StoredObject(name, self.position, b"", True))
+        last = self.objects.pop(name).version
+        version = last if self.removes_at_last_write else self.position
+        self._note(stores.StoredObject(name, version, b"", True))
 
     def restore(self, lost):
         """Starts a new era without some objects."""
@@ -89,7 +93,7 @@
         }
 
     def _note(self, stored):
-        self.log.append(stored)
+        self.log.append((self.position, stored))
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -146,14 +150,15 @@
             if after.era != store.era:
                 raise stores.StoreError(stores.StoreErrorKind.CONFLICT)
             found = tuple(self._find(prefix, after))
-            after = found[-1].version if found else after
-            yield found
+            after = store.position
+            if found:
+                yield stores.Page(found, after)
 
     def _find(self, prefix, after):
         return [
-            o
-            for o in self.store.log
-            if o.version > after and o.name.startswith(prefix)
+            stored
+            for position, stored in self.store.log
+            if position > after and stored.name.startswith(prefix)
         ]
 
 
@@ -322,8 +327,10 @@
         await asyncio.sleep(0.01)
 
 
-def test_evacuation_begins_and_ends_everywhere_at_once():
+@pytest.mark.parametrize("removes_at_last_write", [False, True])
+def test_evacuation_begins_and_ends_everywhere_at_once(removes_at_last_write):
     async def step(fleet, store):
+        store.removes_at_last_write = removes_at_last_write
         store.put("evacuations/osu")
         begun_s = await fleet.measure("mill")
         store.remove("evacuations/osu")
--- a/rhubarblock/exchange/state/evacuationfollower.py
+++ b/rhubarblock/exchange/state/evacuationfollower.py
@@ -148,9 +148,8 @@
         answers = self._store.watch(
             self._dialect.evacuation_prefix, after, self._wait_s
         )
-        async for changes in answers:
-            for stored in changes:
-                self._replica.apply_change(stored)
+        async for answer in answers:
+            self._replica.apply_changes(answer.objects, answer.version)
 
 
 def _log_failure(error: Exception) -> None:
--- a/rhubarblock/exchange/state/evacuationreplica.py
+++ b/rhubarblock/exchange/state/evacuationreplica.py
@@ -121,12 +121,21 @@
         if self.known.apply_list(entries, at, now_s):
             self._publish("store", now_s - sent_s)
 
-    def apply_change(self, stored: stores.StoredObject) -> None:
-        """Applies a change that a watch of the store reported."""
-        name = self._decode(stored)
-        if name is not None:
-            self.known.apply_change(name, stored.version, stored.deleted)
-            self._publish("watch", 0.0)
+    def apply_changes(
+        self, objects: Iterable[stores.StoredObject], at: positions.Position
+    ) -> None:
+        """Applies changes that a watch of the store reported.
+
+        Args:
+          objects: the changed entries, from any writer.
+          at: position of the store after them.
+        """
+        for stored in objects:
+            name = self._decode(stored)
+            if name is not None:
+                self.known.apply_change(name, stored.version, stored.deleted)
+        self.known.advance(at)
+        self._publish("watch", 0.0)
 
     def apply_sent(self, sent: evacuationwire.SentSet, asked_s: float) -> bool:
         """Applies a peer's set unless a later one is known.
--- a/rhubarblock/exchange/state/evacuationreplica_test.py
+++ b/rhubarblock/exchange/state/evacuationreplica_test.py
@@ -37,7 +37,8 @@
     replica.apply_listing([entry], positions.Position(1, 9), sent_s=3.5)
     timers.now_s = 7.0
     assert replica.describe() == {"osu": 3.0}
-    replica.apply_change(make_entry("osu", 10, deleted=True))
+    removed = make_entry("osu", 10, deleted=True)
+    replica.apply_changes([removed], removed.version)
     began, ended = caplog.records
     assert (began.message, ended.message) == (
         "evacuation began",
--- a/rhubarblock/exchange/state/evacuations.py
+++ b/rhubarblock/exchange/state/evacuations.py
@@ -108,6 +108,11 @@
             self._entries[name] = version
         self.position = max(self.position, version)
 
+    def advance(self, at: positions.Position) -> None:
+        """Records that the set is valid at a later position of its era."""
+        if self.is_known and at.era == self.position.era:
+            self.position = max(self.position, at)
+
     def expire(self, now_s: float) -> None:
         """Drops kept entries whose time is over.
 
--- a/rhubarblock/exchange/state/evacuations_test.py
+++ b/rhubarblock/exchange/state/evacuations_test.py
@@ -42,6 +42,16 @@
     assert known.data_centres == {"osu"}
 
 
+def test_set_advances_with_the_answer_that_ended_an_evacuation():
+    # The removed entry has the position of its last write.
+    known = make_known("osu")
+    known.apply_change("osu", known.entries["osu"], True)
+    known.advance(at(1, 12))
+    assert (known.data_centres, known.position) == (frozenset(), at(1, 12))
+    known.advance(at(2, 1))
+    assert known.position == at(1, 12)
+
+
 def test_change_before_the_first_list_is_ignored():
     known = evacuation_sets.Evacuations()
     known.apply_change("osu", at(1, 1), False)
--- a/rhubarblock/exchange/state/follower.py
+++ b/rhubarblock/exchange/state/follower.py
@@ -424,8 +424,8 @@
 
     async def _watch(self, after: positions.Position) -> None:
         answers = self._store.watch(self._dialect.endpoint_prefix, after)
-        async for changes in answers:
-            await self._apply(changes)
+        async for answer in answers:
+            await self._apply(answer.objects)
             # Changes during the pause arrive with the next answer.
             await self._timers.sleep(self._intervals.changes_s)
 
--- a/rhubarblock/exchange/state/follower_test.py
+++ b/rhubarblock/exchange/state/follower_test.py
@@ -105,7 +105,7 @@
             if None in answer:
                 raise stores.StoreError(stores.StoreErrorKind.CONFLICT)
             self.answers += 1
-            yield tuple(answer)
+            yield stores.Page(tuple(answer), self.at())
 
 
 class Client:
--- a/rhubarblock/experiments/listchanges.py
+++ b/rhubarblock/experiments/listchanges.py
@@ -213,7 +213,7 @@
         prefix: str,
         after: positions.Position,
         wait_s: float | None = None,
-    ) -> AsyncIterator[tuple[stores.StoredObject, ...]]:
+    ) -> AsyncIterator[stores.Page]:
         while True:
             await self._changed.wait()
             self._changed.clear()
@@ -221,7 +221,7 @@
             self.answers += 1
             # Decoded like the body of an answer.
             answer = json.loads(f"[{','.join(events)}]")
-            yield tuple(
+            objects = tuple(
                 stores.StoredObject(
                     prefix + name,
                     positions.Position(0, revision),
@@ -230,6 +230,7 @@
                 )
                 for name, revision, value in answer
             )
+            yield stores.Page(objects, objects[-1].version)
 
 
 class Reader:
--- a/rhubarblock/experiments/storereturn/restoredstore.py
+++ b/rhubarblock/experiments/storereturn/restoredstore.py
@@ -126,7 +126,7 @@
         prefix: str,
         after: positions.Position,
         wait_s: float | None = None,
-    ) -> AsyncIterator[tuple[stores.StoredObject, ...]]:
+    ) -> AsyncIterator[stores.Page]:
         raise NotImplementedError("the scenario uses no watches")
 
     async def _arrive(self, calls_s: list[float]) -> None:
--- a/rhubarblock/fleet/distribution.py
+++ b/rhubarblock/fleet/distribution.py
@@ -261,8 +261,8 @@
 
     async def _read_events(self, version: positions.Position) -> None:
         name = archive.CURRENT_OBJECT
-        async for changes in self._store.watch(name, version):
-            for stored in changes:
+        async for answer in self._store.watch(name, version):
+            for stored in answer.objects:
                 if not stored.deleted and self._apply_content(stored.value):
                     self._start(self._start_broadcast())
 
--- a/rhubarblock/platform/objectstore.py
+++ b/rhubarblock/platform/objectstore.py
@@ -70,8 +70,7 @@
 
     async def read(self, name: str) -> stores.StoredObject:
         answer = await self._call("GET", name)
-        kind = name.partition("/")[0]
-        return _decode_object(kind, answer.fields, answer.era)
+        return _decode_object(name.partition("/")[0], answer.fields, answer.era)
 
     async def list_objects(self, prefix: str) -> stores.Page:
         kind = prefix.partition("/")[0]
@@ -129,7 +128,7 @@
         prefix: str,
         after: positions.Position,
         wait_s: float | None = None,
-    ) -> AsyncIterator[tuple[stores.StoredObject, ...]]:
+    ) -> AsyncIterator[stores.Page]:
         kind = prefix.partition("/")[0]
         wait_ms = WATCH_WAIT_MS if wait_s is None else round(wait_s * 1e3)
         while True:
@@ -142,13 +141,14 @@
                 raise stores.StoreError(
                     _Kind.CONFLICT, "the era changed under a watch"
                 )
-            if events := page.fields["events"]:
-                yield tuple(
-                    _decode_object(
-                        kind, e["object"], page.era, bool(e.get("removed"))
-                    )
-                    for e in events
+            objects = tuple(
+                _decode_object(
+                    kind, e["object"], page.era, bool(e.get("removed"))
                 )
+                for e in page.fields["events"]
+            )
+            if objects:
+                yield stores.Page(objects, page.position)
             after = page.position
 
     async def _call(
--- a/rhubarblock/platform/objectstore_test.py
+++ b/rhubarblock/platform/objectstore_test.py
@@ -120,8 +120,10 @@
         page = await store.list_objects("servers/")
         return await anext(store.watch("servers/", page.version))
 
-    (stored,), calls = run(answer, step)
+    page, calls = run(answer, step)
+    (stored,) = page.objects
     assert (stored.name, stored.version) == ("servers/a", at(11))
+    assert page.version == at(12)
     assert calls[2][1] == "/objects/servers?watch=9&waitMs=4000"
 
 
@@ -139,7 +141,7 @@
         seen = []
         with contextlib.suppress(stores.StoreError):
             async for answer in store.watch("servers/", at(10)):
-                seen += [(o.name, o.deleted) for o in answer]
+                seen += [(o.name, o.deleted) for o in answer.objects]
         return seen
 
     seen, calls = run(answer, step)
@@ -352,7 +354,7 @@
         seen = []
         with contextlib.suppress(stores.StoreError):
             async for answer in store.watch("evacuations/", at(10), 1.5):
-                seen += [(o.name, o.deleted) for o in answer]
+                seen += [(o.name, o.deleted) for o in answer.objects]
         return seen
 
     seen, calls = run(answer, step)
--- a/rhubarblock/standins/platform/server.py
+++ b/rhubarblock/standins/platform/server.py
@@ -132,7 +132,7 @@
         self,
         request: web.Request,
         response: web.StreamResponse,
-        events: AsyncGenerator[tuple[stores.StoredObject, ...], None],
+        events: AsyncGenerator[stores.Page, None],
     ) -> None:
         # The response starts with the first event or after a short time
         # without one, so that an error at the start of the watch still
@@ -145,7 +145,7 @@
             await response.prepare(request)
             answer = await first
             while answer is not None:
-                for stored in answer:
+                for stored in answer.objects:
                     await response.write(storewire.encode_event(stored))
                 answer = await anext(events, None)
         finally:
--- a/rhubarblock/standins/platform/server_test.py
+++ b/rhubarblock/standins/platform/server_test.py
@@ -86,7 +86,7 @@
             page = await client.list_objects("a/")
             assert page.objects[0].value == value
             events = client.watch("a/", positions.NOWHERE)
-            assert (await anext(events))[0].value == value
+            assert (await anext(events)).objects[0].value == value
             await events.aclose()
 
     asyncio.run(main())
@@ -156,9 +156,9 @@
             while not store.counters["watch"]:
                 await asyncio.sleep(0.001)
             await client.write("a/1", b"x", positions.NOWHERE)
-            assert (await waiting)[0].value == b"x"
+            assert (await waiting).objects[0].value == b"x"
             await client.delete("a/1", at(1))
-            assert (await anext(events))[0].deleted
+            assert (await anext(events)).objects[0].deleted
             store.faults.start_outage()
             assert [e async for e in events] == []
             store.faults.end_outage()
--- a/rhubarblock/standins/platform/store.py
+++ b/rhubarblock/standins/platform/store.py
@@ -137,7 +137,7 @@
         prefix: str,
         after: positions.Position,
         wait_s: float | None = None,
-    ) -> AsyncIterator[tuple[stores.StoredObject, ...]]:
+    ) -> AsyncIterator[stores.Page]:
         return self._local.watch(prefix, after, wait_s)
 
 
@@ -234,7 +234,7 @@
         prefix: str,
         after: positions.Position,
         wait_s: float | None = None,
-    ) -> AsyncGenerator[tuple[stores.StoredObject, ...], None]:
+    ) -> AsyncGenerator[stores.Page, None]:
         store = self._store
         await self._begin_read("watch")
         opened = platformwatch.Watch(
@@ -248,7 +248,7 @@
             async with contextlib.aclosing(events):
                 async for stored in events:
                     self._count("watch.event")
-                    yield (stored,)
+                    yield stores.Page((stored,), stored.version)
         finally:
             store.reserve_watch_reads(-reserved_per_s)
 
--- a/rhubarblock/standins/platform/store_test.py
+++ b/rhubarblock/standins/platform/store_test.py
@@ -37,7 +37,7 @@
 ) -> list[tuple[str, positions.Position]]:
     taken = []
     async for answer in events:
-        taken += [(stored.name, stored.version) for stored in answer]
+        taken += [(stored.name, stored.version) for stored in answer.objects]
         if len(taken) == count:
             break
     return taken
--- a/rhubarblock/store/httpstore.py
+++ b/rhubarblock/store/httpstore.py
@@ -97,7 +97,7 @@
         prefix: str,
         after: positions.Position,
         wait_s: float | None = None,
-    ) -> AsyncIterator[tuple[stores.StoredObject, ...]]:
+    ) -> AsyncIterator[stores.Page]:
         timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
         )
@@ -111,7 +111,8 @@
             ) as response:
                 _check_status(response)
                 async for line in _read_lines(response):
-                    yield (storewire.decode_event(line),)
+                    stored = storewire.decode_event(line)
+                    yield stores.Page((stored,), stored.version)
 
     def _format_url(self, name: str) -> str:
         quoted = urllib.parse.quote(name, safe="/")
--- a/rhubarblock/store/store.py
+++ b/rhubarblock/store/store.py
@@ -59,7 +59,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Page:
-    """Objects of one listing.
+    """Objects of one listing, or of one answer to a watch.
 
     Attributes:
       objects: the objects; they may contain some of the changes after the
@@ -133,10 +133,12 @@
         prefix: str,
         after: positions.Position,
         wait_s: float | None = None,
-    ) -> AsyncIterator[tuple[StoredObject, ...]]:
+    ) -> AsyncIterator[Page]:
         """Yields the states that are written after a position.
 
-        States that arrived with one answer are yielded together.
+        States that arrived with one answer are yielded together, with the
+        position of the answer: a removed object may have the one of its last
+        write.
 
         Args:
           prefix: prefix of the names to watch.
