Count an endpoint that goes dark under a request as crashed

Cause: the detector looked for a crash only when a connection broke, and only a refused connection counted as one. A dark machine breaks nothing: the attempt ends at its deadline or is abandoned as silent, and neither was looked at.

Change: an attempt that was sent and ends that way starts one check per endpoint. The endpoint has crashed if three connections within two seconds get no answer while another endpoint of its data centre takes one each time, and nothing has answered from it meanwhile. What ran there since it last answered is the evidence. Not counted: endpoints that answered anything since the request was sent, an evacuated data centre, a data centre without a reachable neighbour, a crash that has been known for longer than instances differ.

Left out: a longer merging time of crashes in the registry, which would take two crashes of one endpoint for one; the entry's removal from the list as a sign, as a planned end removes it too.

New tests: detector, probe, relay; they need methods that didn't exist before. Connections: at most six for each silent endpoint, none while it answers others.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -474,6 +474,7 @@
             self.timers,
             functools.partial(crashes.has_crashed, dialer),
             self.directory.is_evacuated,
+            functools.partial(crashes.is_gone, dialer),
         )
         self.job_tracker.speeds.on_change = outcome.note_speed
         return relays.ExchangeRelay(
--- a/rhubarblock/exchange/crashes.py
+++ b/rhubarblock/exchange/crashes.py
@@ -1,17 +1,22 @@
 """Detects endpoint crashes and what may have caused them.
 
 When a connection breaks within an answer, the endpoint is probed once: only one
-that refuses connections has crashed. The requests that ran there are the
-evidence for the quarantine.
+that refuses connections has crashed. A machine that goes dark breaks nothing:
+after a request without an answer, the endpoint has crashed if it takes no
+connection for some time while its neighbours do. The requests that ran there
+are the evidence for the quarantine.
 """
 
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import enum
 import logging
+import math
 
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import listed as lists
@@ -26,6 +31,15 @@
 # Longest wait in seconds of a broken request for a probe. A crash shows sooner;
 # an endpoint that is silent must not delay the next attempt.
 CRASH_WAIT_S = 0.05
+# Connections that are tried to an endpoint that kept silent, and the pause
+# between two of them in seconds. A sound endpoint may be silent for a second.
+SILENCE_PROBES = 3
+SILENCE_PAUSE_S = 0.5
+# Seconds after a crash of an endpoint within which requests that got no answer
+# there show no other one.
+KNOWN_CRASH_S = 10.0
+# Most endpoints of which is kept when they last answered.
+MAX_ANSWERED = 4096
 # Seconds from the begin of an answer within which the request that causes a
 # crash does so.
 CRASH_LAG_S = 0.5
@@ -35,11 +49,20 @@
 Probe = Callable[[str], Awaitable[bool]]
 
 
-async def has_crashed(dialer: dialers.Dialer, address: str) -> bool:
-    """Returns whether an endpoint refuses connections.
+class Reach(enum.Enum):
+    """Result of a connection to an endpoint."""
+
+    OPEN = "open"
+    REFUSED = "refused"
+    # Nothing answered; this may be a fault of the network.
+    NONE = "none"
+
+
+async def probe(dialer: dialers.Dialer, address: str) -> Reach:
+    """Tries to connect to an endpoint.
 
-    One that refuses this instance and takes a connection of a peer has not
-    crashed, nor does it speak against it if this instance is partitioned.
+    One that refuses this instance and takes a connection of a peer is open, and
+    a refusal does not speak against it if this instance is partitioned.
 
     Args:
       dialer: connects directly or through a peer.
@@ -51,14 +74,43 @@
     except ConnectionRefusedError:
         paths = dialer.paths.find(address)
         if paths.partitioned_s is not None:
-            return False
+            return Reach.NONE
         paths.note_crashed(address)
-        return True
+        return Reach.REFUSED
     except (OSError, TimeoutError):
-        # A timeout may be a network fault.
-        return False
+        return Reach.NONE
     opened.sock.close()
-    return False
+    return Reach.OPEN
+
+
+async def has_crashed(dialer: dialers.Dialer, address: str) -> bool:
+    """Returns whether an endpoint refuses connections."""
+    return await probe(dialer, address) is Reach.REFUSED
+
+
+async def is_gone(dialer: dialers.Dialer, address: str) -> bool:
+    """Returns whether an endpoint that kept silent takes no connections.
+
+    Another endpoint of its data centre must take one each time, as otherwise
+    the network may be at fault.
+
+    Args:
+      dialer: connects directly or through a peer.
+      address: ``host:port`` of the endpoint.
+    """
+    paths = dialer.paths.find(address)
+    for number in range(SILENCE_PROBES):
+        if number:
+            await asyncio.sleep(SILENCE_PAUSE_S)
+        found = await probe(dialer, address)
+        if found is not Reach.NONE:
+            return found is Reach.REFUSED
+        neighbour = paths.find_neighbour(address)
+        if neighbour is None:
+            return False
+        if await probe(dialer, neighbour) is not Reach.OPEN:
+            return False
+    return True
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -82,7 +134,7 @@
     abandon: Callable[[], object] = lambda: None
 
     def may_crash(self, now_s: float) -> bool:
-        """Returns whether it has just begun to be answered, or has not yet.
+        """Returns whether it had just begun to be answered, or had not yet.
 
         A request crashes an endpoint when its answer begins.
         """
@@ -104,11 +156,14 @@
     """Tracks what runs at each endpoint and notices which endpoints crash."""
 
     __slots__ = (
+        "_answered_s",
         "_has_crashed",
         "_is_evacuated",
+        "_is_gone",
         "_probing",
         "_quarantine",
         "_running",
+        "_silent",
         "_timers",
     )
 
@@ -118,6 +173,7 @@
         timers: timer_service.Timers,
         probe: Probe,
         is_evacuated: Callable[[str], bool] = lambda data_centre: False,
+        probe_silent: Probe | None = None,
     ):
         """Creates a detector.
 
@@ -127,10 +183,16 @@
           timers: the clock.
           probe: returns whether an address refuses connections.
           is_evacuated: returns whether nothing may be sent to a data centre.
+          probe_silent: returns whether an address that kept silent takes no
+            connections; None if silence is never a crash.
         """
         self._quarantine = quarantine
         self._timers = timers
         self._has_crashed = probe
+        self._is_gone = probe_silent
+        # When endpoints last answered, in monotonic seconds.
+        self._answered_s: dict[str, float] = {}
+        self._silent: dict[str, asyncio.Task[None]] = {}
         self._is_evacuated = is_evacuated
         self._running: dict[str, list[Running]] = {}
         self._probing: dict[str, asyncio.Task[None]] = {}
@@ -192,11 +254,7 @@
         now_s = self._timers.read_monotonic()
         started = self._running.get(endpoint.endpoint_id, ())
         ages = {r.digest: now_s - r.sent_s for r in started}
-        requests = {
-            r.digest: quarantines.name_parts(r.exchange)
-            for r in started
-            if r.may_crash(now_s) and r.exchange.prompt_parts
-        }
+        requests = _name_suspects(started, now_s)
         task = asyncio.ensure_future(
             self._probe_endpoint(endpoint, ages, requests)
         )
@@ -206,6 +264,73 @@
         )
         return task
 
+    def note_answered(self, endpoint: lists.ListedEndpoint) -> None:
+        """Records that an endpoint has answered a request."""
+        if len(self._answered_s) >= MAX_ANSWERED:
+            self._answered_s.clear()
+        now_s = self._timers.read_monotonic()
+        self._answered_s[endpoint.endpoint_id] = now_s
+
+    def note_silent(
+        self, endpoint: lists.ListedEndpoint, running: Running
+    ) -> None:
+        """Starts to find out whether an endpoint went dark under a request.
+
+        Args:
+          endpoint: the endpoint.
+          running: the request without an answer, still tracked.
+        """
+        endpoint_id = endpoint.endpoint_id
+        answered_s = self._find_answered(endpoint_id)
+        if (
+            self._is_gone is None
+            or endpoint_id in self._silent
+            or answered_s > running.sent_s
+            or self._is_evacuated(endpoint.data_centre)
+        ):
+            return
+        started = tuple(self._running.get(endpoint_id, ()))
+        task = asyncio.ensure_future(
+            self._watch_silent(endpoint, started, answered_s)
+        )
+        self._silent[endpoint_id] = task
+        task.add_done_callback(lambda _: self._silent.pop(endpoint_id))
+
+    def _find_answered(self, endpoint_id: str) -> float:
+        """Returns when an endpoint last answered, in monotonic seconds."""
+        begun = (r.begun_s for r in self._running.get(endpoint_id, ()))
+        return max(
+            self._answered_s.get(endpoint_id, -math.inf),
+            *(begun_s for begun_s in begun if begun_s is not None),
+            -math.inf,
+        )
+
+    async def _watch_silent(
+        self,
+        endpoint: lists.ListedEndpoint,
+        started: Iterable[Running],
+        answered_s: float,
+    ) -> None:
+        """Records a crash under some requests if a silent endpoint is gone.
+
+        Args:
+          endpoint: the endpoint.
+          started: the requests that ran there.
+          answered_s: when it last answered, in monotonic seconds.
+        """
+        assert self._is_gone is not None
+        # As of the last sign of life; what was sent later is young.
+        ages = {r.digest: max(0.0, answered_s - r.sent_s) for r in started}
+        requests = _name_suspects(started, answered_s)
+        if not await self._is_gone(endpoint.address):
+            return
+        if self._find_answered(endpoint.endpoint_id) > answered_s:
+            return
+        age_s = self._quarantine.find_crash_age(endpoint.endpoint_id)
+        if quarantineregistry.SAME_CRASH_S < age_s < KNOWN_CRASH_S:
+            return
+        self._add_crash(endpoint, ages, requests, is_silent=True)
+
     def _abandon_quarantined(self) -> None:
         """Ends what is quarantined now, unless its endpoint outlived it."""
         now_s = self._timers.read_monotonic()
@@ -225,8 +350,16 @@
         ages: dict[str, float],
         requests: dict[str, partregistry.Parts],
     ) -> None:
-        if not await self._has_crashed(endpoint.address):
-            return
+        if await self._has_crashed(endpoint.address):
+            self._add_crash(endpoint, ages, requests)
+
+    def _add_crash(
+        self,
+        endpoint: lists.ListedEndpoint,
+        ages: dict[str, float],
+        requests: dict[str, partregistry.Parts],
+        is_silent: bool = False,
+    ) -> None:
         self._quarantine.add_crash(endpoint.endpoint_id, ages, requests)
         young = sorted(
             d for d, s in ages.items() if s <= quarantineregistry.YOUNG_S
@@ -235,6 +368,7 @@
             "endpoint crashed",
             extra={
                 "endpoint": endpoint.endpoint_id,
+                "silent": is_silent,
                 "under": young,
                 "parts": [sorted(requests.get(digest, ())) for digest in young],
                 "concluded": [
@@ -242,3 +376,14 @@
                 ],
             },
         )
+
+
+def _name_suspects(
+    started: Iterable[Running], now_s: float
+) -> dict[str, partregistry.Parts]:
+    """Returns the parts of the requests that may be a cause, by digest."""
+    return {
+        r.digest: quarantines.name_parts(r.exchange)
+        for r in started
+        if r.may_crash(now_s) and r.exchange.prompt_parts
+    }
--- a/rhubarblock/exchange/crashes_test.py
+++ b/rhubarblock/exchange/crashes_test.py
@@ -1,6 +1,7 @@
 """Quarantine of requests that crash endpoints, over several instances."""
 
 import asyncio
+import contextlib
 import socket
 
 import pytest
@@ -268,10 +269,10 @@
         return dialers.Opened(socket.socket(), "i2")
 
 
-def make_dialer(detours=None):
+def make_dialer(detours=None, endpoints=ENDPOINTS):
     paths = endpoint_paths.EndpointPaths(
         lambda address: None,
-        lambda service: ENDPOINTS,
+        lambda service: endpoints,
         timer_service.LoopTimers(),
         metric_store.Metrics(),
     )
@@ -314,6 +315,103 @@
     assert asyncio.run(main()) == [False, False]
 
 
+def make_silent_detector(probe, group=None):
+    detector = Detector([] if group is None else group, stay_up)
+    detector.detector._is_gone = probe
+    return detector
+
+
+async def run_into_silence(detector, exchange, number, answers=False):
+    """Runs a request that gets no answer, and waits for the conclusion."""
+    endpoint = fakes.make_endpoint(number)
+    with detector.note_running(exchange, endpoint) as running:
+        await asyncio.sleep(0.8)
+        detector.detector.note_silent(endpoint, running)
+    if answers:
+        detector.detector.note_answered(endpoint)
+    await asyncio.sleep(2.5)
+
+
+@pytest.mark.parametrize(
+    ("probe", "answers", "is_refused"),
+    [(crash, False, True), (stay_up, False, False), (crash, True, False)],
+    ids=["gone", "slow", "answers others"],
+)
+def test_request_under_which_endpoints_go_dark_is_quarantined(
+    probe, answers, is_refused
+):
+    async def main():
+        group = []
+        first, second = (make_silent_detector(probe, group) for _ in range(2))
+        exchange = fakes.make_exchange(digest="p" * 32)
+        await run_into_silence(first, exchange, 1, answers)
+        await run_into_silence(second, exchange, 2, answers)
+        return [d.quarantine.is_quarantined(exchange) for d in (first, second)]
+
+    assert virtualloop.run(main()) == [is_refused, is_refused]
+
+
+def test_request_that_meets_a_dark_endpoint_later_is_not_blamed():
+    async def main():
+        detector = make_silent_detector(crash)
+        cause = fakes.make_exchange(digest="p" * 32)
+        other = fakes.make_exchange(digest="q" * 32)
+        endpoint = fakes.make_endpoint(1)
+        with detector.note_running(cause, endpoint) as running:
+            await asyncio.sleep(0.8)
+            detector.detector.note_silent(endpoint, running)
+            await asyncio.sleep(2.5)
+        # Its entry is still listed.
+        await run_into_silence(detector, other, 1)
+        await run_into_silence(detector, other, 2)
+        return detector.quarantine.is_quarantined(other)
+
+    assert not virtualloop.run(main())
+
+
+@contextlib.contextmanager
+def open_dark_address():
+    """Yields an address that takes no connections, like a machine gone dark."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.socket())
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        # The kernel drops what a full queue has no room for.
+        for _ in range(4):
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filler.connect(listener.getsockname())
+        yield f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def test_silent_endpoint_is_gone_only_if_a_neighbour_is_reached(monkeypatch):
+    monkeypatch.setattr(crashes, "SILENCE_PAUSE_S", 0.01)
+    endpoint = fakes.ScriptedEndpoint()
+
+    async def main():
+        found = []
+        with open_dark_address() as dark, open_dark_address() as other:
+            async with endpoint.open():
+                sound = endpoint.address
+                for addresses in (
+                    [dark, sound],
+                    [dark, other],
+                    [dark],
+                    [sound],
+                ):
+                    dialer = make_dialer(
+                        endpoints=[
+                            fakes.make_endpoint(number, address)
+                            for number, address in enumerate(addresses)
+                        ]
+                    )
+                    found.append(await crashes.is_gone(dialer, addresses[0]))
+        return found
+
+    assert asyncio.run(main()) == [True, False, False, False]
+
+
 def test_endpoint_of_an_evacuated_data_centre_is_not_probed():
     async def main():
         probed = []
--- a/rhubarblock/exchange/paths.py
+++ b/rhubarblock/exchange/paths.py
@@ -221,6 +221,25 @@
             chosen.pop(centre, None)
         return list(chosen.values())
 
+    def find_neighbour(self, address: str) -> str | None:
+        """Returns another endpoint of an endpoint's data centre, if any.
+
+        Those that were not reached lately come last.
+        """
+        endpoints = self._list_endpoints(self._service)
+        centre = next(
+            (e.data_centre for e in endpoints if e.address == address), None
+        )
+        return min(
+            (
+                e.address
+                for e in endpoints
+                if e.data_centre == centre and e.address != address
+            ),
+            key=lambda other: (other in self._failed, other),
+            default=None,
+        )
+
     def _is_everywhere(self, addresses: Collection[str]) -> bool:
         """Returns whether some of these endpoints are in each data centre."""
         if len(addresses) < PARTITION_ENDPOINTS:
--- a/rhubarblock/exchange/quarantine.py
+++ b/rhubarblock/exchange/quarantine.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping
 import dataclasses
 import logging
+import math
 
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import failure as failures
@@ -215,6 +216,13 @@
         self._merge_crash(endpoint_id, requests)
         self.receive_request_crash(endpoint_id, ages)
 
+    def find_crash_age(self, endpoint_id: str) -> float:
+        """Returns the seconds since a crash of an endpoint became known."""
+        at_s = self._requests.find_crash(endpoint_id)
+        return (
+            math.inf if at_s is None else self._timers.read_monotonic() - at_s
+        )
+
     def receive_request_crash(
         self, endpoint_id: str, ages: Mapping[str, float]
     ) -> None:
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -10,6 +10,7 @@
 
 from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import failure as failures
+from rhubarblock.core import listed as lists
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.exchange import admission
 from rhubarblock.exchange import attempts
@@ -346,20 +347,40 @@
         placement: placements.Placement,
         may_abandon: Callable[[stalls.Reason], bool],
     ) -> None:
-        """Runs an attempt and checks for a crash if its connection breaks."""
+        """Runs an attempt; looks for a crash if it breaks or gets no answer."""
+        endpoint = placement.endpoint
         with self._crashes.note_running(
-            flow.exchange, placement.endpoint, flow.is_trial
-        ) as flow.running:
+            flow.exchange, endpoint, flow.is_trial
+        ) as running:
+            flow.running = running
             try:
                 await self._runner.run(flow, placement, may_abandon)
-            except (attempts.AbandonedError, attempts.FailedAnswerError):
+            except (attempts.FailedAnswerError, attempts.RefusedError):
+                self._crashes.note_answered(endpoint)
+                raise
+            except attempts.AbandonedError as error:
+                if error.reason is stalls.Reason.SILENT:
+                    self._note_silent(flow, endpoint, running)
                 raise
             except transports.AttemptError as error:
                 if error.failure.verdict is not verdicts.Verdict.NOT_RUN:
-                    await self._crashes.find_crash(
-                        placement.endpoint, flow.running
-                    )
+                    await self._crashes.find_crash(endpoint, running)
+                raise
+            except asyncio.CancelledError:
+                if self._timers.read_monotonic() >= flow.exchange.deadline_s:
+                    self._note_silent(flow, endpoint, running)
                 raise
+            self._crashes.note_answered(endpoint)
+
+    def _note_silent(
+        self,
+        flow: flows.Flow,
+        endpoint: lists.ListedEndpoint,
+        running: crashes.Running,
+    ) -> None:
+        """Looks for a crash under a request that was sent and not answered."""
+        if flow.sends.latest is not None:
+            self._crashes.note_silent(endpoint, running)
 
     async def _may_retry(
         self, flow: flows.Flow, error: failures.FailureError
--- a/rhubarblock/exchange/relay_test.py
+++ b/rhubarblock/exchange/relay_test.py
@@ -9,10 +9,13 @@
 from rhubarblock.core import failure as failures
 from rhubarblock.core import route as routes
 from rhubarblock.core import verdict as verdicts
+from rhubarblock.exchange import attempts
 from rhubarblock.exchange import endpointlimits
 from rhubarblock.exchange import fakeparts_test as fakes
 from rhubarblock.exchange import flow as flows
 from rhubarblock.exchange import quarantine as quarantines
+from rhubarblock.exchange import sends
+from rhubarblock.exchange import stalls
 from rhubarblock.exchange.peering import updates as peer_updates
 from rhubarblock.platform import names
 from rhubarblock.routing.quarantine import partregistry
@@ -416,6 +419,52 @@
     assert asyncio.run(main()) == (502, 1, 1)
 
 
+class SilentRunner:
+    """Sends attempts that get no answer; the first one may be abandoned."""
+
+    def __init__(self, reason=None, sends=True):
+        self.reason = reason
+        self.sends = sends
+
+    async def run(self, flow, placement, may_abandon):
+        flow.sends.latest = sends.Send(1, 1, False) if self.sends else None
+        if self.reason is None or flow.history.attempts:
+            await asyncio.Event().wait()
+        raise attempts.AbandonedError(self.reason)
+
+
+@pytest.mark.parametrize(
+    ("runner", "crash_count"),
+    [
+        (SilentRunner(), 1),
+        (SilentRunner(stalls.Reason.SILENT), 2),
+        (SilentRunner(stalls.Reason.BUSY), 1),
+        (SilentRunner(sends=False), 0),
+    ],
+    ids=["deadline", "silent", "busy", "not sent"],
+)
+def test_crash_is_found_under_a_request_without_an_answer(runner, crash_count):
+    async def main():
+        endpoints = [fakes.ScriptedEndpoint() for _ in range(2)]
+        async with fakes.open_parts(*endpoints) as parts:
+
+            async def probe(address):
+                return True
+
+            parts.relay._crashes._is_gone = probe
+            parts.relay._runner = runner
+            deadline_s = parts.timers.read_monotonic() + 0.05
+            exchange = fakes.make_exchange(
+                digest="p" * 32, deadline_s=deadline_s
+            )
+            with contextlib.suppress(failures.FailureError):
+                await parts.relay.serve(exchange, fakes.MemorySink())
+            await asyncio.sleep(0.01)
+            return parts.metrics.counts.get("quarantine.crashes", 0)
+
+    assert asyncio.run(main()) == crash_count
+
+
 def test_quarantined_exchange_is_refused_without_an_attempt():
     async def main():
         endpoint = fakes.ScriptedEndpoint(fakes.whole())
--- a/rhubarblock/routing/quarantine/registry.py
+++ b/rhubarblock/routing/quarantine/registry.py
@@ -223,6 +223,13 @@
         crash = Crash(endpoint_id, now_s, young, old)
         return self.merge(Facts(crashes=[crash]), now_s)
 
+    def find_crash(self, endpoint_id: str) -> float | None:
+        """Returns when an endpoint crashed last, None if that is not known."""
+        return max(
+            (c.at_s for c in self._crashes if c.endpoint_id == endpoint_id),
+            default=None,
+        )
+
     def clear(self, digest: str, now_s: float) -> Facts:
         """Records that a digest ran to completion or is cleared.
 
