--- a/rhubarblock/experiments/listchanges.py
+++ b/rhubarblock/experiments/listchanges.py
@@ -37,8 +37,6 @@
 from rhubarblock.store import store as stores
 
 SCENARIO = "list-changes"
-# The sizes of a small site, of a large one and of the target.
-SIZES = (200, 2_800, 5_800)
 # Seconds within which a configuration must be in force, and for which changes
 # are made.
 APPLY_S = 2.0
--- a/rhubarblock/scripts/measure.py
+++ b/rhubarblock/scripts/measure.py
@@ -450,7 +450,7 @@
 @click.option(
     "--endpoints",
     type=click.IntRange(min=1),
-    default=listchanges.SIZES[0],
+    default=200,
     show_default=True,
 )
 @click.option(
