Let no invalid answer of an endpoint reach a caller

What callers saw: an endpoint's answer with status 000 came as `HTTP/1.1 0` with the endpoint's signature. So did statuses from 007 to 999, a 101 nobody had asked for, folded lines and a field with a blank before its name right after the status line, control bytes in the reason phrase, lines that end without CR, transfer codings that aren't `chunked`, chunks in HTTP/1.0, and answers with two ids or signatures. A control byte in a value gave a 500 of our own. Bytes that are no answer were repeated in the 502 and the log, up to their whole length.

Cause: what the HTTP library accepts was taken for a valid answer, and its error text was passed on. Outside of its development mode its parser is lenient for clients; folded lines can't be seen in what it has parsed.

Change: `httpclient` cuts what arrives into heads and bodies, and a head reaches the parser only if RFC 9110 and RFC 9112 allow it. Whatever fails gives one 502 with a message of bounded length, one log line with the reason, and a closed connection. A field of a late answer's trailer no longer counts as a field of the next answer. connection_test.py now listens one class lower: it replaces the class right below EndpointProtocol, which is another one; its checks stay.

Held before: the other kinds of invalid names, and a part of an answer that is reset during an upload (9 cases).

--- a/rhubarblock/exchange/connection.py
+++ b/rhubarblock/exchange/connection.py
@@ -6,11 +6,10 @@
 import re
 from typing import Any
 
-from aiohttp import client_proto
-
 from rhubarblock.exchange import dialect as dialects
 from rhubarblock.exchange import paths as endpoint_paths
 from rhubarblock.exchange import sends
+from rhubarblock.httpclient import protocol as protocols
 
 # Seconds before an endpoint's own idle timeout from which a connection is not
 # reused: a request must arrive before the endpoint closes it.
@@ -19,7 +18,7 @@
 _logger = logging.getLogger(__name__)
 
 
-class EndpointProtocol(client_proto.ResponseHandler):
+class EndpointProtocol(protocols.AnswerProtocol):
     """A connection that matches each answer to its request.
 
     Attributes:
@@ -103,28 +102,40 @@
             self._held = b""
         super().connection_lost(exc)
 
+    def is_own(self, message: Any) -> bool:
+        echoed = message.headers.getall(self._attempt_header, ())
+        if len(echoed) > 1:
+            raise protocols.InvalidAnswerError("it names a request twice")
+        return not echoed or echoed[0] == self.expected_id
+
+    def describe(self) -> dict[str, object]:
+        return {
+            **super().describe(),
+            "request": self.expected_id,
+            "local_port": self._send.local_port,
+            "position": self._send.position,
+        }
+
     async def read(self) -> Any:
         """Returns the next answer that echoes the expected id."""
         while True:
             message, payload = await super().read()
             self._note_idle_time(message.headers.get("Keep-Alive", ""))
-            echoed = message.headers.get(self._attempt_header)
-            if echoed is None or echoed == self.expected_id:
+            if self.is_own(message):
                 return message, payload
             # A late answer to an abandoned request.
-            self._note_skipped(message.code, echoed)
+            self._note_skipped(message)
             await payload.read()
 
-    def _note_skipped(self, status: int, echoed: str) -> None:
+    def _note_skipped(self, message: Any) -> None:
         self._send.skipped += 1
+        echoed = message.headers[self._attempt_header]
         _logger.info(
             "answer skipped",
             extra={
-                "request": self.expected_id,
+                **self.describe(),
                 "answer_to": echoed[: dialects.SHOWN_CHARACTERS],
-                "status": status,
-                "local_port": self._send.local_port,
-                "position": self._send.position,
+                "status": message.code,
             },
         )
 
--- a/rhubarblock/exchange/connection_test.py
+++ b/rhubarblock/exchange/connection_test.py
@@ -1,11 +1,11 @@
 import asyncio
 import random
 
-from aiohttp import client_proto
 import pytest
 
 from rhubarblock.exchange import connection as connections
 from rhubarblock.exchange.tunnels import wire
+from rhubarblock.httpclient import protocol as protocols
 
 
 @pytest.mark.parametrize("seed", range(10))
@@ -13,7 +13,7 @@
     rng = random.Random(seed)
     received = []
     monkeypatch.setattr(
-        client_proto.ResponseHandler,
+        protocols.AnswerProtocol,
         "data_received",
         lambda protocol, data: received.append(data),
     )
@@ -41,7 +41,7 @@
 def test_resumption_without_data_reaches_aiohttp(mark, monkeypatch):
     received = []
     monkeypatch.setattr(
-        client_proto.ResponseHandler,
+        protocols.AnswerProtocol,
         "data_received",
         lambda protocol, data: received.append(data),
     )
@@ -61,7 +61,7 @@
 ):
     received = []
     monkeypatch.setattr(
-        client_proto.ResponseHandler,
+        protocols.AnswerProtocol,
         "data_received",
         lambda protocol, data: received.append(data),
     )
--- a/rhubarblock/exchange/connector.py
+++ b/rhubarblock/exchange/connector.py
@@ -12,6 +12,7 @@
 from rhubarblock.exchange import dialer as dialers
 from rhubarblock.exchange import pathwatch
 from rhubarblock.exchange import sockets
+from rhubarblock.httpclient import connector as answer_connector
 
 # Longest connect timeout in seconds: a hundred times the latency between two
 # data centres.
@@ -65,7 +66,7 @@
             self._timeout.reschedule(self._loop.time())
 
 
-class EndpointConnector(aiohttp.TCPConnector):
+class EndpointConnector(answer_connector.AnswerConnector):
     """Opens connections within the connect timeout, and keeps them for reuse.
 
     A request is never sent twice on one connection: a late copy of the answer
--- a/rhubarblock/exchange/transport.py
+++ b/rhubarblock/exchange/transport.py
@@ -6,7 +6,6 @@
 caller, so all of that is disabled or checked.
 """
 
-import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import contextlib
@@ -28,6 +27,7 @@
 from rhubarblock.exchange import pathwatch
 from rhubarblock.exchange import sends
 from rhubarblock.exchange import sockets
+from rhubarblock.httpclient import reading
 from rhubarblock.store import sendonce
 
 # Part of a route's objective after which a connection is given up, so that
@@ -243,6 +243,11 @@
                 answer = Answer(response, self._dialect)
                 if answer.fields.request_id != exchange.request_id:
                     raise make_error("the answer belongs to another request")
+                if "Content-Encoding" in response.headers and not any(
+                    header.name.lower() == "accept-encoding"
+                    for header in exchange.headers
+                ):
+                    raise make_error("the answer has a coding unasked")
                 yield answer
             finally:
                 response.close()
@@ -287,9 +292,11 @@
     try:
         yield
     except _NOT_SENT as error:
-        raise make_error(str(error), verdicts.Verdict.NOT_RUN) from error
+        raise make_error(
+            reading.describe_error(error), verdicts.Verdict.NOT_RUN
+        ) from error
     except _FAILED as error:
-        raise make_error(str(error) or type(error).__name__) from error
+        raise make_error(reading.describe_error(error)) from error
 
 
 def _make_timeout(objective_s: float) -> aiohttp.ClientTimeout:
@@ -344,8 +351,10 @@
     dialer: dialers.Dialer | None,
     make_socket: sockets.SocketFactory,
 ) -> AsyncIterator[aiohttp.ClientSession]:
-    loop = asyncio.get_running_loop()
     connector = connectors.EndpointConnector(
+        functools.partial(
+            connections.EndpointProtocol, attempt_header=attempt_header
+        ),
         limit=0,
         keepalive_timeout=KEEPALIVE_S,
         socket_factory=make_socket,
@@ -354,10 +363,6 @@
     connector.attempt_header = attempt_header
     connector.dialer = dialer
     connector.make_socket = make_socket
-    # aiohttp has no public way to choose the class of its connections.
-    connector._factory = functools.partial(  # type: ignore[assignment]
-        connections.EndpointProtocol, loop=loop, attempt_header=attempt_header
-    )
     request_class = type(
         "NamedRequest", (EndpointRequest,), {"ATTEMPT_HEADER": attempt_header}
     )
--- /dev/null
+++ b/rhubarblock/httpclient/__init__.py
@@ -0,0 +1,6 @@
+"""HTTP client sessions that accept only valid answers.
+
+In reading order: ``answerhead`` decodes the head of an answer, ``protocol``
+validates what a connection receives, ``connector`` opens such connections, and
+``reading`` reads bodies and describes errors.
+"""
--- a/rhubarblock/platform/headercodec.py
+++ b/rhubarblock/platform/headercodec.py
@@ -107,7 +107,7 @@
     """Decodes the header fields of an endpoint's response."""
     return dialects.AnswerFields(
         request_id=fields.get(names.ATTEMPT_ID, ""),
-        sealed=names.SEAL in fields,
+        sealed=len(_read_texts(fields, names.SEAL)) == 1,
         refused=names.NOT_EXECUTED in fields or status == MISDIRECTED,
         misdirected=status == MISDIRECTED,
         at_fault=fields.get(names.AT_SERVER, ""),
