Bound what an endpoint sends before, within and after an answer

What callers saw: an endpoint that sends interim answers, answers that bear another id, tiny chunks or an event without end kept its request until its deadline and longer, and kept the event loop from the requests of others.

Cause: asyncio reads 256 KiB at once, the parser made thousands of messages of them, and they were skipped without a bound. Only buffered bodies had one.

--- a/rhubarblock/exchange/attempts.py
+++ b/rhubarblock/exchange/attempts.py
@@ -32,7 +32,8 @@
 # A write to the caller that takes longer, in seconds, delays the reading of the
 # next event, so that the next pause says nothing about the engine.
 SLOW_WRITE_S = 0.005
-# Longest answer body in bytes that is buffered until it is complete.
+# Longest answer body, or event of a stream, in bytes that is buffered until it
+# is complete.
 MAX_BUFFERED_BYTES = 1 << 18
 # Statuses from which a caller concludes that the request has not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -297,6 +298,8 @@
             events = flow.cursor.take(data)
             if not is_last:
                 detector.expect_data(pause_s)
+            if flow.cursor.partial_bytes > MAX_BUFFERED_BYTES:
+                raise transports.make_error("an event is too long to hold")
             if not events:
                 continue
             read_s = self._timers.read_monotonic()
--- a/rhubarblock/exchange/eventcursor.py
+++ b/rhubarblock/exchange/eventcursor.py
@@ -27,6 +27,11 @@
         """Whether an incomplete event is buffered."""
         return bool(self._partial)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Bytes of the incomplete event that are buffered."""
+        return len(self._partial)
+
     def discard_partial_event(self) -> None:
         """Drops the start of an event that another endpoint sends again."""
         self._partial = b""
--- a/rhubarblock/httpclient/protocol.py
+++ b/rhubarblock/httpclient/protocol.py
@@ -2,7 +2,7 @@
 
 What arrives is cut into heads and bodies here. A head reaches aiohttp's parser
 once it is complete and valid; a body reaches it as it arrives. So an invalid
-head is never parsed.
+head is never parsed, and what arrives before or after an answer is bounded.
 """
 
 import asyncio
@@ -12,11 +12,22 @@
 import aiohttp
 from aiohttp import client_proto
 from aiohttp import http_exceptions
+from aiohttp import streams
 
 from rhubarblock.httpclient import answerhead
 
+# Bytes that are read from a connection before other connections get their turn.
+READ_BYTES = 16_384
 # Longest head of an answer in bytes.
 MAX_HEAD_BYTES = 65_536
+# Most answers, and their bytes, that may precede the answer to a request:
+# interim ones, and late ones to abandoned requests.
+MAX_PRECEDING_ANSWERS = 32
+MAX_PRECEDING_BYTES = 1 << 18
+# Bytes that sizes, extensions and trailers of chunks may have beyond as many as
+# their content: tiny chunks cost far more time than their content is worth.
+MAX_CHUNK_OVERHEAD_BYTES = 16_384
+
 # How a body in chunks ends that has no trailer fields.
 _PLAIN_END = b"\r\n0\r\n\r\n"
 
@@ -29,9 +40,12 @@
     """What arrived is no valid answer; the text says why."""
 
 
-class AnswerProtocol(client_proto.ResponseHandler):
+class AnswerProtocol(client_proto.ResponseHandler, asyncio.BufferedProtocol):
     """A connection on which each request gets one valid answer or an error."""
 
+    # Shared by all connections: what is read into it is copied at once.
+    _read_buffer = memoryview(bytearray(READ_BYTES))
+
     def __init__(self, loop: asyncio.AbstractEventLoop):
         super().__init__(loop)
         # What arrived, and how much of it the parser has got.
@@ -45,8 +59,12 @@
         self._head = _NO_HEAD
         self._is_passing_head = False
         self._is_preceding = False
-        # Bytes that a body with a length still lacks.
+        # Bytes that a body with a length still lacks, and bytes that arrived of
+        # one in chunks.
         self._missing = 0
+        self._chunk_bytes = 0
+        self._preceding = 0
+        self._preceding_bytes = 0
 
     def is_own(self, message: Any) -> bool:
         """Returns whether an answer belongs to the current request.
@@ -68,8 +86,16 @@
     def set_response_params(self, **params: Any) -> None:
         # Called for each request, right before it is sent.
         self._is_expecting = True
+        self._preceding = 0
+        self._preceding_bytes = 0
         super().set_response_params(**params)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(self._read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         if self._is_rejected:
             return
@@ -91,7 +117,9 @@
             raise InvalidAnswerError("an answer begins within another one")
         self._is_passing_head = False
         self._is_preceding = self._head.interim or not self.is_own(message)
-        if not self._is_preceding:
+        if self._is_preceding:
+            self._preceding += 1
+        else:
             self._is_expecting = False
         super().feed_data(data, size)
 
@@ -145,8 +173,11 @@
         head = self._take(end)
         self._head = answerhead.decode(head)
         self._missing = self._head.length or 0
+        self._chunk_bytes = 0
         self._is_passing_head = True
         super().data_received(head)
+        if self._is_preceding:
+            self._count_preceding(size)
         return True
 
     def _pass_body(self) -> bool:
@@ -156,17 +187,32 @@
           InvalidAnswerError: the answer is invalid.
         """
         piece = self._take(self._find_body_end())
+        if self._is_preceding:
+            self._count_preceding(len(piece))
         self._missing -= len(piece)
+        body = self._payload
         super().data_received(piece)
+        if body is not None and self._head.chunked:
+            self._chunk_bytes += len(piece)
+            self._check_chunks(body)
+        return bool(piece)
+
+    def _check_chunks(self, body: streams.StreamReader) -> None:
+        """Checks a body in chunks after a part of it was passed on.
+
+        Raises:
+          InvalidAnswerError: the answer is invalid.
+        """
+        overhead = self._chunk_bytes - body.total_bytes
+        if overhead > MAX_CHUNK_OVERHEAD_BYTES + body.total_bytes:
+            raise InvalidAnswerError("the chunks are too small")
         if (
             self._is_preceding
-            and self._head.chunked
-            and not self._is_in_body()
+            and body.is_eof()
             and not self._data.endswith(_PLAIN_END, 0, self._at)
         ):
             # The parser would count the trailer as fields of the next head.
             raise InvalidAnswerError("a trailer precedes it")
-        return bool(piece)
 
     def _find_body_end(self) -> int:
         """Returns up to where what arrived belongs to the body for sure."""
@@ -186,6 +232,19 @@
         self._at += len(piece)
         return piece
 
+    def _count_preceding(self, size: int) -> None:
+        """Counts bytes that precede the expected answer.
+
+        Raises:
+          InvalidAnswerError: there are too many.
+        """
+        self._preceding_bytes += size
+        if (
+            self._preceding > MAX_PRECEDING_ANSWERS
+            or self._preceding_bytes > MAX_PRECEDING_BYTES
+        ):
+            raise InvalidAnswerError("too many other answers precede it")
+
     def _drop_excess(self) -> None:
         """Closes the connection on bytes that no request asked for."""
         _logger.info("bytes after an answer", extra=self.describe())
--- a/rhubarblock/httpclient/protocol_test.py
+++ b/rhubarblock/httpclient/protocol_test.py
@@ -211,3 +211,60 @@
 )
 def test_head_is_bounded(head):
     assert receive(head) == "the answer is invalid: the head is too long"
+
+
+@pytest.mark.parametrize(
+    "chunk",
+    [b"1\r\na\r\n", b"1;" + b"x" * 1_000 + b"\r\na\r\n"],
+)
+def test_cost_of_chunks_is_bounded_by_their_content(chunk):
+    few = protocols.MAX_CHUNK_OVERHEAD_BYTES // len(chunk)
+    end = b"0\r\n\r\n"
+    assert receive(CHUNKED, chunk * few, end) == (200, b"a" * few)
+    assert receive(CHUNKED, chunk * few, chunk * few, end) == (
+        "the answer is invalid: the chunks are too small"
+    )
+    content = b"2000\r\n" + b"b" * 0x2000 + b"\r\n"
+    assert receive(CHUNKED, *[content + chunk] * 100, end) == (
+        200,
+        (b"b" * 0x2000 + b"a") * 100,
+    )
+
+
+ENDLESS = [
+    b"HTTP/1.1 102 Processing\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Other: 1\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nX-Other: 1\r\nContent-Length: 3\r\n\r\nabc",
+]
+
+
+@pytest.mark.parametrize("preceding", ENDLESS)
+def test_answers_that_precede_another_are_bounded_in_number(preceding):
+    own = HEAD + b"Content-Length: 2\r\n\r\nok"
+    few = preceding * protocols.MAX_PRECEDING_ANSWERS
+    assert receive(few + own) == (200, b"ok")
+    assert receive(few + preceding + own) == (
+        "the answer is invalid: too many other answers precede it"
+    )
+
+
+@pytest.mark.parametrize("preceding", ENDLESS)
+def test_answers_beyond_the_bound_are_not_parsed(preceding):
+    async def step(protocol, transport):
+        protocol.data_received(preceding * 10_000)
+        return transport.is_closed, len(protocol)
+
+    is_closed, kept = run(step)
+    assert is_closed
+    assert kept <= protocols.MAX_PRECEDING_ANSWERS + 1
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [b"Content-Length: 9999999\r\n\r\n", b"\r\n"],
+)
+def test_body_of_a_skipped_answer_is_bounded(framing):
+    head = b"HTTP/1.1 200 OK\r\nX-Other: 1\r\n" + framing
+    assert receive(head, *[b"x" * 10_000] * 50) == (
+        "the answer is invalid: too many other answers precede it"
+    )
