Let a deeply nested entry leave the others of its list readable

What was seen: one entry of the list of endpoints that holds a list or a map 1,500 levels deep. Instances followed the list no longer, and instances that started didn't become ready.

Cause: a page of the store is one JSON text. The decoder stops at such a depth with a RecursionError, and the page as a whole was refused.

Change: such a page is decoded again with null in place of what is nested over 100 levels deep. An object that can be decoded and not be encoded again counts as null, and is refused by itself.

--- a/rhubarblock/platform/objectstore.py
+++ b/rhubarblock/platform/objectstore.py
@@ -9,13 +9,13 @@
 from collections.abc import Mapping
 import dataclasses
 import json
-import math
 import re
 from typing import Any
 import urllib.parse
 
 import aiohttp
 
+from rhubarblock.core import jsontext
 from rhubarblock.core import position as positions
 from rhubarblock.platform import names
 from rhubarblock.store import sendonce
@@ -28,8 +28,6 @@
 CALL_TIMEOUT_S = 1.5
 CONNECT_TIMEOUT_S = 0.5
 _ERA = re.compile(r"[0-9]{1,18}")
-# Maximum length of a decoded integer, in characters: that of 64 bits.
-_MAX_INTEGER_LENGTH = 20
 # Milliseconds of a watch's long poll; short, as a connection may go silent.
 WATCH_WAIT_MS = 4_000
 
@@ -182,7 +180,7 @@
                     raise stores.StoreError(
                         kind, f"the store answered {response.status}"
                     )
-                return _Answer(_load(content), era)
+                return _Answer(jsontext.load_lenient(content), era)
         except aiohttp.ClientConnectorError as error:
             self._count_call("store.answers.none")
             raise stores.StoreError(_Kind.UNAVAILABLE, str(error)) from error
@@ -225,29 +223,6 @@
     return f"store.read.{kind}" if name else f"store.list.{kind}"
 
 
-def _load(content: bytes) -> Any:
-    """Decodes a body; an invalid object must not make the others unreadable.
-
-    Objects may come from any writer, so invalid UTF-8 and numbers of any length
-    are accepted here; the code that uses a value validates it.
-
-    Raises:
-      ValueError: the body as a whole is invalid.
-    """
-    text = content.decode("utf-8", "replace")
-    try:
-        return json.loads(text, parse_int=_read_integer)
-    except RecursionError as error:
-        raise ValueError("the body is nested too deeply") from error
-
-
-def _read_integer(digits: str) -> int | float:
-    """Returns an integer, or infinity if it is too long for any field."""
-    if len(digits) > _MAX_INTEGER_LENGTH:
-        return math.inf
-    return int(digits)
-
-
 def _read_version(fields: Mapping[str, Any], era: int) -> positions.Position:
     return positions.Position(era, int(fields["metadata"]["revision"]))
 
@@ -257,5 +232,5 @@
 ) -> stores.StoredObject:
     name = f"{kind}/{fields['metadata']['name']}"
     version = _read_version(fields, era)
-    value = b"" if removed else json.dumps(fields.get("specification")).encode()
+    value = b"" if removed else jsontext.dump_lenient(fields.get("specification"))
     return stores.StoredObject(name, version, value, removed)
--- a/rhubarblock/platform/objectstore_test.py
+++ b/rhubarblock/platform/objectstore_test.py
@@ -29,6 +29,10 @@
     return positions.Position(era, revision)
 
 
+class Text(str):
+    """A body that is sent as it is."""
+
+
 @contextlib.asynccontextmanager
 async def open_store(answer, count_call=lambda name: None, eras=None):
     """Opens a client of a server.
@@ -47,9 +51,8 @@
             request.transport.abort()
             return web.Response()
         status, body, *headers = result
-        return web.Response(
-            status=status, text=json.dumps(body), headers=dict(*headers)
-        )
+        text = body if isinstance(body, Text) else json.dumps(body)
+        return web.Response(status=status, text=text, headers=dict(*headers))
 
     server = web.Server(handle)
     loop = asyncio.get_running_loop()
@@ -360,3 +363,19 @@
     seen, calls = run(answer, step)
     assert seen == [("evacuations/osu", False)]
     assert calls[0][1] == "/objects/evacuations?watch=10&waitMs=1500"
+
+
+def test_entry_that_is_nested_too_deeply_leaves_the_others_readable():
+    async def main(depth):
+        nested = "[" * depth + "]" * depth
+        items = [make_item("a", 1, ["nested"]), make_item("b", 2, {})]
+        text = json.dumps({"items": items, "storeRevision": 2})
+        body = text.replace('"nested"', nested)
+        async with open_store(lambda *call: (200, Text(body))) as (store, _):
+            page = await store.list_objects("servers/")
+            return [(o.name, o.value) for o in page.objects]
+
+    for depth in range(100, 3_000, 29):
+        (first, _), second = asyncio.run(main(depth))
+        assert first == "servers/a"
+        assert second == ("servers/b", b"{}")
