Validate and bound the answers that all other clients read

What was seen in tests: the clients of the store, of peers, engines, services and the administration API took answers with status 000, folded lines or other transfer codings, and kept bodies without end. A text that is nested too deeply, or an answer that lacks a field, ended as KeyError, TypeError or RecursionError in a reader that expects an error of the store. One odd line made the product's list of instances unreadable. A tunnel's reply `2_00` counted as 200.

Cause: the same as for callers' requests; each client opened a session of the library itself, and read what it returned.

Readers translate what an answer lacks into their error, and describe errors in bounded length.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -58,6 +58,8 @@
 from rhubarblock.exchange.state import subset as subsets
 from rhubarblock.exchange.tunnels import client as tunnel_client
 from rhubarblock.exchange.tunnels import server as tunnel_server
+from rhubarblock.httpclient import connector as connectors
+from rhubarblock.httpclient import sessions
 from rhubarblock.kernel import countlog
 from rhubarblock.kernel import lifecycle as lifecycles
 from rhubarblock.kernel import looplag
@@ -83,6 +85,9 @@
 # connections may go silent, and a call that meets one takes its whole timeout.
 # The reads of the configuration follow one another faster.
 STORE_IDLE_S = 1.6
+# Longest answer of the store or a peer in bytes: several times the state of the
+# largest deployment.
+MAX_STATE_BYTES = 32_000_000
 # Seconds between two removals of the state of unlisted endpoints.
 CLEANUP_INTERVAL_S = 30.0
 # Seconds that a start waits for the list of its peers and, if there is none by
@@ -216,8 +221,11 @@
         )
         stack.enter_context(self.loop_lag.measure())
         session = await stack.enter_async_context(
-            aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(keepalive_timeout=STORE_IDLE_S)
+            sessions.open_session(
+                connectors.AnswerConnector(
+                    max_body_bytes=MAX_STATE_BYTES,
+                    keepalive_timeout=STORE_IDLE_S,
+                )
             )
         )
         store = self._make_store(session, self.metrics, self.eras)
--- a/rhubarblock/daemon/sockets.py
+++ b/rhubarblock/daemon/sockets.py
@@ -8,6 +8,8 @@
 from rhubarblock.daemon import clients as clients_lib
 from rhubarblock.fleet import httpengine
 from rhubarblock.fleet import httpservice
+from rhubarblock.httpclient import connector as connectors
+from rhubarblock.httpclient import sessions
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.settings import entry as settings_lib
 from rhubarblock.store import httpstore
@@ -34,11 +36,9 @@
     timers = timer_service.LoopTimers()
     url = settings.platform.url
     name = settings.instance.id
-    connector = aiohttp.TCPConnector(limit=NO_CONNECTION_LIMIT)
+    connector = connectors.AnswerConnector(limit=NO_CONNECTION_LIMIT)
     timeout = aiohttp.ClientTimeout(total=None)
-    async with aiohttp.ClientSession(
-        connector=connector, timeout=timeout
-    ) as session:
+    async with sessions.open_session(connector, timeout=timeout) as session:
         yield clients_lib.Clients(
             timers=timers,
             store=httpstore.HttpStore(
--- a/rhubarblock/exchange/connection.py
+++ b/rhubarblock/exchange/connection.py
@@ -14,6 +14,9 @@
 # Seconds before an endpoint's own idle timeout from which a connection is not
 # reused: a request must arrive before the endpoint closes it.
 KEEPALIVE_MARGIN_S = 0.5
+# Longest answer in bytes to a call of the instance itself, such as one for a
+# memory lease. Answers to exchanges are bounded where they are buffered.
+MAX_CALL_BYTES = 65_536
 
 _logger = logging.getLogger(__name__)
 
@@ -35,8 +38,9 @@
         self,
         loop: asyncio.AbstractEventLoop,
         attempt_header: str,
+        max_body_bytes: float = math.inf,
     ):
-        super().__init__(loop)
+        super().__init__(loop, max_body_bytes)
         self._attempt_header = attempt_header
         self.is_relayed = False
         self.was_closed = False
@@ -71,6 +75,7 @@
           The description of this send, which is updated until its answer.
         """
         self.expected_id = request_id
+        self.max_body_bytes = math.inf if request_id else MAX_CALL_BYTES
         port = 0
         if self.transport is not None:
             port = (self.transport.get_extra_info("sockname") or (0, 0))[1]
--- a/rhubarblock/exchange/peering/updates.py
+++ b/rhubarblock/exchange/peering/updates.py
@@ -254,7 +254,14 @@
             self._apply(fields, peer, now_s)
             if fields[0] == _HEARTBEAT:
                 self._apply_heartbeat(fields, peer, addr, now_s)
-        except (ValueError, TypeError, IndexError) as error:
+        except (
+            ValueError,
+            TypeError,
+            LookupError,
+            AttributeError,
+            OverflowError,
+            RecursionError,
+        ) as error:
             _logger.debug("unreadable datagram from %s: %s", addr, error)
 
     def error_received(self, exc: Exception) -> None:
--- a/rhubarblock/exchange/state/feed.py
+++ b/rhubarblock/exchange/state/feed.py
@@ -29,6 +29,7 @@
 from aiohttp import web
 
 from rhubarblock.core import document as documents
+from rhubarblock.core import jsontext
 from rhubarblock.core import position as positions
 from rhubarblock.exchange.state import configlease as config_leases
 from rhubarblock.exchange.state import differencewire
@@ -37,6 +38,7 @@
 from rhubarblock.exchange.state import evacuationwire
 from rhubarblock.exchange.state import replica as replicas
 from rhubarblock.exchange.state import subset as subsets
+from rhubarblock.httpclient import reading
 from rhubarblock.kernel import metrics as metric_store
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.store import era as era_lib
@@ -352,8 +354,15 @@
                 raise StaleStateError("it holds an older configuration")
         except stores.StoreError as error:
             raise FeedError(str(error)) from error
-        except (KeyError, TypeError, ValueError) as error:
-            raise FeedError(f"the state can't be read: {error}") from error
+        except (
+            AttributeError,
+            KeyError,
+            OverflowError,
+            TypeError,
+            ValueError,
+        ) as error:
+            reason = reading.describe_error(error)
+            raise FeedError(f"the state can't be read: {reason}") from error
 
     async def poll_evacuations(self, address: str) -> None:
         """Requests and applies only the evacuations that a peer knows.
@@ -457,10 +466,10 @@
             ) as response:
                 if response.status != 200:
                     raise FeedError(f"the peer answered {response.status}")
-                fields: dict[str, Any] = json.loads(await response.read())
+                fields: dict[str, Any] = jsontext.load(await response.read())
                 return fields
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            raise FeedError(str(error) or type(error).__name__) from error
+            raise FeedError(reading.describe_error(error)) from error
 
     def _apply(
         self,
--- a/rhubarblock/exchange/transport.py
+++ b/rhubarblock/exchange/transport.py
@@ -28,6 +28,7 @@
 from rhubarblock.exchange import sends
 from rhubarblock.exchange import sockets
 from rhubarblock.httpclient import reading
+from rhubarblock.httpclient import sessions as http_sessions
 from rhubarblock.store import sendonce
 
 # Part of a route's objective after which a connection is given up, so that
@@ -366,8 +367,8 @@
     request_class = type(
         "NamedRequest", (EndpointRequest,), {"ATTEMPT_HEADER": attempt_header}
     )
-    async with aiohttp.ClientSession(
-        connector=connector,
+    async with http_sessions.open_session(
+        connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         skip_auto_headers=_SKIPPED_HEADERS,
--- a/rhubarblock/exchange/tunnels/wire.py
+++ b/rhubarblock/exchange/tunnels/wire.py
@@ -8,6 +8,8 @@
 import enum
 import random
 
+from rhubarblock.httpclient import answerhead
+
 METHOD = b"CONNECT "
 HEAD_END = b"\r\n\r\n"
 # Longest head in bytes of a request or an answer.
@@ -88,12 +90,10 @@
     An answer of a release without tunnels counts as UNAVAILABLE.
 
     Raises:
-      ValueError: the head is no HTTP answer.
+      ValueError: the head is no valid HTTP answer.
     """
-    version, status, _ = head.split(b" ", 2)
-    if not version.startswith(b"HTTP/"):
-        raise ValueError("an HTTP answer is expected")
+    status = answerhead.decode(head).status
     try:
-        return Reply(int(status))
+        return Reply(status)
     except ValueError:
         return Reply.UNAVAILABLE
--- a/rhubarblock/fleet/enginewire.py
+++ b/rhubarblock/fleet/enginewire.py
@@ -13,6 +13,7 @@
 from rhubarblock.core import attempt as attempts
 from rhubarblock.core import endpoint as endpoints
 from rhubarblock.core import failure as failures
+from rhubarblock.core import jsontext
 from rhubarblock.core import verdict as verdicts
 
 T = TypeVar("T")
@@ -35,7 +36,7 @@
       failure.FailureError: BAD_REQUEST if the body is not a JSON object.
     """
     try:
-        value = json.loads(body)
+        value = jsontext.load(body)
     except ValueError:
         value = None
     if not isinstance(value, dict):
@@ -105,7 +106,7 @@
     payload = event.removeprefix(_DATA)
     if payload == b"[DONE]":
         return None
-    data = json.loads(payload)
+    data = jsontext.load(payload)
     try:
         if "error" in data:
             raise failures.FailureError(parse_failure(payload))
@@ -133,7 +134,7 @@
     For a body that cannot be parsed the verdict is MAY_HAVE_RUN.
     """
     try:
-        error = json.loads(body)["error"]
+        error = jsontext.load(body)["error"]
         return failures.Failure(
             failures.FailureCode(error["code"]),
             str(error["message"]),
@@ -237,7 +238,7 @@
 
 def _parse_answer(body: bytes, parse: Callable[[Any], T]) -> T:
     try:
-        return parse(json.loads(body))
+        return parse(jsontext.load(body))
     except (KeyError, TypeError) as error:
         raise ValueError(f"answer without {error}") from error
 
--- a/rhubarblock/fleet/httpengine.py
+++ b/rhubarblock/fleet/httpengine.py
@@ -20,11 +20,13 @@
 from rhubarblock.fleet import enginewire
 from rhubarblock.fleet import readpacing
 from rhubarblock.fleet import tokenevents
+from rhubarblock.httpclient import reading
 from rhubarblock.kernel import timers as timer_service
 
 CONNECT_TIMEOUT_S = 2.0
-# Largest read from the connection of a stream, in bytes.
-READ_BYTES = 64 * 1024
+# Longest answer of a call, and longest event of a stream, in bytes.
+MAX_ANSWER_BYTES = 8_000_000
+MAX_EVENT_BYTES = 1_000_000
 _TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 _JSON = {"Content-Type": "application/json"}
 
@@ -109,7 +111,8 @@
         except (aiohttp.ClientError, OSError) as error:
             raise _make_error(
                 failures.FailureCode.STREAM_CUT,
-                f"the stream of the engine broke: {error!r}",
+                "the stream of the engine broke: "
+                + reading.describe_error(error),
                 verdicts.Verdict.MAY_HAVE_RUN,
             ) from error
 
@@ -123,6 +126,12 @@
             cut = cut + len(enginewire.EVENT_END) if cut >= 0 else 0
             self._partial = data[cut:]
             data = data[:cut]
+            if len(self._partial) > MAX_EVENT_BYTES:
+                raise _make_error(
+                    failures.FailureCode.STREAM_CUT,
+                    "the engine sent an event that is too long",
+                    verdicts.Verdict.MAY_HAVE_RUN,
+                )
         start = data.find(enginewire.ERROR_EVENT_START)
         if start >= 0:
             self._error = data[start:].partition(enginewire.EVENT_END)[0]
@@ -197,7 +206,6 @@
         async with self._request(
             "POST", address, "/v1/generate", body
         ) as response:
-            _limit_read_size(response)
             yield RawAnswer(response)
 
     async def cancel(self, address: str, attempt_id: str) -> bool:
@@ -240,7 +248,7 @@
     ) -> bytes:
         async with self._request(method, address, path, body) as response:
             try:
-                return await response.read()
+                return await reading.read_body(response, MAX_ANSWER_BYTES)
             except (aiohttp.ClientError, OSError) as error:
                 raise _make_broken_error(address, error) from error
 
@@ -278,29 +286,20 @@
         ) as error:
             raise _make_error(
                 failures.FailureCode.ENDPOINT_FAILED,
-                f"no connection to {address}: {error!r}",
+                f"no connection to {address}: {reading.describe_error(error)}",
                 verdicts.Verdict.NOT_RUN,
             ) from error
         except (aiohttp.ClientError, OSError) as error:
             raise _make_broken_error(address, error) from error
 
 
-def _limit_read_size(response: aiohttp.ClientResponse) -> None:
-    """Lowers the read size of the connection from asyncio's 256 KiB.
-
-    A buffer of that size is mapped and unmapped for each read of a few hundred
-    bytes, which takes longer than the read itself.
-    """
-    transport = response.connection and response.connection.transport
-    if getattr(transport, "max_size", 0) > READ_BYTES:
-        transport.max_size = READ_BYTES  # type: ignore[union-attr]
-
-
 async def _read_failure(
     response: aiohttp.ClientResponse,
 ) -> failures.Failure:
     try:
-        return enginewire.parse_failure(await response.read())
+        return enginewire.parse_failure(
+            await reading.read_body(response, MAX_ANSWER_BYTES)
+        )
     except (aiohttp.ClientError, OSError):
         return enginewire.parse_failure(b"")
 
@@ -313,7 +312,8 @@
     except ValueError as error:
         raise _make_error(
             failures.FailureCode.STREAM_CUT,
-            f"the engine sent what is no event: {error}",
+            "the engine sent what is no event: "
+            + reading.describe_error(error),
             verdicts.Verdict.MAY_HAVE_RUN,
         ) from error
 
@@ -321,7 +321,7 @@
 def _make_broken_error(address: str, error: Exception) -> failures.FailureError:
     return _make_error(
         failures.FailureCode.ENDPOINT_FAILED,
-        f"the connection to {address} broke: {error!r}",
+        f"the connection to {address} broke: {reading.describe_error(error)}",
         verdicts.Verdict.MAY_HAVE_RUN,
     )
 
@@ -331,7 +331,8 @@
 ) -> failures.FailureError:
     return _make_error(
         failures.FailureCode.ENDPOINT_FAILED,
-        f"{address} answered against the protocol: {error}",
+        f"{address} answered against the protocol: "
+        + reading.describe_error(error),
         verdicts.Verdict.MAY_HAVE_RUN,
     )
 
--- a/rhubarblock/fleet/httpservice.py
+++ b/rhubarblock/fleet/httpservice.py
@@ -5,14 +5,15 @@
 """
 
 import collections
-import json
 
 import aiohttp
 
 from rhubarblock.core import failure as failures
+from rhubarblock.core import jsontext
 from rhubarblock.core import request as requests
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.fleet import serviceclient
+from rhubarblock.httpclient import reading
 from rhubarblock.kernel import timers as timer_service
 from rhubarblock.store import sendonce
 
@@ -77,7 +78,9 @@
         ) as error:
             # Without a connection, nothing of the call was sent.
             raise _make_error(
-                _Code.ENDPOINT_FAILED, str(error), _Verdict.NOT_RUN
+                _Code.ENDPOINT_FAILED,
+                reading.describe_error(error),
+                _Verdict.NOT_RUN,
             ) from error
         except TimeoutError as error:
             raise _make_error(
@@ -87,7 +90,9 @@
             ) from error
         except (aiohttp.ClientError, OSError) as error:
             raise _make_error(
-                _Code.ENDPOINT_FAILED, str(error), _Verdict.MAY_HAVE_RUN
+                _Code.ENDPOINT_FAILED,
+                reading.describe_error(error),
+                _Verdict.MAY_HAVE_RUN,
             ) from error
 
     async def _exchange(
@@ -110,7 +115,7 @@
             middlewares=(sendonce.send_once,),
         ) as response:
             self._check_echo(response, attempt_id)
-            body = await _read_body(response)
+            body = await reading.read_body(response, MAX_ANSWER_BYTES)
             _check_refusal(response, body)
             return requests.ServiceAnswer(
                 response.status, body, response.content_type
@@ -147,26 +152,11 @@
     return headers
 
 
-async def _read_body(response: aiohttp.ClientResponse) -> bytes:
-    parts = []
-    size = 0
-    async for part in response.content.iter_any():
-        parts.append(part)
-        size += len(part)
-        if size > MAX_ANSWER_BYTES:
-            raise _make_error(
-                _Code.ENDPOINT_FAILED,
-                "the answer is too large",
-                _Verdict.MAY_HAVE_RUN,
-            )
-    return b"".join(parts)
-
-
 def _check_refusal(response: aiohttp.ClientResponse, body: bytes) -> None:
     if response.status != 503:
         return
     try:
-        fields = json.loads(body)
+        fields = jsontext.load(body)
     except ValueError:
         return
     if isinstance(fields, dict) and fields.get("verdict") == "NOT_RUN":
--- a/rhubarblock/httpclient/connector.py
+++ b/rhubarblock/httpclient/connector.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import functools
+import math
 from typing import Any
 
 import aiohttp
@@ -18,16 +19,20 @@
     def __init__(
         self,
         make_protocol: ProtocolFactory = protocols.AnswerProtocol,
+        max_body_bytes: float = math.inf,
         **options: Any,
     ):
         """Creates a connector in a running event loop.
 
         Args:
-          make_protocol: makes the protocol of a connection; gets ``loop``.
+          make_protocol: makes the protocol of a connection.
+          max_body_bytes: longest body of an answer in bytes.
           options: options of ``aiohttp.TCPConnector``.
         """
         super().__init__(**options)
         # aiohttp has no public way to choose the class of its connections.
         self._factory = functools.partial(  # type: ignore[assignment]
-            make_protocol, loop=asyncio.get_running_loop()
+            make_protocol,
+            loop=asyncio.get_running_loop(),
+            max_body_bytes=max_body_bytes,
         )
--- a/rhubarblock/httpclient/protocol.py
+++ b/rhubarblock/httpclient/protocol.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 from typing import Any
 
 import aiohttp
@@ -41,13 +42,20 @@
 
 
 class AnswerProtocol(client_proto.ResponseHandler, asyncio.BufferedProtocol):
-    """A connection on which each request gets one valid answer or an error."""
+    """A connection on which each request gets one valid answer or an error.
+
+    Attributes:
+      max_body_bytes: longest body of an answer in bytes.
+    """
 
     # Shared by all connections: what is read into it is copied at once.
     _read_buffer = memoryview(bytearray(READ_BYTES))
 
-    def __init__(self, loop: asyncio.AbstractEventLoop):
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, max_body_bytes: float = math.inf
+    ):
         super().__init__(loop)
+        self.max_body_bytes = max_body_bytes
         # What arrived, and how much of it the parser has got.
         self._data = b""
         self._at = 0
@@ -59,10 +67,8 @@
         self._head = _NO_HEAD
         self._is_passing_head = False
         self._is_preceding = False
-        # Bytes that a body with a length still lacks, and bytes that arrived of
-        # one in chunks.
-        self._missing = 0
-        self._chunk_bytes = 0
+        # Bytes of the present body that arrived, with the sizes of chunks.
+        self._body_bytes = 0
         self._preceding = 0
         self._preceding_bytes = 0
 
@@ -172,8 +178,7 @@
             return False
         head = self._take(end)
         self._head = answerhead.decode(head)
-        self._missing = self._head.length or 0
-        self._chunk_bytes = 0
+        self._body_bytes = 0
         self._is_passing_head = True
         super().data_received(head)
         if self._is_preceding:
@@ -189,11 +194,12 @@
         piece = self._take(self._find_body_end())
         if self._is_preceding:
             self._count_preceding(len(piece))
-        self._missing -= len(piece)
+        self._body_bytes += len(piece)
+        if self._body_bytes > self.max_body_bytes:
+            raise InvalidAnswerError("the body is too long")
         body = self._payload
         super().data_received(piece)
         if body is not None and self._head.chunked:
-            self._chunk_bytes += len(piece)
             self._check_chunks(body)
         return bool(piece)
 
@@ -203,7 +209,7 @@
         Raises:
           InvalidAnswerError: the answer is invalid.
         """
-        overhead = self._chunk_bytes - body.total_bytes
+        overhead = self._body_bytes - body.total_bytes
         if overhead > MAX_CHUNK_OVERHEAD_BYTES + body.total_bytes:
             raise InvalidAnswerError("the chunks are too small")
         if (
@@ -217,7 +223,7 @@
     def _find_body_end(self) -> int:
         """Returns up to where what arrived belongs to the body for sure."""
         if self._head.length is not None:
-            return self._at + self._missing
+            return self._at + self._head.length - self._body_bytes
         end = len(self._data)
         if self._head.chunked:
             # The body ends with an empty line, and may contain others.
--- a/rhubarblock/platform/objectstore.py
+++ b/rhubarblock/platform/objectstore.py
@@ -68,7 +68,9 @@
 
     async def read(self, name: str) -> stores.StoredObject:
         answer = await self._call("GET", name)
-        return _decode_object(name.partition("/")[0], answer.fields, answer.era)
+        kind = name.partition("/")[0]
+        with stores.translate_invalid(_Kind.UNAVAILABLE):
+            return _decode_object(kind, answer.fields, answer.era)
 
     async def list_objects(self, prefix: str) -> stores.Page:
         kind = prefix.partition("/")[0]
@@ -77,16 +79,18 @@
         first: positions.Position | None = None
         while True:
             page = await self._call("GET", kind, query)
-            # Changes between two pages may be in neither of them.
-            first = first or page.position
+            with stores.translate_invalid(_Kind.UNAVAILABLE):
+                # Changes between two pages may be in neither of them.
+                first = first or page.position
+                found = page.fields["items"]
+                items = [_decode_object(kind, x, page.era) for x in found]
+                has_more = items and page.fields.get("hasMore")
             if page.era != first.era:
                 raise stores.StoreError(
                     _Kind.CONFLICT, "the era changed within a listing"
                 )
-            found = page.fields["items"]
-            items = [_decode_object(kind, x, first.era) for x in found]
             objects += items
-            if not page.fields.get("hasMore") or not items:
+            if not has_more:
                 return stores.Page(tuple(objects), first)
             query = {"after": items[-1].name.partition("/")[2]}
 
@@ -102,7 +106,8 @@
             answer = await self._call("PUT", name, body=body)
         else:
             answer = await self._call("POST", kind, body=body)
-        version = _read_version(answer.fields, answer.era)
+        with stores.translate_invalid(_Kind.UNSURE):
+            version = _read_version(answer.fields, answer.era)
         return stores.StoredObject(name, version, value)
 
     async def delete(
@@ -139,15 +144,16 @@
                 raise stores.StoreError(
                     _Kind.CONFLICT, "the era changed under a watch"
                 )
-            objects = tuple(
-                _decode_object(
-                    kind, e["object"], page.era, bool(e.get("removed"))
+            with stores.translate_invalid(_Kind.UNAVAILABLE):
+                after = page.position
+                objects = tuple(
+                    _decode_object(
+                        kind, e["object"], page.era, bool(e.get("removed"))
+                    )
+                    for e in page.fields["events"]
                 )
-                for e in page.fields["events"]
-            )
             if objects:
-                yield stores.Page(objects, page.position)
-            after = page.position
+                yield stores.Page(objects, after)
 
     async def _call(
         self,
@@ -232,5 +238,7 @@
 ) -> stores.StoredObject:
     name = f"{kind}/{fields['metadata']['name']}"
     version = _read_version(fields, era)
-    value = b"" if removed else jsontext.dump_lenient(fields.get("specification"))
+    value = (
+        b"" if removed else jsontext.dump_lenient(fields.get("specification"))
+    )
     return stores.StoredObject(name, version, value, removed)
--- a/rhubarblock/platform/objectstore_test.py
+++ b/rhubarblock/platform/objectstore_test.py
@@ -379,3 +379,37 @@
         (first, _), second = asyncio.run(main(depth))
         assert first == "servers/a"
         assert second == ("servers/b", b"{}")
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        {},
+        [],
+        None,
+        7,
+        {"items": 7, "storeRevision": 1},
+        {"items": [7], "storeRevision": 1},
+        {"items": [{}], "storeRevision": 1},
+        {"items": [], "storeRevision": []},
+        {"items": [], "storeRevision": 10**30},
+        {"events": [{}], "storeRevision": 1},
+        {"events": 7, "storeRevision": 1},
+        {"metadata": 7},
+    ],
+)
+def test_answer_without_its_fields_is_an_error_of_the_store(body):
+    def answer(*call):
+        return 200, body
+
+    async def watch(store):
+        return await anext(store.watch("servers/", at(1)))
+
+    for step in (
+        lambda store: store.read("config/main"),
+        lambda store: store.list_objects("servers/"),
+        watch,
+    ):
+        assert run(answer, step)[0] is _Kind.UNAVAILABLE
+    found, _ = run(answer, lambda store: store.write("a/b", b"{}", at(1)))
+    assert found is _Kind.UNSURE
--- a/rhubarblock/scripts/client.py
+++ b/rhubarblock/scripts/client.py
@@ -10,11 +10,18 @@
 import aiohttp
 import click
 
+from rhubarblock.core import jsontext
+from rhubarblock.httpclient import connector as connectors
+from rhubarblock.httpclient import reading
+from rhubarblock.httpclient import sessions
+
 URL_VARIABLE = "RHUBARBLOCK_ADMIN"
 TOKEN_VARIABLE = "RHUBARBLOCK_TOKEN"
 # The API responds to a change only after the platform has confirmed or refused
 # it, so the timeout is long.
 DEFAULT_TIMEOUT_S = 60.0
+# Longest answer of the API in bytes.
+MAX_ANSWER_BYTES = 64_000_000
 
 EXIT_REFUSED = 1
 EXIT_CONFLICT = 3
@@ -23,6 +30,7 @@
 _CONFLICT_CODE = "revision_conflict"
 _UNKNOWN_VERDICT = "MAY_HAVE_RUN"
 _READ_METHOD = "GET"
+_NO_ANSWER = "no answer in time"
 
 Command = TypeVar("Command", bound=Callable[..., Any])
 
@@ -166,9 +174,11 @@
     try:
         return asyncio.run(_call(connection, method, path, query, body))
     except aiohttp.ClientConnectorError as error:
-        raise ConnectionFailure(f"{connection.url}: {error}") from error
+        reason = reading.describe_error(error)
+        raise ConnectionFailure(f"{connection.url}: {reason}") from error
     except (aiohttp.ClientError, TimeoutError, ValueError) as error:
-        message = f"{connection.url}: {str(error) or 'no answer in time'}"
+        reason = reading.describe_error(error) if str(error) else _NO_ANSWER
+        message = f"{connection.url}: {reason}"
         if method == _READ_METHOD:
             raise ConnectionFailure(message) from error
         message += "; it may have taken effect, see the audit trail"
@@ -186,10 +196,14 @@
     headers = {"Authorization": f"Bearer {connection.token}"}
     timeout = aiohttp.ClientTimeout(total=connection.timeout_s)
     async with (
-        aiohttp.ClientSession(timeout=timeout, headers=headers) as session,
+        sessions.open_session(
+            connectors.AnswerConnector(max_body_bytes=MAX_ANSWER_BYTES),
+            timeout=timeout,
+            headers=headers,
+        ) as session,
         session.request(method, url, params=query, json=body) as response,
     ):
-        document = json.loads(await response.read())
+        document = jsontext.load(await response.read())
     if not isinstance(document, dict):
         raise ValueError("the answer is no JSON object")
     if "error" in document:
--- a/rhubarblock/store/httpstore.py
+++ b/rhubarblock/store/httpstore.py
@@ -3,12 +3,14 @@
 from collections.abc import AsyncIterator
 from collections.abc import Iterator
 import contextlib
-import json
 import urllib.parse
 
 import aiohttp
 
+from rhubarblock.core import jsontext
 from rhubarblock.core import position as positions
+from rhubarblock.httpclient import protocol as protocols
+from rhubarblock.httpclient import reading
 from rhubarblock.store import sendonce
 from rhubarblock.store import store as stores
 from rhubarblock.store import storewire
@@ -16,10 +18,14 @@
 # Seconds until a call without an answer counts as lost.
 CALL_TIMEOUT_S = 5.0
 CONNECT_TIMEOUT_S = 2.0
+# Longest answer in bytes: a listing holds the values of all its objects.
+MAX_ANSWER_BYTES = 64_000_000
 # One line of a watch holds a whole value in base64.
 LINE_LIMIT = 2 * stores.VALUE_LIMIT
 
 _Kind = stores.StoreErrorKind
+# The last ones come from fields that an answer lacks.
+_FAILED = (aiohttp.ClientError, OSError, ValueError, KeyError, TypeError)
 
 
 class HttpStore(stores.ObjectStore):
@@ -51,7 +57,7 @@
         with _read_errors():
             async with self._request("GET", self._format_url(name)) as response:
                 _check_status(response)
-                value = await response.read()
+                value = await reading.read_body(response, MAX_ANSWER_BYTES)
                 return stores.StoredObject(name, _get_version(response), value)
 
     async def list_objects(self, prefix: str) -> stores.Page:
@@ -60,11 +66,13 @@
         with _read_errors():
             async with self._request("GET", url, params=params) as response:
                 _check_status(response)
-                page = json.loads(await response.read())
-        objects = [storewire.decode_object(o) for o in page["objects"]]
-        return stores.Page(
-            tuple(objects), storewire.decode_position(page["version"])
-        )
+                page = jsontext.load(
+                    await reading.read_body(response, MAX_ANSWER_BYTES)
+                )
+            objects = [storewire.decode_object(o) for o in page["objects"]]
+            return stores.Page(
+                tuple(objects), storewire.decode_position(page["version"])
+            )
 
     async def write(
         self, name: str, value: bytes, expected_version: positions.Position
@@ -77,7 +85,7 @@
                 headers=self._make_conditional_headers(expected_version),
             ) as response:
                 _check_status(response)
-                await response.read()
+                await reading.read_body(response, MAX_ANSWER_BYTES)
                 return stores.StoredObject(name, _get_version(response), value)
 
     async def delete(
@@ -90,7 +98,7 @@
                 headers=self._make_conditional_headers(expected_version),
             ) as response:
                 _check_status(response)
-                await response.read()
+                await reading.read_body(response, MAX_ANSWER_BYTES)
 
     async def watch(
         self,
@@ -153,6 +161,8 @@
         partial = lines.pop()
         for line in lines:
             yield line
+        if len(partial) > LINE_LIMIT:
+            raise protocols.InvalidAnswerError("a line is too long")
 
 
 def _encode(position: positions.Position) -> str:
@@ -160,8 +170,8 @@
 
 
 def _get_version(response: aiohttp.ClientResponse) -> positions.Position:
-    number = int(response.headers[storewire.VERSION_HEADER])
-    return storewire.decode_position(number)
+    number = response.headers[storewire.VERSION_HEADER]
+    return storewire.decode_position(int(number))
 
 
 def _check_status(response: aiohttp.ClientResponse) -> None:
@@ -175,8 +185,9 @@
 def _read_errors() -> Iterator[None]:
     try:
         yield
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
-        raise stores.StoreError(_Kind.UNAVAILABLE, str(error)) from error
+    except _FAILED as error:
+        reason = reading.describe_error(error)
+        raise stores.StoreError(_Kind.UNAVAILABLE, reason) from error
 
 
 @contextlib.contextmanager
@@ -188,6 +199,8 @@
         aiohttp.ConnectionTimeoutError,
     ) as error:
         # There was no connection, so the platform did not receive the call.
-        raise stores.StoreError(_Kind.UNAVAILABLE, str(error)) from error
-    except (aiohttp.ClientError, TimeoutError, OSError) as error:
-        raise stores.StoreError(_Kind.UNSURE, str(error)) from error
+        reason = reading.describe_error(error)
+        raise stores.StoreError(_Kind.UNAVAILABLE, reason) from error
+    except _FAILED as error:
+        reason = reading.describe_error(error)
+        raise stores.StoreError(_Kind.UNSURE, reason) from error
--- a/rhubarblock/store/instances.py
+++ b/rhubarblock/store/instances.py
@@ -11,16 +11,23 @@
 import dataclasses
 import enum
 import json
+import logging
 from typing import Any
 
 import aiohttp
 
 from rhubarblock.core import capacity as capacities
+from rhubarblock.core import jsontext
+from rhubarblock.httpclient import reading
 from rhubarblock.store import store as stores
 from rhubarblock.store import storewire
 
 OBJECT_PREFIX = "instances/"
 CALL_TIMEOUT_S = 5.0
+# Longest list in bytes.
+MAX_LIST_BYTES = 64_000_000
+
+_logger = logging.getLogger(__name__)
 
 
 class InstanceKind(enum.Enum):
@@ -80,7 +87,7 @@
 
 def decode_instance(value: bytes) -> ListedInstance:
     """Decodes the result of ``encode_instance``."""
-    fields = json.loads(value)
+    fields = jsontext.load(value)
     return ListedInstance(
         instance_id=fields["instance_id"],
         address=fields["address"],
@@ -129,12 +136,42 @@
                 self._url, headers=self._headers, timeout=timeout
             ) as response:
                 _check_status(response)
-                lines = (await response.read()).splitlines()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                content = await reading.read_body(response, MAX_LIST_BYTES)
+        except (aiohttp.ClientError, OSError) as error:
             raise stores.StoreError(
-                stores.StoreErrorKind.UNAVAILABLE, str(error)
+                stores.StoreErrorKind.UNAVAILABLE,
+                reading.describe_error(error),
             ) from error
-        return [decode_instance(line) for line in lines]
+        return _decode_list(content)
+
+
+def _decode_list(content: bytes) -> list[ListedInstance]:
+    """Returns the valid entries of a list; any writer may have written one.
+
+    Raises:
+      store.StoreError: none of the entries is valid.
+    """
+    lines = content.splitlines()
+    entries = []
+    for line in lines:
+        try:
+            entries.append(decode_instance(line))
+        except (
+            AttributeError,
+            KeyError,
+            OverflowError,
+            TypeError,
+            ValueError,
+        ) as error:
+            _logger.warning(
+                "entry of the list refused",
+                extra={"reason": reading.describe_error(error)},
+            )
+    if lines and not entries:
+        raise stores.StoreError(
+            stores.StoreErrorKind.UNAVAILABLE, "no entry of the list is valid"
+        )
+    return entries
 
 
 def _check_status(response: aiohttp.ClientResponse) -> None:
--- a/rhubarblock/store/store.py
+++ b/rhubarblock/store/store.py
@@ -7,6 +7,8 @@
 
 import abc
 from collections.abc import AsyncIterator
+from collections.abc import Iterator
+import contextlib
 import dataclasses
 import enum
 
@@ -40,6 +42,22 @@
         self.kind = kind
 
 
+@contextlib.contextmanager
+def translate_invalid(kind: StoreErrorKind) -> Iterator[None]:
+    """Raises a StoreError of a kind if an answer lacks what it should have."""
+    try:
+        yield
+    except (
+        AttributeError,
+        KeyError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as error:
+        name = type(error).__name__
+        raise StoreError(kind, f"the answer can't be read: {name}") from error
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class StoredObject:
     """One object as read or watched.
--- a/rhubarblock/store/storewire.py
+++ b/rhubarblock/store/storewire.py
@@ -8,6 +8,7 @@
 import json
 from typing import Any
 
+from rhubarblock.core import jsontext
 from rhubarblock.core import position as positions
 from rhubarblock.store import store as stores
 
@@ -72,4 +73,4 @@
 
 def decode_event(line: bytes) -> stores.StoredObject:
     """Decodes one line of a watch."""
-    return decode_object(json.loads(line))
+    return decode_object(jsontext.load(line))
