Send late calls only if they end before a planned stop, and answer the rest

What callers saw: during a planned stop, uploads that came whole 3.0 to 4.7 s after the signal were passed on to a server that needs 4.5 s, and cut without an answer at the end of the grace period, among them calls that may not be repeated.

Cause: a request was held to fit by half as much again as its route's mean duration, whatever its own server needs, and always if the route had none. The mean counted the time of uploads, which is over when that is decided. What was still unanswered at the end of the stop was cut.

Durations count from the end of the request. What has no answer 0.2 s before the end gets 504 with its verdict, on a connection that is still open; answers that have begun go on.

--- a/rhubarblock/daemon/exchangeinstance.py
+++ b/rhubarblock/daemon/exchangeinstance.py
@@ -256,6 +256,7 @@
         relay = await self._open_relay(
             stack, updates, limits, limit_peers, cold_starts, quarantine
         )
+        self.lifecycle.add_drain_listener(relay.note_drain_end)
         await self._listen(stack, relay, updates, quarantine)
         self._quarantine_store = quarantinestore.QuarantineStore(
             store,
--- a/rhubarblock/daemon/plannedstop.py
+++ b/rhubarblock/daemon/plannedstop.py
@@ -75,7 +75,7 @@
         self._log_lifecycle(self._lifecycle.start_drain)
         budget_s = max(0.0, self._grace_s - EXIT_RESERVE_S)
         deadline_s = self._timers.read_monotonic() + budget_s
-        self._lifecycle.drain_ends_s = deadline_s
+        self._lifecycle.end_drain_at(deadline_s)
         self._tunnels.drain()
         await self._timers.sleep(
             min(LAME_DUCK_S, LAME_DUCK_MAX_SHARE * budget_s)
--- a/rhubarblock/exchange/fakeparts_test.py
+++ b/rhubarblock/exchange/fakeparts_test.py
@@ -406,6 +406,8 @@
             paths,
         )
 
+        self.lifecycle.add_drain_listener(self.relay.note_drain_end)
+
     def add_endpoints(self, *endpoints, service="desk"):
         for number, endpoint in enumerate(endpoints, 1):
             self.directory.update(
--- a/rhubarblock/exchange/invalidanswers_test.py
+++ b/rhubarblock/exchange/invalidanswers_test.py
@@ -67,17 +67,23 @@
     return head, await reader.readexactly(length)
 
 
-async def send_request(url, path, body=b"", remaining_ms=1000):
-    """Sends one request; returns the head and the body of its answer."""
+async def begin_request(url, path, length, remaining_ms=1000):
+    """Sends the head of a request; returns the connection."""
     host, port = url.removeprefix("http://").split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     writer.write(
         f"POST {path} HTTP/1.1\r\nHost: desk.example\r\n"
         f"{fakes.ATTEMPT}: q1\r\n{names.CREDENTIAL}: secret\r\n"
         f"{names.REMAINING}: {remaining_ms}\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n".encode()
-        + body
+        f"Content-Length: {length}\r\n\r\n".encode()
     )
+    return reader, writer
+
+
+async def send_request(url, path, body=b"", remaining_ms=1000):
+    """Sends one request; returns the head and the body of its answer."""
+    reader, writer = await begin_request(url, path, len(body), remaining_ms)
+    writer.write(body)
     try:
         return await read_answer(reader)
     finally:
@@ -85,12 +91,19 @@
 
 
 @contextlib.asynccontextmanager
-async def open_instance(*scripts):
+async def open_parts(*scripts):
+    """Opens an instance before an endpoint; yields both and its parts."""
     endpoint = fakes.ScriptedEndpoint(*scripts)
     async with (
         fakes.open_parts(endpoint) as parts,
         fakes.open_callers(parts, TABLE) as url,
     ):
+        yield endpoint, url, parts
+
+
+@contextlib.asynccontextmanager
+async def open_instance(*scripts):
+    async with open_parts(*scripts) as (endpoint, url, _):
         yield endpoint, url
 
 
--- a/rhubarblock/exchange/relay.py
+++ b/rhubarblock/exchange/relay.py
@@ -48,6 +48,9 @@
 # Longest time in seconds until the best start of a waiting exchange is
 # predicted again: in a burst, prompts arrive and end meanwhile.
 START_RECHECK_S = 0.1
+# Seconds before the end of a drain at which what is unanswered fails, so that
+# the error reaches its caller.
+ANSWER_RESERVE_S = 0.2
 
 
 class ExchangeRelay:
@@ -63,6 +66,7 @@
         "_queue",
         "_runner",
         "_timers",
+        "_under_way",
     )
 
     def __init__(
@@ -97,6 +101,7 @@
         self._quarantine = quarantine
         self._timers = timers
         self._queue = permitqueue.PermitQueue()
+        self._under_way: dict[flows.Flow, asyncio.Timeout] = {}
 
     async def serve(
         self, exchange: exchanges.Exchange, sink: sinks.Sink
@@ -111,7 +116,8 @@
         flow.is_trial = self._quarantine.check(exchange)
         self._outcomes.note_arrival(exchange)
         try:
-            async with asyncio.timeout_at(exchange.deadline_s):
+            async with asyncio.timeout_at(exchange.deadline_s) as timeout:
+                self._under_way[flow] = timeout
                 await self._retry_until_complete(flow)
         except TimeoutError:
             raise failures.FailureError(
@@ -121,6 +127,23 @@
                     flow.history.compute_verdict(),
                 )
             ) from None
+        finally:
+            self._under_way.pop(flow, None)
+
+    def note_drain_end(self, ends_s: float) -> None:
+        """Fails what has no answer shortly before a drain cuts it.
+
+        Args:
+          ends_s: end of the drain in monotonic seconds.
+        """
+        wait_s = ends_s - ANSWER_RESERVE_S - self._timers.read_monotonic()
+        self._timers.call_later(max(0.0, wait_s), self._end_unanswered)
+
+    def _end_unanswered(self) -> None:
+        now_s = self._timers.read_monotonic()
+        for flow, timeout in self._under_way.items():
+            if not flow.sink.begun and not timeout.expired():
+                timeout.reschedule(now_s)
 
     async def _retry_until_complete(self, flow: flows.Flow) -> None:
         failed: attempts.FailedAnswerError | None = None
--- a/rhubarblock/exchange/requesthandler.py
+++ b/rhubarblock/exchange/requesthandler.py
@@ -121,7 +121,8 @@
                 share = stack.enter_context(self._memory.open_share())
             try:
                 exchange = await self._read_exchange(request, arrived_s, share)
-                self._check_time_left(exchange)
+                read_s = self._timers.read_monotonic()
+                self._check_time_left(exchange, read_s)
                 caller: sinks.Sink = sink
                 if share is not None:
                     caller = stack.enter_context(
@@ -136,7 +137,7 @@
                 await self._relay.serve(exchange, caller)
                 self._durations.note(
                     exchange.route.name,
-                    self._timers.read_monotonic() - arrived_s,
+                    self._timers.read_monotonic() - read_s,
                 )
             except failures.FailureError as error:
                 if share is not None and sink.begun and share.held[_ANSWERS]:
@@ -146,14 +147,19 @@
             assert sink.response is not None
             return sink.response
 
-    def _check_time_left(self, exchange: exchanges.Exchange) -> None:
+    def _check_time_left(
+        self, exchange: exchanges.Exchange, now_s: float
+    ) -> None:
         """Refuses what may not end before a planned stop cuts it.
 
         Raises:
           failures.FailureError: it is refused; NOT_RUN.
         """
-        left_s = self._lifecycle.drain_ends_s - self._timers.read_monotonic()
-        if not self._durations.fits(exchange.route.name, left_s):
+        ends_s = self._lifecycle.drain_ends_s - relays.ANSWER_RESERVE_S
+        route = exchange.route
+        if exchange.deadline_s > ends_s and not self._durations.fits(
+            route.name, ends_s - now_s, route.repeatable
+        ):
             raise failures.FailureError(
                 failures.Failure(
                     failures.FailureCode.DRAINING,
--- a/rhubarblock/kernel/lifecycle.py
+++ b/rhubarblock/kernel/lifecycle.py
@@ -63,6 +63,7 @@
         "_in_flight",
         "_idle",
         "_machine",
+        "_drain_listeners",
         "closes_connections",
         "drain_ends_s",
     )
@@ -70,6 +71,7 @@
     def __init__(self) -> None:
         self.closes_connections = False
         self.drain_ends_s = math.inf
+        self._drain_listeners: list[Callable[[float], object]] = []
         self._hooks: list[Hook] = []
         self._in_flight = 0
         self._idle = asyncio.Event()
@@ -95,6 +97,20 @@
         """Calls ``hook(before, after)`` on each later change of state."""
         self._hooks.append(hook)
 
+    def add_drain_listener(self, listener: Callable[[float], object]) -> None:
+        """Calls a function with the end of a drain once that is known."""
+        self._drain_listeners.append(listener)
+
+    def end_drain_at(self, ends_s: float) -> None:
+        """Sets when the drain cuts what is still in flight.
+
+        Args:
+          ends_s: that time in monotonic seconds.
+        """
+        self.drain_ends_s = ends_s
+        for listener in self._drain_listeners:
+            listener(ends_s)
+
     def mark_ready(self) -> None:
         """Marks the instance as ready to serve."""
         self._trigger("mark_ready")
