--- a/rhubarblock/core/jsontext.py
+++ b/rhubarblock/core/jsontext.py
@@ -10,6 +10,10 @@
 # Maximum length of a decoded integer, in characters: that of 64 bits.
 MAX_INTEGER_LENGTH = 20
 
+# What reading the fields of a decoded text raises that lacks them, or in which
+# they have other types or sizes.
+MISMATCH = (AttributeError, LookupError, OverflowError, TypeError, ValueError)
+
 _TOKEN = re.compile(r'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{}]', re.DOTALL)
 
 
--- a/rhubarblock/exchange/peering/updates.py
+++ b/rhubarblock/exchange/peering/updates.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from rhubarblock.core import capacity as capacities
+from rhubarblock.core import jsontext
 from rhubarblock.core import listed as lists
 from rhubarblock.exchange.peering import table as peer_table
 from rhubarblock.exchange.state import subset as subsets
@@ -246,7 +247,7 @@
         peer.last_seen_s = now_s
         self._metrics.count("news.received")
         try:
-            fields = json.loads(data)
+            fields = jsontext.load(data)
             listener = self._listeners.get(fields[0])
             if listener is not None:
                 listener(fields[1:], addr)
@@ -254,14 +255,7 @@
             self._apply(fields, peer, now_s)
             if fields[0] == _HEARTBEAT:
                 self._apply_heartbeat(fields, peer, addr, now_s)
-        except (
-            ValueError,
-            TypeError,
-            LookupError,
-            AttributeError,
-            OverflowError,
-            RecursionError,
-        ) as error:
+        except jsontext.MISMATCH as error:
             _logger.debug("unreadable datagram from %s: %s", addr, error)
 
     def error_received(self, exc: Exception) -> None:
--- a/rhubarblock/exchange/state/feed.py
+++ b/rhubarblock/exchange/state/feed.py
@@ -354,13 +354,7 @@
                 raise StaleStateError("it holds an older configuration")
         except stores.StoreError as error:
             raise FeedError(str(error)) from error
-        except (
-            AttributeError,
-            KeyError,
-            OverflowError,
-            TypeError,
-            ValueError,
-        ) as error:
+        except jsontext.MISMATCH as error:
             reason = reading.describe_error(error)
             raise FeedError(f"the state can't be read: {reason}") from error
 
--- a/rhubarblock/store/httpstore.py
+++ b/rhubarblock/store/httpstore.py
@@ -24,8 +24,7 @@
 LINE_LIMIT = 2 * stores.VALUE_LIMIT
 
 _Kind = stores.StoreErrorKind
-# The last ones come from fields that an answer lacks.
-_FAILED = (aiohttp.ClientError, OSError, ValueError, KeyError, TypeError)
+_FAILED = (aiohttp.ClientError, OSError, *jsontext.MISMATCH)
 
 
 class HttpStore(stores.ObjectStore):
--- a/rhubarblock/store/instances.py
+++ b/rhubarblock/store/instances.py
@@ -156,13 +156,7 @@
     for line in lines:
         try:
             entries.append(decode_instance(line))
-        except (
-            AttributeError,
-            KeyError,
-            OverflowError,
-            TypeError,
-            ValueError,
-        ) as error:
+        except jsontext.MISMATCH as error:
             _logger.warning(
                 "entry of the list refused",
                 extra={"reason": reading.describe_error(error)},
--- a/rhubarblock/store/store.py
+++ b/rhubarblock/store/store.py
@@ -12,6 +12,7 @@
 import dataclasses
 import enum
 
+from rhubarblock.core import jsontext
 from rhubarblock.core import position as positions
 
 # Maximum size of a value in bytes; the platform rejects larger ones.
@@ -47,13 +48,7 @@
     """Raises a StoreError of a kind if an answer lacks what it should have."""
     try:
         yield
-    except (
-        AttributeError,
-        KeyError,
-        OverflowError,
-        TypeError,
-        ValueError,
-    ) as error:
+    except jsontext.MISMATCH as error:
         name = type(error).__name__
         raise StoreError(kind, f"the answer can't be read: {name}") from error
 
