--- a/rhubarblock/httpclient/clients_test.py
+++ b/rhubarblock/httpclient/clients_test.py
@@ -64,23 +64,18 @@
 }
 
 
+def make_platform_store(session, address):
+    eras = era_lib.EraTracker(metric_store.Metrics())
+    return objectstore.PlatformStore(session, address, lambda name: None, eras)
+
+
 async def read_platform(session, address):
-    store = objectstore.PlatformStore(
-        session,
-        address,
-        lambda name: None,
-        era_lib.EraTracker(metric_store.Metrics()),
-    )
+    store = make_platform_store(session, address)
     await store.list_objects("servers/")
 
 
 async def write_platform(session, address):
-    store = objectstore.PlatformStore(
-        session,
-        address,
-        lambda name: None,
-        era_lib.EraTracker(metric_store.Metrics()),
-    )
+    store = make_platform_store(session, address)
     await store.write("a/b", b"{}", positions.NOWHERE)
 
 
