Test that a coding is valid if the caller accepts one

The check of the content coding becomes a function of its own, and its other half gets a test; the error is worded anew. Nothing else behaves differently.

--- a/rhubarblock/exchange/transport.py
+++ b/rhubarblock/exchange/transport.py
@@ -244,11 +244,8 @@
                 answer = Answer(response, self._dialect)
                 if answer.fields.request_id != exchange.request_id:
                     raise make_error("the answer belongs to another request")
-                if "Content-Encoding" in response.headers and not any(
-                    header.name.lower() == "accept-encoding"
-                    for header in exchange.headers
-                ):
-                    raise make_error("the answer has a coding unasked")
+                if _is_coded_unasked(exchange, response):
+                    raise make_error("the answer has a coding not asked for")
                 yield answer
             finally:
                 response.close()
@@ -300,6 +297,15 @@
         raise make_error(reading.describe_error(error)) from error
 
 
+def _is_coded_unasked(
+    exchange: exchanges.Exchange, response: aiohttp.ClientResponse
+) -> bool:
+    """Returns whether a body has a coding and its caller accepts none."""
+    return "Content-Encoding" in response.headers and not any(
+        header.name.lower() == "accept-encoding" for header in exchange.headers
+    )
+
+
 def _make_timeout(objective_s: float) -> aiohttp.ClientTimeout:
     """Returns the timeout of a request with an objective in seconds."""
     connect_s = max(MIN_CONNECT_TIMEOUT_S, CONNECT_OBJECTIVE_PART * objective_s)
--- a/rhubarblock/exchange/transport_test.py
+++ b/rhubarblock/exchange/transport_test.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from rhubarblock.core import exchange as exchanges
 from rhubarblock.core import verdict as verdicts
 from rhubarblock.exchange import connector as connectors
 from rhubarblock.exchange import dialect as dialects
@@ -377,3 +378,18 @@
 def test_body_is_buffered_at_once_without_a_bound_of_memory():
     held, _, lengths = measure_held(False, 16_000_000)
     assert (held > 4_000_000, lengths) == (True, [16_000_000])
+
+
+@pytest.mark.parametrize("accepted", [None, "gzip"])
+def test_coding_of_an_answer_is_valid_only_if_it_was_asked_for(accepted):
+    coded = fakes.whole(b"\x1f\x8b", extra="Content-Encoding: gzip\r\n")
+    headers = [exchanges.Header(fakes.ATTEMPT, "q1")]
+    if accepted:
+        headers.append(exchanges.Header("accept-encoding", accepted))
+
+    async def send(parts, endpoint):
+        return await call(parts, endpoint, headers=tuple(headers))
+
+    results, _ = run([coded], send)
+    expected = (200, b"\x1f\x8b") if accepted else verdicts.Verdict.MAY_HAVE_RUN
+    assert results == [expected]
