Keep collected tests out of garbage collections

Cause: a full garbage collection with 3,189 collected tests pauses the process for 0.13 to 0.19 s.

Change: the collected tests are frozen once they are all known.

--- a/conftest.py
+++ b/conftest.py
@@ -5,6 +5,7 @@
 so that the line goes together with the fault.
 """
 
+import gc
 import pathlib
 
 import pytest
@@ -32,6 +33,16 @@
             )
 
 
+def pytest_collection_finish():
+    """Keeps the collected tests out of later garbage collections.
+
+    With thousands of tests, a full collection pauses the process for more than
+    0.1 s, which tests on the real clock can't tell from a stalled instance.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 def pytest_terminal_summary(terminalreporter):
     for line in read_known().values():
         terminalreporter.write_line(f"known red: {line}")
