--- a/rhubarblock/exchange/invalidanswers_test.py
+++ b/rhubarblock/exchange/invalidanswers_test.py
@@ -1,4 +1,4 @@
-"""Invalid answers of endpoints never reach callers, nor slow them down."""
+"""Invalid answers of endpoints never reach callers."""
 
 import asyncio
 import contextlib
