Give each thread a read buffer of its own

What was found by reading: connections of all event loops of a process read into one buffer. With loops in two threads, as in tests and measurements, one thread could overwrite what the other had read and not copied yet. Instances run one loop, so callers can't have seen it.

Change: the buffer is local to its thread. The new case of protocol_test.py fails on the code before.

--- a/rhubarblock/httpclient/protocol.py
+++ b/rhubarblock/httpclient/protocol.py
@@ -8,6 +8,7 @@
 import asyncio
 import logging
 import math
+import threading
 from typing import Any
 
 import aiohttp
@@ -37,6 +38,19 @@
 _logger = logging.getLogger(__name__)
 
 
+class _Buffers(threading.local):
+    """The buffer that all connections of a thread read into.
+
+    What was read is copied before another connection of the thread is read.
+    """
+
+    def __init__(self) -> None:
+        self.current = memoryview(bytearray(READ_BYTES))
+
+
+_buffers = _Buffers()
+
+
 class InvalidAnswerError(aiohttp.ClientError):
     """What arrived is no valid answer; the text says why."""
 
@@ -48,9 +62,6 @@
       max_body_bytes: longest body of an answer in bytes.
     """
 
-    # Shared by all connections: what is read into it is copied at once.
-    _read_buffer = memoryview(bytearray(READ_BYTES))
-
     def __init__(
         self, loop: asyncio.AbstractEventLoop, max_body_bytes: float = math.inf
     ):
@@ -97,10 +108,10 @@
         super().set_response_params(**params)
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self._read_buffer
+        return _buffers.current
 
     def buffer_updated(self, nbytes: int) -> None:
-        self.data_received(bytes(self._read_buffer[:nbytes]))
+        self.data_received(bytes(_buffers.current[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         if self._is_rejected:
--- a/rhubarblock/httpclient/protocol_test.py
+++ b/rhubarblock/httpclient/protocol_test.py
@@ -1,4 +1,5 @@
 import asyncio
+from concurrent import futures
 import random
 
 import aiohttp
@@ -268,3 +269,15 @@
     assert receive(head, *[b"x" * 10_000] * 50) == (
         "the answer is invalid: too many other answers precede it"
     )
+
+
+def test_threads_do_not_share_what_they_read():
+    async def get_buffer(protocol, transport):
+        return protocol.get_buffer(-1)
+
+    with futures.ThreadPoolExecutor(1) as pool:
+        other = pool.submit(run, get_buffer).result()
+        other[:5] = b"other"
+        own = run(get_buffer)
+        own[:3] = b"own"
+        assert bytes(other[:5]) == b"other"
