--- a/review/common2/fleet.py
+++ b/review/common2/fleet.py
@@ -37,6 +37,7 @@
 halle-steyr = "ennstal"
 halle-liezen = "ennstal"
 halle-admont = "ennstal"
+osu-hall = "accra"
 [listen]
 front = "{ip}:{front}"
 readyAddr = "{ip}:{ready}"
--- a/review/common2/scene.py
+++ b/review/common2/scene.py
@@ -6,6 +6,7 @@
 import contextlib
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 
@@ -155,6 +156,11 @@
     """Runs a case, which returns whether the rule held, and exits."""
 
     async def main() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        # Ends the processes also if the case itself is ended.
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         record_path = pathlib.Path(path).parent / "record.txt"
         with tempfile.TemporaryDirectory() as folder:
             scene = Scene(pathlib.Path(folder), record_path)
--- a/review/common2/servers.py
+++ b/review/common2/servers.py
@@ -24,6 +24,7 @@
       zone: where it runs.
       address: where it listens.
       is_up: whether it has not crashed.
+      running: paths of the requests that it works on.
     """
 
     def __init__(
@@ -39,6 +40,7 @@
         self.slots = 6
         self.weights = 1
         self.is_up = True
+        self.running: list[str] = []
         self._service = service
         self.zone = zone
         self._store = store
@@ -132,7 +134,11 @@
         self._record.note(f"server {self.server_id} runs {attempt}")
         echo["X-Rhubarblock-Weight-Versions"] = str(self.weights)
         echo["X-Rhubarblock-Server-Seal"] = f"seal-{attempt}"
-        await self._work(request, echo, writer)
+        self.running.append(request.start[1])
+        try:
+            await self._work(request, echo, writer)
+        finally:
+            self.running.remove(request.start[1])
 
     def _take_order(self, order: Any, writer: asyncio.StreamWriter) -> None:
         """Answers an order; a plain server knows none."""
