--- a/review/common2/servers.py
+++ b/review/common2/servers.py
@@ -24,6 +24,7 @@
       zone: where it runs.
       address: where it listens.
       is_up: whether it has not crashed.
+      record: the record of the case.
       running: paths of the requests that it works on.
     """
 
@@ -44,7 +45,7 @@
         self._service = service
         self.zone = zone
         self._store = store
-        self._record = record
+        self.record = record
         self._work_s = work_s
         self.address = ""
         self._listener: asyncio.Server
@@ -74,7 +75,7 @@
                 "sequence": 1,
             },
         )
-        self._record.note(f"store: {self.server_id} is {state}")
+        self.record.note(f"store: {self.server_id} is {state}")
 
     def crash(self) -> None:
         """Ends the process without a word; its entry stays for a while."""
@@ -82,7 +83,7 @@
         self._listener.close()
         for writer in list(self._open):
             writer.transport.abort()
-        self._record.note(f"server {self.server_id} crashes")
+        self.record.note(f"server {self.server_id} crashes")
 
     def expire(self) -> None:
         """Removes its entry, as the store does after three heartbeats."""
@@ -94,7 +95,7 @@
         for writer in list(self._open):
             writer.close()
         self._store.remove(f"servers/{self.server_id}")
-        self._record.note(f"server {self.server_id} has ended")
+        self.record.note(f"server {self.server_id} has ended")
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -122,7 +123,7 @@
         if expected and expected != str(self.weights):
             echo["X-Rhubarblock-Instance-Id"] = self.server_id
             writer.write(wire.encode("HTTP/1.1 421 Misdirected", echo))
-            self._record.note(
+            self.record.note(
                 f"server {self.server_id} rejects {attempt}: it has weights of"
                 f" version {self.weights}"
             )
@@ -130,8 +131,8 @@
         if request.start[1] == "/order":
             self._take_order(json.loads(request.body), writer)
             return
-        self.ran.append((self._record.now_s(), attempt))
-        self._record.note(f"server {self.server_id} runs {attempt}")
+        self.ran.append((self.record.now_s(), attempt))
+        self.record.note(f"server {self.server_id} runs {attempt}")
         echo["X-Rhubarblock-Weight-Versions"] = str(self.weights)
         echo["X-Rhubarblock-Server-Seal"] = f"seal-{attempt}"
         self.running.append(request.start[1])
@@ -262,7 +263,7 @@
                 status = 409
             else:
                 self._tickets[order["id"]] = order["tokenCount"]
-        self._record.note(f"{self.server_id} answers {order} with {status}")
+        self.record.note(f"{self.server_id} answers {order} with {status}")
         writer.write(wire.encode(f"HTTP/1.1 {status} -", {}, b"{}"))
 
     def _is_lost(self, address: str) -> bool:
