--- a/review/common2/scene.py
+++ b/review/common2/scene.py
@@ -167,7 +167,7 @@
             try:
                 async with asyncio.timeout(110.0):
                     held = await case(scene)
-            except Exception as error:
+            except (Exception, asyncio.CancelledError) as error:
                 scene.record.note(f"the case could not run: {error!r}")
                 print(f"could not run: {error!r}")
                 return FAILED_TO_RUN
--- a/review/common2/servers.py
+++ b/review/common2/servers.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import json
+import socket
 from typing import Any
 
 from common2 import record as records
@@ -269,3 +270,88 @@
     def _is_lost(self, address: str) -> bool:
         """Returns whether no engine is up at an address."""
         return not any(e.address == address and e.is_up for e in self._pool)
+
+
+class DarkServer(Server):
+    """A server whose machine goes dark while it works on one kind of request.
+
+    It comes back after some seconds as another incarnation.
+
+    Attributes:
+      poisoned: times at which the request reached this server.
+      went_dark: times at which it went dark.
+    """
+
+    # `for_s` of the sheet's srv_crash, and three heartbeats, in seconds.
+    DARK_S = 4.5
+    SILENCE_S = 3.6
+
+    def __init__(
+        self,
+        service: str,
+        zone: str,
+        store: stores.Store,
+        record: records.Record,
+        poison: str,
+        is_troubled: bool,
+    ):
+        super().__init__(service, zone, store, record)
+        self.poisoned: list[float] = []
+        self.went_dark: list[float] = []
+        self._poison = poison
+        self._is_troubled = is_troubled
+        self._fillers: list[socket.socket] = []
+        self._ip = ""
+
+    async def start(self, ip: str) -> None:
+        self._ip = ip
+        await super().start(ip)
+
+    async def _work(
+        self,
+        request: wire.Message,
+        echo: dict[str, str],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if request.start[1] == self._poison:
+            self.poisoned.append(self.record.now_s())
+            if self._is_troubled and self.is_up:
+                self._go_dark()
+        if not self.is_up:
+            await asyncio.sleep(3600.0)
+        await super()._work(request, echo, writer)
+
+    def _go_dark(self) -> None:
+        """Answers nothing any more, on old connections or new ones."""
+        self.is_up = False
+        self.went_dark.append(self.record.now_s())
+        self.record.note(f"server {self.server_id} goes dark")
+        loop = asyncio.get_running_loop()
+        for listener in self._listener.sockets:
+            loop.remove_reader(listener.fileno())
+            # With a full queue the kernel drops the next opening packets, as
+            # if the machine were gone.
+            again = socket.socket(fileno=socket.dup(listener.fileno()))
+            again.listen(0)
+            again.close()
+            for _ in range(4):
+                filler = socket.socket()
+                filler.setblocking(False)
+                with contextlib.suppress(BlockingIOError):
+                    filler.connect(listener.getsockname())
+                self._fillers.append(filler)
+        loop.call_later(self.SILENCE_S, self.expire)
+        loop.call_later(
+            self.DARK_S, lambda: asyncio.ensure_future(self._come_back())
+        )
+
+    async def _come_back(self) -> None:
+        self._listener.close()
+        for writer in list(self._open):
+            writer.transport.abort()
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        self.server_id = f"i-{next(_numbers):04d}"
+        self.is_up = True
+        await self.start(self._ip)
